feat: add the thin path from callers through a node to engines and services

Cause: nothing existed. A request has to go end to end through separate processes before any part is made deeper.

Ruled out: Node 20 as the runtime (past its support), a second schema for settings (protovalidate checks both).

Retries, keyed requests, membership, two-phase commit and training are not there yet.

--- /dev/null
+++ b/playground/processes.ts
@@ -0,0 +1,97 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { createInterface } from 'node:readline';
+import { fileURLToPath } from 'node:url';
+
+const ROOT = fileURLToPath(new URL('..', import.meta.url));
+
+/** A process that a test or the demo started. */
+export interface StartedProcess {
+  readonly child: ChildProcess;
+  /** First line of its standard output that `ready` accepted. */
+  readonly firstLine: string;
+  /** Lines of standard error so far, the newest last; at most 2,000. */
+  readonly errorLines: string[];
+}
+
+/** Starts and ends the processes of one test or demo run. */
+export class ProcessGroup implements AsyncDisposable {
+  readonly #children = new Set<ChildProcess>();
+
+  #folder: string | undefined;
+
+  /** Starts a TypeScript file and waits until a line of its output satisfies `ready`. */
+  async start(
+    file: string,
+    args: readonly string[],
+    ready: (line: string) => boolean = () => true,
+    timeoutMs = 20_000,
+  ): Promise<StartedProcess> {
+    const child = spawn(process.execPath, ['--import', 'tsx', path.join(ROOT, file), ...args], {
+      cwd: ROOT,
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.#children.add(child);
+    child.once('exit', () => this.#children.delete(child));
+    const errorLines: string[] = [];
+    const firstLine = await new Promise<string>((resolve, reject) => {
+      const timer = setTimeout(
+        () =>
+          reject(
+            new Error(`${file} was not ready within ${timeoutMs} ms\n${errorLines.join('\n')}`),
+          ),
+        timeoutMs,
+      );
+      const onLine = (line: string) => {
+        if (!ready(line)) return;
+        clearTimeout(timer);
+        resolve(line);
+      };
+      if (child.stdout) createInterface(child.stdout).on('line', onLine);
+      if (child.stderr) {
+        createInterface(child.stderr).on('line', (line) => {
+          errorLines.push(line);
+          if (errorLines.length > 2000) errorLines.shift();
+          onLine(line);
+        });
+      }
+      child.once('exit', (code) => {
+        clearTimeout(timer);
+        reject(new Error(`${file} ended with code ${code}\n${errorLines.join('\n')}`));
+      });
+    });
+    return { child, firstLine, errorLines };
+  }
+
+  /** Starts a stand-in. Returns its address. */
+  async standIn(name: string): Promise<{ process: StartedProcess; address: string }> {
+    const started = await this.start(`playground/standIns/${name}.ts`, []);
+    return { process: started, address: started.firstLine };
+  }
+
+  /** Starts a node from settings given as an object. JSON is YAML. */
+  async node(
+    settings: Record<string, unknown>,
+  ): Promise<{ process: StartedProcess; callerPort: number; peerPort: number }> {
+    this.#folder ??= await mkdtemp(path.join(tmpdir(), 'hyssoppulley-'));
+    const file = path.join(this.#folder, `${String(settings.name)}.yaml`);
+    await writeFile(file, JSON.stringify(settings));
+    const started = await this.start('src/node/cli.ts', ['node', '--config', file], (line) =>
+      line.includes('event=node-started'),
+    );
+    const port = (name: string) =>
+      Number(new RegExp(`${name}=(\\d+)`).exec(started.firstLine)?.[1] ?? 0);
+    return { process: started, callerPort: port('callerPort'), peerPort: port('peerPort') };
+  }
+
+  /** Ends every process that is still running. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    const exits = [...this.#children].map((child) => once(child, 'exit'));
+    for (const child of this.#children) child.kill('SIGKILL');
+    await Promise.all(exits);
+    if (this.#folder) await rm(this.#folder, { recursive: true, force: true });
+  }
+}
--- /dev/null
+++ b/playground/standIns/service.ts
@@ -0,0 +1,29 @@
+import { pathToFileURL } from 'node:url';
+import { runStandInProcess, sendJson, startStandIn, type StandInHandler } from './standInServer.ts';
+
+/**
+ * Stand-in of a plain service. Every request is counted by its header `x-run-id`, so that a test sees what ran twice.
+ * `GET /control/runs` answers the counts.
+ */
+export const startService = async (port = 0) => {
+  const runs: Record<string, number> = {};
+  const handler: StandInHandler = (request, response) => {
+    const { pathname } = request.url;
+    if (pathname === '/control/runs') {
+      sendJson(response, 200, runs);
+      return;
+    }
+    if (pathname === '/load') {
+      sendJson(response, 200, { running: 0 });
+      return;
+    }
+    const runId = String(request.headers['x-run-id'] ?? '');
+    if (runId) runs[runId] = (runs[runId] ?? 0) + 1;
+    sendJson(response, 200, { runId, path: pathname, bytes: request.body.length });
+  };
+  return startStandIn(handler, {}, port);
+};
+
+if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) {
+  await runStandInProcess(startService);
+}
--- /dev/null
+++ b/playground/standIns/standInServer.ts
@@ -0,0 +1,96 @@
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** Faults that every stand-in can be told to show, over `PUT /control/faults`. */
+export interface Faults {
+  /** Added before each answer, in ms. */
+  latencyMs?: number;
+  /** Answer 503 to everything. */
+  outage?: boolean;
+  /** Accept connections and requests and never answer. */
+  silent?: boolean;
+  [name: string]: unknown;
+}
+
+export interface StandInRequest {
+  readonly method: string;
+  readonly url: URL;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+export type StandInHandler = (
+  request: StandInRequest,
+  response: http.ServerResponse,
+) => void | Promise<void>;
+
+/** Sends a JSON answer. */
+export const sendJson = (response: http.ServerResponse, statusCode: number, body: unknown) => {
+  response.writeHead(statusCode, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+};
+
+export const sleepMs = (delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+
+const readAll = async (request: http.IncomingMessage): Promise<Buffer> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
+  return Buffer.concat(chunks);
+};
+
+/**
+ * Starts a stand-in on 127.0.0.1. `GET` and `PUT /control/faults` read and replace the faults.
+ *
+ * @param port - 0 lets the kernel choose
+ * @returns the address and the server
+ */
+export const startStandIn = async (
+  handler: StandInHandler,
+  initialFaults: Faults = {},
+  port = 0,
+): Promise<{ address: string; server: http.Server; faults: Faults }> => {
+  const faults = initialFaults;
+  const server = http.createServer((incoming, response) => {
+    const serve = async () => {
+      const request: StandInRequest = {
+        method: incoming.method ?? 'GET',
+        url: new URL(incoming.url ?? '/', 'http://127.0.0.1'),
+        headers: incoming.headers,
+        body: await readAll(incoming),
+      };
+      if (request.url.pathname === '/control/faults') {
+        if (request.method === 'PUT') {
+          for (const name of Object.keys(faults)) delete faults[name];
+          Object.assign(faults, JSON.parse(request.body.toString()));
+        }
+        sendJson(response, 200, faults);
+        return;
+      }
+      if (faults.silent) return;
+      if (faults.latencyMs) await sleepMs(faults.latencyMs);
+      if (faults.outage) {
+        sendJson(response, 503, { error: 'outage' });
+        return;
+      }
+      await handler(request, response);
+    };
+    serve().catch((error: unknown) => {
+      if (response.headersSent) response.destroy();
+      else sendJson(response, 500, { error: String(error) });
+    });
+  });
+  server.keepAliveTimeout = 75_000;
+  await new Promise<void>((resolve) => {
+    server.listen(port, '127.0.0.1', resolve);
+  });
+  return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, server, faults };
+};
+
+/** Runs a stand-in as a process: prints its address on the first line of standard output. */
+export const runStandInProcess = async (start: (port: number) => Promise<{ address: string }>) => {
+  const { address } = await start(Number(process.env.PORT ?? 0));
+  process.stdout.write(`${address}\n`);
+};
--- /dev/null
+++ b/src/node/dataPath/httpServer.ts
@@ -0,0 +1,56 @@
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** Handles one request, or returns false to pass it to the next handler. */
+export type RequestHandler = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => boolean | Promise<boolean>;
+
+/** Path of a request without its query. */
+export const pathOf = (request: http.IncomingMessage): string =>
+  (request.url ?? '/').split('?', 1)[0] ?? '/';
+
+/** First value of a header; empty when it is absent. */
+export const headerOf = (request: http.IncomingMessage, name: string): string => {
+  const value = request.headers[name];
+  return (Array.isArray(value) ? value[0] : value) ?? '';
+};
+
+/** Makes a server that offers each request to the handlers in order. `onError` gets what a handler throws. */
+export const createHttpServer = (
+  handlers: readonly RequestHandler[],
+  onError: (error: unknown, response: http.ServerResponse) => void,
+): http.Server => {
+  const server = http.createServer((request, response) => {
+    const run = async () => {
+      for (const handler of handlers) {
+        if (await handler(request, response)) return;
+      }
+      response.statusCode = 404;
+      response.end();
+    };
+    run().catch((error: unknown) => onError(error, response));
+  });
+  // Node's defaults end requests whose upload takes over 5 minutes; route timeouts bound requests instead.
+  server.requestTimeout = 0;
+  // Bounds clients that send their headers byte by byte.
+  server.headersTimeout = 15_000;
+  // Longer than the usual 60 s of clients' connection pools, so that the client closes first.
+  server.keepAliveTimeout = 75_000;
+  return server;
+};
+
+/**
+ * Listens on an IP number; port 0 lets the kernel choose.
+ *
+ * @returns the port
+ */
+export const listen = (server: http.Server, host: string, port: number): Promise<number> =>
+  new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve((server.address() as AddressInfo).port);
+    });
+  });
--- /dev/null
+++ b/src/node/observability/metrics.ts
@@ -0,0 +1,67 @@
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Metrics of one node. Names carry units; labels never carry a worker, request or sample name. */
+export type Metrics = ReturnType<typeof createMetrics>;
+
+export const createMetrics = () => {
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
+  const registers = [registry];
+  return {
+    registry,
+    requests: new Counter({
+      name: 'hyssoppulley_requests_total',
+      help: 'Requests answered, by route and outcome',
+      labelNames: ['route', 'outcome'],
+      registers,
+    }),
+    requestSeconds: new Histogram({
+      name: 'hyssoppulley_request_seconds',
+      help: 'Time from admission to the end of the answer',
+      labelNames: ['route'],
+      buckets: [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60],
+      registers,
+    }),
+    attempts: new Counter({
+      name: 'hyssoppulley_worker_attempts_total',
+      help: 'Attempts sent to workers, by pool and kind (first, retry, resume, hedge)',
+      labelNames: ['pool', 'kind'],
+      registers,
+    }),
+    inFlight: new Gauge({
+      name: 'hyssoppulley_in_flight_requests',
+      help: 'Requests in progress, by pool',
+      labelNames: ['pool'],
+      registers,
+    }),
+    queued: new Gauge({
+      name: 'hyssoppulley_queued_requests',
+      help: 'Requests that wait for a worker, by pool and priority',
+      labelNames: ['pool', 'priority'],
+      registers,
+    }),
+    platformCalls: new Counter({
+      name: 'hyssoppulley_platform_calls_total',
+      help: 'Calls to the platform, by operation',
+      labelNames: ['operation'],
+      registers,
+    }),
+    peerCalls: new Counter({
+      name: 'hyssoppulley_peer_calls_total',
+      help: 'Calls to other nodes, by method and result',
+      labelNames: ['method', 'result'],
+      registers,
+    }),
+    revision: new Gauge({
+      name: 'hyssoppulley_accepted_revision',
+      help: 'Revision of the tables that this node serves',
+      registers,
+    }),
+    invariantViolations: new Counter({
+      name: 'hyssoppulley_invariant_violations_total',
+      help: 'Violated invariants, by name; any increase is a fault of the product',
+      labelNames: ['name'],
+      registers,
+    }),
+  };
+};
--- /dev/null
+++ b/src/node/settings/resolveSettings.ts
@@ -0,0 +1,59 @@
+import { readFile } from 'node:fs/promises';
+import { type NodeSettings, NodeSettingsSchema } from '../../gen/hyssoppulley/v1/settings_pb.ts';
+import { parseDocument } from './parseDocument.ts';
+
+/** Settings of a node with every default filled in. */
+export type ResolvedSettings = ReturnType<typeof resolveSettings>;
+
+/** Fills in the defaults that `settings.proto` documents. */
+export const resolveSettings = (settings: NodeSettings) => ({
+  name: settings.name,
+  region: settings.region,
+  availabilityZone: settings.availabilityZone,
+  host: settings.host ?? '127.0.0.1',
+  callerPort: settings.callerPort ?? 7100,
+  peerPort: settings.peerPort ?? 7101,
+  platform: {
+    url: (settings.platform?.url ?? '').replace(/\/$/, ''),
+    timeoutMs: settings.platform?.timeoutMs ?? 2000,
+    callsPerSecond: settings.platform?.callsPerSecond ?? 50,
+  },
+  dataFolder: settings.dataFolder,
+  limits: {
+    maxConcurrent: settings.limits?.maxConcurrent ?? 4096,
+    maxKeyRecords: settings.limits?.maxKeyRecords ?? 200_000,
+    maxKeptAnswerBytes: settings.limits?.maxKeptAnswerBytes ?? 64 * 1024 * 1024,
+    maxSampleBytes: settings.limits?.maxSampleBytes ?? 256 * 1024 * 1024,
+  },
+  log: { level: settings.log?.level ?? 'info' },
+  trace: { file: settings.trace?.file, otlpUrl: settings.trace?.otlpUrl },
+  timing: {
+    heartbeatIntervalMs: settings.timing?.heartbeatIntervalMs ?? 1000,
+    suspectAfterMs: settings.timing?.suspectAfterMs ?? 3000,
+    isolationMs: settings.timing?.isolationMs ?? 6000,
+    isolationMarginMs: settings.timing?.isolationMarginMs ?? 2000,
+    headPollIntervalMs: settings.timing?.headPollIntervalMs ?? 2000,
+    vmListIntervalMs: settings.timing?.vmListIntervalMs ?? 5000,
+    entriesTtlMs: settings.timing?.entriesTtlMs ?? 10_000,
+    leaseTtlMs: settings.timing?.leaseTtlMs ?? 9000,
+    leaseRenewIntervalMs: settings.timing?.leaseRenewIntervalMs ?? 3000,
+    leaseMarginMs: settings.timing?.leaseMarginMs ?? 2000,
+    keyTtlMs: settings.timing?.keyTtlMs ?? 600_000,
+    drainDeadlineMs: settings.timing?.drainDeadlineMs ?? 60_000,
+    peerTimeoutMs: settings.timing?.peerTimeoutMs ?? 1000,
+    streamIdleMs: settings.timing?.streamIdleMs ?? 5000,
+  },
+});
+
+/** Timing part of the resolved settings. */
+export type ResolvedTiming = ResolvedSettings['timing'];
+
+/**
+ * Reads and checks the settings file of a node.
+ *
+ * @throws DocumentError with every fault that was found
+ */
+export const loadSettings = async (file: string): Promise<ResolvedSettings> => {
+  const text = await readFile(file, 'utf8');
+  return resolveSettings(parseDocument(NodeSettingsSchema, text, file).message);
+};
--- /dev/null
+++ b/src/shared/clock.ts
@@ -0,0 +1,73 @@
+/** Source of time and timers. Passed in everywhere so that tests can run on virtual time. */
+export interface Clock {
+  /** Wall clock, in ms since 1970-01-01 UTC. May jump in both directions. */
+  nowMs(): number;
+  /** Monotonic clock, in ms since an arbitrary start. May stand still while the VM is suspended. */
+  monotonicMs(): number;
+  /** Calls `callback` once after `delayMs`. Disposing the result cancels it. */
+  schedule(delayMs: number, callback: () => void): Disposable;
+}
+
+/** The clock of the running process. */
+export const systemClock: Clock = {
+  nowMs: () => Date.now(),
+  monotonicMs: () => performance.now(),
+  schedule(delayMs, callback) {
+    const timer = setTimeout(callback, delayMs);
+    return { [Symbol.dispose]: () => clearTimeout(timer) };
+  },
+};
+
+/**
+ * Resolves after `delayMs`, or earlier when `signal` aborts.
+ *
+ * @param clock - source of the timer
+ */
+export const sleep = (clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> =>
+  new Promise((resolve) => {
+    if (signal?.aborted) {
+      resolve();
+      return;
+    }
+    const timer = clock.schedule(delayMs, () => {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
+      signal?.removeEventListener('abort', onAbort);
+      resolve();
+    });
+    const onAbort = () => {
+      timer[Symbol.dispose]();
+      resolve();
+    };
+    signal?.addEventListener('abort', onAbort, { once: true });
+  });
+
+/**
+ * Measures elapsed time by both clocks and reports the larger, so that neither a suspended VM (monotonic clock stands
+ * still) nor a wall clock set back makes a deadline appear further away than it is.
+ */
+export class Stopwatch {
+  readonly #clock: Clock;
+
+  #startWallMs: number;
+
+  #startMonotonicMs: number;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#startWallMs = clock.nowMs();
+    this.#startMonotonicMs = clock.monotonicMs();
+  }
+
+  /** Elapsed time in ms since construction or the last `restart`. */
+  elapsedMs(): number {
+    return Math.max(
+      this.#clock.nowMs() - this.#startWallMs,
+      this.#clock.monotonicMs() - this.#startMonotonicMs,
+    );
+  }
+
+  restart(): void {
+    this.#startWallMs = this.#clock.nowMs();
+    this.#startMonotonicMs = this.#clock.monotonicMs();
+  }
+}
--- /dev/null
+++ b/src/shared/virtualClock.ts
@@ -0,0 +1,96 @@
+import type { Clock } from './clock.ts';
+
+interface Timer {
+  readonly dueMs: number;
+  readonly order: number;
+  readonly callback: () => void;
+}
+
+/** A clock that only moves when told to. For tests and models. */
+export class VirtualClock implements Clock {
+  #nowMs: number;
+
+  #wallOffsetMs = 0;
+
+  #order = 0;
+
+  readonly #timers = new Set<Timer>();
+
+  /** @param startMs - initial value of both clocks, in ms */
+  constructor(startMs = 1_700_000_000_000) {
+    this.#nowMs = startMs;
+  }
+
+  nowMs(): number {
+    return this.#nowMs + this.#wallOffsetMs;
+  }
+
+  monotonicMs(): number {
+    return this.#nowMs;
+  }
+
+  schedule(delayMs: number, callback: () => void): Disposable {
+    this.#order += 1;
+    const timer: Timer = {
+      dueMs: this.#nowMs + Math.max(0, delayMs),
+      order: this.#order,
+      callback,
+    };
+    this.#timers.add(timer);
+    return { [Symbol.dispose]: () => this.#timers.delete(timer) };
+  }
+
+  /** Moves the wall clock alone, as an adjustment by the operating system does. */
+  shiftWallClock(byMs: number): void {
+    this.#wallOffsetMs += byMs;
+  }
+
+  /** Time in ms until the next timer is due; undefined when none is set. */
+  nextTimerInMs(): number | undefined {
+    const next = this.#nextTimer();
+    return next === undefined ? undefined : next.dueMs - this.#nowMs;
+  }
+
+  /** Moves time forward by `byMs` and runs the timers that come due, in order. */
+  advance(byMs: number): void {
+    const endMs = this.#nowMs + byMs;
+    for (let next = this.#nextTimer(); next && next.dueMs <= endMs; next = this.#nextTimer()) {
+      this.#timers.delete(next);
+      this.#nowMs = Math.max(this.#nowMs, next.dueMs);
+      next.callback();
+    }
+    this.#nowMs = endMs;
+  }
+
+  /** Like `advance`, but lets pending promise reactions run between timers. */
+  async advanceAsync(byMs: number): Promise<void> {
+    const endMs = this.#nowMs + byMs;
+    const settle = () =>
+      new Promise<void>((resolve) => {
+        setImmediate(resolve);
+      });
+    await settle();
+    for (let next = this.#nextTimer(); next && next.dueMs <= endMs; next = this.#nextTimer()) {
+      this.#timers.delete(next);
+      this.#nowMs = Math.max(this.#nowMs, next.dueMs);
+      next.callback();
+      await settle();
+    }
+    this.#nowMs = endMs;
+    await settle();
+  }
+
+  #nextTimer(): Timer | undefined {
+    let next: Timer | undefined;
+    for (const timer of this.#timers) {
+      if (
+        next === undefined ||
+        timer.dueMs < next.dueMs ||
+        (timer.dueMs === next.dueMs && timer.order < next.order)
+      ) {
+        next = timer;
+      }
+    }
+    return next;
+  }
+}
