feat(operator): commit the configuration in two phases

Ruled out: a prepare phase that trusts 'never heard' from a node that has just restarted (it reports its uptime instead); reporting a conflict without reading back; an unread accepting write reported as refused.

Change: pure decisions for the coordinator and the replica, their plumbing (head poll and watch, prepare, commit, fetchTables, written confirmations, operator service), platform client with call budget, backoff, reopened watches, bounded responses and conditional writes that are repeated until their result is certain.

--- /dev/null
+++ b/src/node/decisions/__tests__/configurationReplica.test.ts
@@ -0,0 +1,74 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { Proposal } from '../configurationHead.ts';
+import { ConfigurationReplica } from '../configurationReplica.ts';
+
+const record = (revision: number, operationId = `op${revision}`): Proposal => ({
+  revision,
+  operationId,
+  digest: operationId,
+  tables: {},
+  coordinator: { name: 'a', incarnation: 'a1' },
+});
+const serving = (revision: number): ConfigurationReplica => {
+  const replica = new ConfigurationReplica();
+  replica.adopt(record(revision));
+  return replica;
+};
+
+// Guards against a node that goes back to an earlier revision after a late message.
+test('a revision at or below the one served is ignored', () => {
+  const replica = serving(3);
+  expect(replica.adopt(record(2))).toEqual(false);
+  expect(replica.onHead({ head: { accepted: record(2) }, version: 9 })).toEqual({});
+  expect(replica.onPrepare(3, 10).kind).toEqual('refuse');
+  expect(() => replica.adopt(record(3, 'other'))).toThrow(
+    'configuration-one-document-per-revision',
+  );
+});
+
+// Guards against a late prepare call that brings a replaced proposal back.
+test('a proposal that left the head is dropped and not prepared again', () => {
+  const replica = serving(1);
+  replica.prepared(record(2, 'first'), 5);
+  replica.onHead({ head: { accepted: record(1) }, version: 4 });
+  expect(replica.preparedRevision).toEqual(2);
+  replica.onHead({ head: { accepted: record(1) }, version: 6 });
+  expect(replica.preparedRevision).toEqual(0);
+  expect(replica.onPrepare(2, 5).kind).toEqual('refuse');
+  expect(replica.onCommit(2, 'first')).toEqual(undefined);
+});
+
+// Guards against a start from a peer that does not know whether a newer revision was accepted.
+test('a node starts only from a serving peer without a prepared revision above its accepted one', () => {
+  const { mayStartFrom } = ConfigurationReplica;
+  expect(mayStartFrom({ acceptedRevision: 2, preparedRevision: 0 }, true)).toEqual(true);
+  expect(mayStartFrom({ acceptedRevision: 2, preparedRevision: 3 }, true)).toEqual(false);
+  expect(mayStartFrom({ acceptedRevision: 2, preparedRevision: 0 }, false)).toEqual(false);
+  expect(mayStartFrom({ acceptedRevision: 0, preparedRevision: 0 }, true)).toEqual(false);
+});
+
+// Guards against a right to serve an old revision that is renewed by nodes which cannot see the new one.
+test('a peer renews the right only when nothing newer can have been accepted out of sight', () => {
+  const replica = serving(2);
+  const peer = { acceptedRevision: 2, preparedRevision: 0 };
+  expect(replica.countsAsHeard(peer, false)).toEqual(true);
+  expect(replica.countsAsHeard({ ...peer, acceptedRevision: 3 }, true)).toEqual(false);
+  expect(replica.countsAsHeard({ ...peer, preparedRevision: 3 }, true)).toEqual(false);
+  expect(replica.countsAsHeard({ ...peer, acceptedRevision: 0 }, true)).toEqual(false);
+  replica.prepared(record(3), 7);
+  expect(replica.countsAsHeard(peer, true)).toEqual(true);
+  expect(replica.countsAsHeard(peer, false)).toEqual(false);
+});
+
+// Guards against a node that serves on after it saw a proposal and is skipped because it never answered.
+test('a head with a proposal renews the right only after the proposal was answered', () => {
+  const replica = serving(1);
+  const seen = { head: { accepted: record(1), proposal: record(2) }, version: 5 };
+  expect(replica.onHead(seen).prepare?.revision).toEqual(2);
+  expect(replica.countsHeadAsHeard(seen)).toEqual(false);
+  replica.prepared(record(2), 5);
+  replica.answered(5);
+  expect(replica.countsHeadAsHeard(seen)).toEqual(true);
+  expect(replica.onCommit(2, 'op2')?.revision).toEqual(2);
+});
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
-import { NodeIdentitySchema } from '../gen/hyssoppulley/v1/peer_pb.ts';
-import { ApplyResult, OperatorService } from '../gen/hyssoppulley/v1/operator_pb.ts';
+import { NodeIdentitySchema, PeerService } from '../gen/hyssoppulley/v1/peer_pb.ts';
+import { OperatorService } from '../gen/hyssoppulley/v1/operator_pb.ts';
 import { type Clock, systemClock } from '../shared/clock.ts';
 import { DisposableStore } from '../shared/disposableStore.ts';
 import { messageOf } from '../shared/errors.ts';
@@ -10,12 +10,15 @@
 import { createHttpServer, listen, pathOf, type RequestHandler } from './dataPath/httpServer.ts';
 import { RequestError, sendProblem } from './dataPath/problem.ts';
 import { RequestRouter } from './dataPath/requestRouter.ts';
+import { RightToServe } from './decisions/rightToServe.ts';
 import { selectLeastLoadedOfTwo } from './decisions/workerSelection.ts';
+import { PeerClients } from './membership/peerClients.ts';
 import { StaticMembership } from './membership/staticMembership.ts';
 import { createLogger, type Logger } from './observability/logger.ts';
 import { createMetrics } from './observability/metrics.ts';
 import { Configuration } from './operator/configuration.ts';
-import { HttpPlatformClient } from './platform/httpPlatformClient.ts';
+import { createOperator } from './operator/createOperator.ts';
+import { createPlatformClient } from './platform/createPlatformClient.ts';
 import type { ResolvedSettings } from './settings/resolveSettings.ts';
 
 /** What a node takes from its surroundings. */
@@ -49,11 +52,6 @@
     logger.error('invariant-violated', { name, details: JSON.stringify(details) });
   });
 
-  const platform = new HttpPlatformClient({
-    ...settings.platform,
-    onCall: (operation) => metrics.platformCalls.inc({ operation }),
-  });
-  const configuration = new Configuration(platform, logger);
   const self = create(NodeIdentitySchema, {
     name: settings.name,
     incarnation: newId(),
@@ -61,6 +59,16 @@
     region: settings.region,
     availabilityZone: settings.availabilityZone,
   });
+  const platform = createPlatformClient(settings.platform, { clock, random, metrics });
+  const right = new RightToServe(settings.timing.isolationMs);
+  const configuration = new Configuration({
+    platform,
+    clock,
+    logger,
+    nodeName: settings.name,
+    right,
+    onRevision: (revision) => metrics.revision.set(revision),
+  });
   const membership = new StaticMembership(self, configuration);
   const router = new RequestRouter({
     tables: configuration,
@@ -97,15 +105,23 @@
       code: 'internal',
     });
   });
+  const clients = store.add(new PeerClients(settings.timing.peerTimeoutMs));
+  const operator = createOperator({
+    platform,
+    clock,
+    random,
+    logger,
+    self,
+    configuration,
+    membership,
+    clients,
+    timing: settings.timing,
+  });
   const peerHandler = connectNodeAdapter({
-    routes: (connect) =>
-      connect.service(OperatorService, {
-        applyTables: async (request) => {
-          if (!request.tables) return { result: ApplyResult.REFUSED, reason: 'no tables' };
-          const revision = await configuration.accept(request.tables, request.operationId);
-          return { result: ApplyResult.IN_FORCE, revision, nodesInForce: 1, nodesTotal: 1 };
-        },
-      }),
+    routes: (connect) => {
+      connect.service(PeerService, operator.peerHandlers);
+      connect.service(OperatorService, operator.operatorHandlers);
+    },
   });
   const peerServer = createHttpServer(
     [
@@ -127,17 +143,8 @@
         }),
     );
   }
-  const poll = async () => {
-    try {
-      await configuration.refresh();
-    } catch (error) {
-      logger.warn('head-read-failed', { message: messageOf(error) });
-    }
-    if (!store.disposed) {
-      store.add(clock.schedule(settings.timing.headPollIntervalMs, () => void poll()));
-    }
-  };
-  await poll();
+  // After the registration: a node that registers first is either asked to confirm a proposal or sees it in this read.
+  await store.add(operator.follower).start();
   logger.info('node-started', {
     incarnation: self.incarnation,
     callerPort: self.callerPort,
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -46,6 +46,17 @@
       labelNames: ['operation'],
       registers,
     }),
+    platformCallsRefused: new Counter({
+      name: 'hyssoppulley_platform_calls_refused_total',
+      help: 'Calls to the platform that the call budget of the node refused, by operation',
+      labelNames: ['operation'],
+      registers,
+    }),
+    platformCallsAvailable: new Gauge({
+      name: 'hyssoppulley_platform_calls_available',
+      help: 'Calls to the platform that may start at once within the call budget',
+      registers,
+    }),
     peerCalls: new Counter({
       name: 'hyssoppulley_peer_calls_total',
       help: 'Calls to other nodes, by method and result',
--- a/src/node/operator/configuration.ts
+++ b/src/node/operator/configuration.ts
@@ -1,34 +1,70 @@
-import { fromJson, type JsonValue, toJson } from '@bufbuild/protobuf';
 import { BehaviorSubject, filter, type Observable } from 'rxjs';
-import { type Tables, TablesSchema } from '../../gen/hyssoppulley/v1/tables_pb.ts';
+import type { Tables } from '../../gen/hyssoppulley/v1/tables_pb.ts';
+import { type Clock, Stopwatch } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import {
+  type ConfigurationHead,
+  HEAD_KEY,
+  type Proposal,
+  type RevisionRecord,
+  type VersionedHead,
+} from '../decisions/configurationHead.ts';
+import { ConfigurationReplica, type PeerRevisions } from '../decisions/configurationReplica.ts';
+import { RightToServe, startOfCall } from '../decisions/rightToServe.ts';
 import type { TablesView } from '../membership/membershipView.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
-import { type ResolvedTables, resolveTables } from '../tables/resolveTables.ts';
-
-/** Key of the object that holds the accepted tables. */
-export const HEAD_KEY = 'config/head';
-
-/** Value of the object `config/head`. */
-export interface ConfigurationHead {
-  readonly accepted: {
-    readonly revision: number;
-    readonly operationId: string;
-    readonly tables: JsonValue;
-  };
+import type { ResolvedTables } from '../tables/resolveTables.ts';
+import { CONFIRMATIONS_PREFIX, WRITE_CONFIRMATION_AFTER_MS } from './constants.ts';
+import { resolveRecord, tablesDocument } from './tablesDocument.ts';
+
+/** The accepted tables of a peer. */
+export interface PeerTables extends PeerRevisions {
+  readonly operationId: string;
+  readonly tables: Tables;
+  /** Whether the peer itself may take new work. */
+  readonly serving: boolean;
+}
+
+export interface ConfigurationOptions {
+  readonly platform: PlatformClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Name of this node. */
+  readonly nodeName: string;
+  /** Shared with the membership, which counts heartbeats. */
+  readonly right: RightToServe;
+  /** Told of each revision that comes into force. */
+  readonly onRevision?: (revision: number) => void;
+}
+
+interface PrepareAnswer {
+  readonly confirmed: boolean;
+  readonly reason: string;
 }
 
-/** The accepted configuration as this node knows it. */
+/** The accepted configuration as this node knows it, and the node's part in the commit of a new one. */
 export class Configuration implements TablesView {
-  readonly #platform: PlatformClient;
+  readonly #options: ConfigurationOptions;
 
-  readonly #logger: Logger;
+  readonly #replica = new ConfigurationReplica();
 
   readonly #current = new BehaviorSubject<ResolvedTables | undefined>(undefined);
 
-  constructor(platform: PlatformClient, logger: Logger) {
-    this.#platform = platform;
-    this.#logger = logger;
+  #resolvedProposal: { readonly digest: string; readonly tables: ResolvedTables } | undefined;
+
+  /** The latest proposal seen, with a stopwatch since it was first seen. */
+  #seenProposal: { readonly headVersion: number; readonly since: Stopwatch } | undefined;
+
+  #everyPeerHeard: (() => boolean) | undefined;
+
+  constructor(options: ConfigurationOptions) {
+    this.#options = options;
+  }
+
+  /** Sets how to find out whether no registered peer is suspected. The membership is made after the configuration. */
+  checkPeersWith(everyPeerHeard: () => boolean): void {
+    this.#everyPeerHeard = everyPeerHeard;
   }
 
   readonly changes$: Observable<ResolvedTables> = this.#current.pipe(
@@ -39,32 +75,157 @@
     return this.#current.value;
   }
 
-  /** Takes a revision over when it is newer than the one in force. */
-  adopt(source: Tables, revision: number): void {
-    if (revision <= (this.current()?.revision ?? 0)) return;
-    this.#current.next(resolveTables(source, revision));
-    this.#logger.info('configuration-in-force', { revision });
+  /** Accepted and prepared revision, as heartbeats carry them. */
+  revisions(): PeerRevisions {
+    const { acceptedRevision, preparedRevision } = this.#replica;
+    return { acceptedRevision, preparedRevision };
+  }
+
+  /** Operation that made the accepted revision; empty: none yet. */
+  get operationId(): string {
+    return this.#replica.operationId;
+  }
+
+  /**
+   * Reads the head, takes it in, and writes this node's confirmation when the coordinator has not asked for it.
+   *
+   * @throws PlatformError when the platform does not answer
+   */
+  async refresh(): Promise<VersionedHead> {
+    const sentAt = startOfCall(this.#options.clock);
+    const object = await this.#options.platform.read(HEAD_KEY);
+    const seen = {
+      head: (object?.value ?? {}) as ConfigurationHead,
+      version: object?.version ?? 0,
+    };
+    this.takeHead(seen);
+    if (this.#replica.countsHeadAsHeard(seen)) this.#options.right.heardFromPlatform(sentAt);
+    await this.#writeConfirmation(seen);
+    return seen;
+  }
+
+  /** Takes in a head that a read or a watch showed. */
+  takeHead(seen: VersionedHead): void {
+    const { adopt, prepare } = this.#replica.onHead(seen);
+    if (adopt) this.adopt(adopt);
+    if (prepare) this.#resolve(prepare, seen.version);
+    const { proposal } = seen.head;
+    if (proposal && seen.version > (this.#seenProposal?.headVersion ?? 0)) {
+      const since = new Stopwatch(this.#options.clock);
+      this.#seenProposal = { headVersion: seen.version, since };
+    }
   }
 
-  /** Reads the accepted revision from the platform. */
-  async refresh(): Promise<void> {
-    const head = await this.#platform.read(HEAD_KEY);
-    if (head === undefined) return;
-    const { accepted } = head.value as ConfigurationHead;
-    this.adopt(fromJson(TablesSchema, accepted.tables), accepted.revision);
+  /** Time since this node first saw the proposal in a version of the head, in ms. */
+  proposalAgeMs(headVersion: number): number {
+    const seen = this.#seenProposal;
+    return seen?.headVersion === headVersion ? seen.since.certainlyElapsedMs() : 0;
   }
 
-  /** Writes a new revision on top of the accepted one. */
-  async accept(tables: Tables, operationId: string): Promise<number> {
-    const head = await this.#platform.read(HEAD_KEY);
-    const revision = ((head?.value as ConfigurationHead)?.accepted.revision ?? 0) + 1;
-    const value = { accepted: { revision, operationId, tables: toJson(TablesSchema, tables) } };
-    const result = await this.#platform.write(HEAD_KEY, value, {
-      ifVersion: head?.version ?? 0,
-      operationId,
+  /** Answers a coordinator whether this node can serve a proposal. */
+  prepare(record: RevisionRecord, headVersion: number): PrepareAnswer {
+    const advice = this.#replica.onPrepare(record.revision, headVersion);
+    if (advice.kind === 'refuse') return { confirmed: false, reason: advice.reason };
+    const answer = this.#resolve(record, headVersion);
+    this.#replica.answered(headVersion);
+    return answer;
+  }
+
+  /**
+   * Takes in a coordinator's message that a revision was accepted.
+   *
+   * @returns the revision in force afterwards; lower than `revision` when this node has to read the head first
+   */
+  commit(revision: number, operationId: string): number {
+    const record = this.#replica.onCommit(revision, operationId);
+    if (record) this.adopt(record);
+    return this.#replica.acceptedRevision;
+  }
+
+  /** Puts an accepted revision in force when it is newer than the one in force. */
+  adopt(record: RevisionRecord): void {
+    const known = this.#resolvedProposal;
+    let tables: ResolvedTables;
+    try {
+      tables =
+        known?.digest === record.digest && known.tables.revision === record.revision
+          ? known.tables
+          : resolveRecord(record);
+    } catch (error) {
+      // Only when the nodes run different versions: the node keeps its revision and its right to serve lapses.
+      this.#options.logger.error('configuration-not-usable', {
+        revision: record.revision,
+        message: messageOf(error),
+      });
+      return;
+    }
+    if (!this.#replica.adopt(record)) return;
+    this.#resolvedProposal = undefined;
+    this.#current.next(tables);
+    this.#options.onRevision?.(record.revision);
+    this.#options.logger.info('configuration-in-force', {
+      revision: record.revision,
+      operationId: record.operationId,
     });
-    if (result.status !== 'written') throw new Error(`write of the head: ${result.status}`);
-    this.adopt(tables, revision);
-    return revision;
+  }
+
+  /**
+   * Takes over the accepted tables of a peer. The first revision after a start is only taken from a peer that serves
+   * and has nothing prepared above it.
+   *
+   * @returns whether the peer's tables could be used
+   */
+  adoptFromPeer(peer: PeerTables): boolean {
+    const first = this.#replica.acceptedRevision === 0;
+    if (first && !ConfigurationReplica.mayStartFrom(peer, peer.serving)) return false;
+    if (peer.acceptedRevision === 0) return false;
+    const { operationId, acceptedRevision: revision } = peer;
+    this.adopt({ revision, operationId, ...tablesDocument(peer.tables) });
+    return true;
+  }
+
+  /**
+   * Counts an answered heartbeat towards the right to serve.
+   *
+   * @param sentAt - started directly before the heartbeat was sent
+   * @returns false when the peer knows a newer revision, which has to be fetched first
+   */
+  peerAnswered(peer: PeerRevisions, sentAt: Stopwatch): boolean {
+    const counts = this.#replica.countsAsHeard(peer, this.#everyPeerHeard?.() ?? true);
+    if (counts) this.#options.right.heardFromPeer(sentAt);
+    return peer.acceptedRevision <= this.#replica.acceptedRevision;
+  }
+
+  #resolve(record: RevisionRecord, headVersion: number): PrepareAnswer {
+    try {
+      this.#resolvedProposal = { digest: record.digest, tables: resolveRecord(record) };
+    } catch (error) {
+      return { confirmed: false, reason: messageOf(error) };
+    }
+    this.#replica.prepared(record, headVersion);
+    return { confirmed: true, reason: '' };
+  }
+
+  async #writeConfirmation({ head, version }: VersionedHead): Promise<void> {
+    const { proposal } = head;
+    if (proposal === undefined || this.#replica.hasAnswered(version)) return;
+    if (this.proposalAgeMs(version) < WRITE_CONFIRMATION_AFTER_MS) return;
+    const { platform, nodeName, logger } = this.#options;
+    const answer = this.#answerTo(proposal, version);
+    const key = `${CONFIRMATIONS_PREFIX}${proposal.operationId}/${nodeName}`;
+    const result = await platform.write(key, { ...answer, headVersion: version });
+    if (result.status === 'written') this.#replica.answered(version);
+    logger.info('configuration-confirmation-written', {
+      operationId: proposal.operationId,
+      confirmed: answer.confirmed,
+      status: result.status,
+    });
+  }
+
+  #answerTo(proposal: Proposal, version: number): PrepareAnswer {
+    const advice = this.#replica.onPrepare(proposal.revision, version);
+    return advice.kind === 'refuse'
+      ? { confirmed: false, reason: advice.reason }
+      : this.#resolve(proposal, version);
   }
 }
--- /dev/null
+++ b/src/node/operator/configurationHandlers.ts
@@ -0,0 +1,106 @@
+import { create, fromJson } from '@bufbuild/protobuf';
+import type { ServiceImpl } from '@connectrpc/connect';
+import {
+  CommitResponseSchema,
+  FetchTablesResponseSchema,
+  type NodeIdentity,
+  type PeerService,
+  PrepareResponseSchema,
+} from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import { TablesSchema } from '../../gen/hyssoppulley/v1/tables_pb.ts';
+import type { PeerClients } from '../membership/peerClients.ts';
+import type { Configuration } from './configuration.ts';
+import type { ConfigurationPeers } from './configurationPeers.ts';
+import { tablesDocument } from './tablesDocument.ts';
+
+export interface ConfigurationHandlerOptions {
+  readonly configuration: Configuration;
+  /** How long ago this node last heard from another node, at most its own uptime, in ms. */
+  readonly lastHeardMs: (nodeName: string) => number;
+  readonly mayServe: () => boolean;
+}
+
+/** The calls of `PeerService` that belong to the configuration commit. */
+export const createConfigurationHandlers = ({
+  configuration,
+  lastHeardMs,
+  mayServe,
+}: ConfigurationHandlerOptions) =>
+  ({
+    fetchTables: () => {
+      const { acceptedRevision, preparedRevision } = configuration.revisions();
+      return create(FetchTablesResponseSchema, {
+        revision: acceptedRevision,
+        tables: configuration.current()?.source,
+        preparedRevision,
+        serving: mayServe(),
+        operationId: configuration.operationId,
+      });
+    },
+    prepare: ({ revision, operationId, tables, silentNodes, headVersion }) => {
+      const answer = tables
+        ? configuration.prepare(
+            { revision, operationId, ...tablesDocument(tables) },
+            Number(headVersion),
+          )
+        : { confirmed: false, reason: 'the call carried no tables' };
+      return create(PrepareResponseSchema, {
+        ...answer,
+        acceptedRevision: configuration.revisions().acceptedRevision,
+        lastHeardMs: Object.fromEntries(
+          silentNodes.map((name) => [name, Math.max(0, Math.floor(lastHeardMs(name)))]),
+        ),
+      });
+    },
+    commit: async ({ revision, operationId }) => {
+      let acceptedRevision = configuration.commit(revision, operationId);
+      if (acceptedRevision < revision) {
+        // The node missed the proposal; the platform holds the accepted tables.
+        await configuration.refresh().catch(() => undefined);
+        acceptedRevision = configuration.revisions().acceptedRevision;
+      }
+      return create(CommitResponseSchema, { acceptedRevision });
+    },
+  }) satisfies Partial<ServiceImpl<typeof PeerService>>;
+
+/** Calls other nodes over the peer port. */
+export const createConfigurationPeers = (clients: PeerClients): ConfigurationPeers => ({
+  async prepare(node, { tables, headVersion, silentNodes, ...request }) {
+    const { confirmed, reason, lastHeardMs } = await clients.get(node).prepare({
+      ...request,
+      tables: fromJson(TablesSchema, tables),
+      headVersion: BigInt(headVersion),
+      silentNodes: [...silentNodes],
+    });
+    return { confirmed, reason, lastHeardMs };
+  },
+  async commit(node, request) {
+    const { acceptedRevision } = await clients.get(node).commit(request);
+    return acceptedRevision;
+  },
+});
+
+/**
+ * Takes the accepted tables of a peer over: after a heartbeat announced a newer revision, or at a start without the
+ * platform.
+ *
+ * @returns whether the peer's tables could be used
+ */
+export const fetchFromPeer = async (
+  clients: PeerClients,
+  configuration: Configuration,
+  peer: Pick<NodeIdentity, 'host' | 'peerPort'>,
+): Promise<boolean> => {
+  const { revision, tables, preparedRevision, serving, operationId } = await clients
+    .get(peer)
+    .fetchTables({});
+  if (!tables) return false;
+  const acceptedRevision = revision;
+  return configuration.adoptFromPeer({
+    acceptedRevision,
+    preparedRevision,
+    serving,
+    operationId,
+    tables,
+  });
+};
--- a/src/node/platform/httpPlatformClient.ts
+++ b/src/node/platform/httpPlatformClient.ts
@@ -1,6 +1,8 @@
 import http from 'node:http';
-import { newId } from '../../shared/random.ts';
+import type { Clock } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
+import { newId, type Random } from '../../shared/random.ts';
+import { PLATFORM_MAX_VALUE_BYTES } from '../constants.ts';
 import {
   PlatformError,
   type PlatformClient,
@@ -10,6 +12,13 @@
   type WriteOptions,
   type WriteResult,
 } from './platformClient.ts';
+import { PlatformWatch } from './platformWatch.ts';
+
+/** Largest response that is read: a list of every object below one prefix at the design size. */
+const MAX_RESPONSE_BYTES = 32_000_000;
+
+/** Answers that say for certain that a change did not take effect, besides a conflict. */
+const REFUSALS: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 429, 503]);
 
 interface PlatformResponse {
   readonly statusCode: number;
@@ -21,8 +30,10 @@
   readonly url: string;
   /** Time for one call, in ms. */
   readonly timeoutMs: number;
-  /** Told of each call, for the call budget. */
-  readonly onCall?: (operation: 'read' | 'list' | 'write' | 'remove' | 'watch' | 'vms') => void;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Told when a watch that broke is opened anew. */
+  readonly onWatchReopened?: () => void;
 }
 
 const expectOk = (response: PlatformResponse): void => {
@@ -42,7 +53,6 @@
   }
 
   async read(key: string): Promise<PlatformObject | undefined> {
-    this.#options.onCall?.('read');
     const response = await this.#call('GET', `/objects/${key}`);
     if (response.statusCode === 404) return undefined;
     expectOk(response);
@@ -50,44 +60,31 @@
   }
 
   async list(prefix: string): Promise<readonly PlatformObject[]> {
-    this.#options.onCall?.('list');
     const response = await this.#call('GET', `/objects?prefix=${encodeURIComponent(prefix)}`);
     expectOk(response);
     return (response.body as { items: PlatformObject[] }).items;
   }
 
   write(key: string, value: unknown, options: WriteOptions = {}): Promise<WriteResult> {
-    this.#options.onCall?.('write');
     return this.#change('PUT', key, options, value);
   }
 
   remove(key: string, options: WriteOptions = {}): Promise<WriteResult> {
-    this.#options.onCall?.('remove');
     return this.#change('DELETE', key, options);
   }
 
   watch(prefix: string, onEvent: (event: PlatformEvent) => void): Disposable {
-    this.#options.onCall?.('watch');
-    const request = http.get(
-      `${this.#options.url}/watch?prefix=${encodeURIComponent(prefix)}`,
-      (response) => {
-        let rest = '';
-        response.setEncoding('utf8');
-        response.on('data', (chunk: string) => {
-          const lines = (rest + chunk).split('\n');
-          rest = lines.pop() ?? '';
-          for (const line of lines) if (line) onEvent(JSON.parse(line) as PlatformEvent);
-        });
-        response.on('error', () => {});
-      },
-    );
-    // A broken watch is noticed by the owner's periodic read.
-    request.on('error', () => {});
-    return { [Symbol.dispose]: () => request.destroy() };
+    const { url, clock, random, onWatchReopened } = this.#options;
+    return new PlatformWatch({
+      url: `${url}/watch?prefix=${encodeURIComponent(prefix)}`,
+      clock,
+      random,
+      onEvent,
+      onReopen: onWatchReopened,
+    });
   }
 
   async listVms(): Promise<readonly VmEntry[]> {
-    this.#options.onCall?.('vms');
     const response = await this.#call('GET', '/vms');
     expectOk(response);
     return (response.body as { vms: VmEntry[] }).vms;
@@ -102,12 +99,20 @@
     const operationId = options.operationId ?? newId();
     const headers: Record<string, string> = { 'x-operation-id': operationId };
     if (options.ifVersion !== undefined) headers['if-match'] = String(options.ifVersion);
+    const payload = value === undefined ? undefined : Buffer.from(JSON.stringify(value));
+    if (payload && payload.length > PLATFORM_MAX_VALUE_BYTES) {
+      const reason = `${key} has ${payload.length} bytes; the platform holds ${PLATFORM_MAX_VALUE_BYTES}`;
+      return { status: 'unavailable', reason };
+    }
     try {
-      const { statusCode, body } = await this.#call(method, `/objects/${key}`, headers, value);
+      const { statusCode, body } = await this.#call(method, `/objects/${key}`, headers, payload);
       const { version } = body as { version: number };
+      if (typeof version !== 'number' && !REFUSALS.has(statusCode)) {
+        return { status: 'unknown', operationId };
+      }
       if (statusCode === 200) return { status: 'written', version };
       if (statusCode === 412) return { status: 'conflict', version };
-      if (statusCode === 429 || statusCode === 503) {
+      if (REFUSALS.has(statusCode)) {
         return { status: 'unavailable', reason: `platform answered ${statusCode}` };
       }
       return { status: 'unknown', operationId };
@@ -123,7 +128,7 @@
     method: string,
     path: string,
     headers: Record<string, string> = {},
-    value?: unknown,
+    payload?: Buffer,
   ): Promise<PlatformResponse> {
     return new Promise((resolve, reject) => {
       const request = http.request(
@@ -136,8 +141,15 @@
         },
         (response) => {
           const chunks: Buffer[] = [];
-          response.on('data', (chunk: Buffer) => chunks.push(chunk));
-          response.on('error', (error) => reject(error));
+          let sizeBytes = 0;
+          response.on('data', (chunk: Buffer) => {
+            sizeBytes += chunk.length;
+            if (sizeBytes <= MAX_RESPONSE_BYTES) chunks.push(chunk);
+            else request.destroy(new Error(`response is over ${MAX_RESPONSE_BYTES} bytes`));
+          });
+          response.on('error', (error) => {
+            reject(new PlatformError(`platform call failed: ${error.message}`, { cause: error }));
+          });
           response.on('end', () => {
             try {
               const text = Buffer.concat(chunks).toString('utf8');
@@ -155,7 +167,7 @@
         });
         reject(code === undefined ? wrapped : Object.assign(wrapped, { code }));
       });
-      request.end(value === undefined ? undefined : JSON.stringify(value));
+      request.end(payload);
     });
   }
 }
--- a/src/node/settings/parseDocument.ts
+++ b/src/node/settings/parseDocument.ts
@@ -8,11 +8,9 @@
   ScalarType,
   type JsonObject,
 } from '@bufbuild/protobuf';
-import { createValidator } from '@bufbuild/protovalidate';
 import { isMap, isScalar, isSeq, LineCounter, type Node, parseDocument as parseYaml } from 'yaml';
 import { documentError, type DocumentFault } from './documentError.ts';
-
-const validator = createValidator();
+import { describeValue, validateMessage, valueAt } from './validateMessage.ts';
 
 /** `PROTOCOL_MODEL_ENGINE` of enum `Protocol` is written `model-engine` in documents. */
 const documentNames = (desc: DescEnum): Map<string, string> =>
@@ -141,6 +139,15 @@
     return valid ? value : reject('a number');
   }
 
+  /** Line of a path, or of the nearest path above it that stands in the document. */
+  lineOf(path: string): number | undefined {
+    for (let place = path; place !== ''; place = place.replace(/(\.[^.[]*|\[\d+\]|^[^.[]*)$/, '')) {
+      const line = this.linesByPath.get(place);
+      if (line !== undefined) return line;
+    }
+    return this.linesByPath.get('');
+  }
+
   #fault(path: string, node: Node | null, found: string, allowed: string): void {
     this.faults.push({ path, line: this.#lineOf(node), found, allowed });
   }
@@ -158,34 +165,10 @@
 /** A parsed document and the line of each path in it. */
 export interface ParsedDocument<Desc extends DescMessage> {
   readonly message: MessageShape<Desc>;
-  readonly linesByPath: ReadonlyMap<string, number>;
+  /** Line of a path, or of the nearest path above it that stands in the document. */
+  readonly lineOf: (path: string) => number | undefined;
 }
 
-interface PathElement {
-  readonly jsonName?: string;
-  readonly name?: string;
-  readonly index?: number;
-}
-
-/** Writes a path of the validation library the way it stands in the document. */
-const documentPath = (elements: readonly unknown[]): string =>
-  elements.reduce<string>((path, element) => {
-    const { jsonName, name, index } = element as PathElement;
-    if (index !== undefined) return `${path}[${index}]`;
-    const step = jsonName ?? name ?? '';
-    return path ? `${path}.${step}` : step;
-  }, '');
-
-/** Value in a JSON document at a path such as `pools[2].name`. */
-const valueAt = (json: JsonValue, path: string): JsonValue | undefined =>
-  path
-    .split(/[.[\]]+/)
-    .filter(Boolean)
-    .reduce<JsonValue | undefined>((value, step) => {
-      if (value === null || typeof value !== 'object') return undefined;
-      return (value as Record<string, JsonValue>)[step];
-    }, json);
-
 /**
  * Parses a YAML document into a message of its schema and checks the schema's rules.
  *
@@ -215,20 +198,11 @@
   const json = walker.message(desc, yaml.contents, '');
   if (walker.faults.length > 0) throw documentError(file, walker.faults);
   const message = fromJson(desc, json);
-  const result = validator.validate(desc, message);
-  if (result.kind === 'error') throw result.error;
-  if (result.kind === 'invalid') {
-    const faults = result.violations.map((violation): DocumentFault => {
-      const path = documentPath(violation.field);
-      const value = valueAt(json, path);
-      return {
-        path,
-        line: walker.linesByPath.get(path) ?? walker.linesByPath.get(path.replace(/\.[^.]*$/, '')),
-        found: value === undefined ? 'nothing' : JSON.stringify(value),
-        allowed: violation.message,
-      };
-    });
-    throw documentError(file, faults);
-  }
-  return { message, linesByPath: walker.linesByPath };
+  const faults = validateMessage(desc, message).map((fault) => ({
+    ...fault,
+    found: describeValue(valueAt(json, fault.path)),
+    line: walker.lineOf(fault.path),
+  }));
+  if (faults.length > 0) throw documentError(file, faults);
+  return { message, lineOf: (path) => walker.lineOf(path) };
 };
--- a/src/node/tables/parseTables.ts
+++ b/src/node/tables/parseTables.ts
@@ -10,12 +10,12 @@
  * @throws DocumentError with every fault that was found
  */
 export const parseTables = (text: string, file: string): Tables => {
-  const { message, linesByPath } = parseDocument(TablesSchema, text, file);
+  const { message, lineOf } = parseDocument(TablesSchema, text, file);
   const faults = checkTables(message);
   if (faults.length > 0) {
     throw documentError(
       file,
-      faults.map((fault) => ({ ...fault, line: linesByPath.get(fault.path) })),
+      faults.map((fault) => ({ ...fault, line: lineOf(fault.path) })),
     );
   }
   return message;
--- a/src/shared/clock.ts
+++ b/src/shared/clock.ts
@@ -66,6 +66,15 @@
     );
   }
 
+  /**
+   * Time in ms that has certainly passed: the smaller of both clocks, at least 0. For waits that must not end early,
+   * also when the wall clock is set forward.
+   */
+  certainlyElapsedMs(): number {
+    const wallMs = this.#clock.nowMs() - this.#startWallMs;
+    return Math.max(0, Math.min(wallMs, this.#clock.monotonicMs() - this.#startMonotonicMs));
+  }
+
   restart(): void {
     this.#startWallMs = this.#clock.nowMs();
     this.#startMonotonicMs = this.#clock.monotonicMs();
