feat(membership): replace the static membership by heartbeats, entries, drains and planned stop

Ruled out: spreading every heartbeat count to every node (410 counts within 3 s need more than 2 KB/s a node) and ordering incarnations by when they are heard of (a delayed digest would revive the old one). A failed exchange makes a doubt instead, which travels until someone answers it with a larger count; incarnations carry a generation number.

Change: decision code (peerTable, gossipTargets, workerHealth, entriesAnswer, plannedStop), Membership with registration, heartbeats, drains and worker directory, node assembly split into nodeServers, requestTracker and shutdown; setting `seedPeers`; heartbeat fields for doubts and worker signs.

--- /dev/null
+++ b/playground/membership/cluster.ts
@@ -0,0 +1,120 @@
+import { execFile } from 'node:child_process';
+import { writeFile } from 'node:fs/promises';
+import path from 'node:path';
+import { promisify } from 'node:util';
+import type { EntriesAnswer } from '../../src/node/membership/entriesHandler.ts';
+import type { ProcessGroup, StartedProcess } from '../processes.ts';
+
+const run = promisify(execFile);
+
+/** The product's intervals divided by four, so that tests against the product's bounds have room on a slow machine. */
+export const SHORT_TIMING = {
+  heartbeatIntervalMs: 250,
+  suspectAfterMs: 750,
+  isolationMs: 1500,
+  headPollIntervalMs: 500,
+  vmListIntervalMs: 1250,
+  entriesTtlMs: 1000,
+  peerTimeoutMs: 250,
+};
+
+export interface ClusterNode {
+  readonly name: string;
+  readonly process: StartedProcess;
+  /** IP number and caller port. */
+  readonly address: string;
+  readonly callerPort: number;
+  readonly peerPort: number;
+}
+
+/** Starts a node of the test deployment; the zone is the last part of its name. */
+export const startClusterNode = async (
+  group: ProcessGroup,
+  platformAddress: string,
+  name: string,
+  settings: Record<string, unknown> = {},
+): Promise<ClusterNode> => {
+  const node = await group.node({
+    name,
+    region: 'pl-central',
+    availabilityZone: name.split('-').at(-1),
+    callerPort: 0,
+    peerPort: 0,
+    platform: { url: `http://${platformAddress}`, timeoutMs: 500 },
+    timing: SHORT_TIMING,
+    ...settings,
+  });
+  return { name, address: `127.0.0.1:${node.callerPort}`, ...node };
+};
+
+/** Applies tables that send every request to one pool of plain services. */
+export const applyServiceTables = async (
+  group: ProcessGroup,
+  node: ClusterNode,
+  workers: readonly { name: string; address: string }[],
+): Promise<void> => {
+  const pool = { name: 'intake', protocol: 'plain-service', workers };
+  const tables = {
+    routes: [{ name: 'all', match: { pathPrefix: '/' }, pool: 'intake', timeoutMs: 20_000 }],
+    pools: [pool],
+  };
+  const file = path.join(await group.folder(), 'tables.yaml');
+  await writeFile(file, JSON.stringify(tables));
+  const args = ['--import', 'tsx', 'src/node/cli.ts', 'apply', '-f', file];
+  await run(process.execPath, [...args, '--node', `127.0.0.1:${node.peerPort}`]);
+};
+
+/** Answer of `/v1/entries`, or undefined when the node names none or does not answer. */
+export const entriesOf = async (node: ClusterNode): Promise<EntriesAnswer | undefined> => {
+  try {
+    const response = await fetch(`http://${node.address}/v1/entries`, {
+      headers: { connection: 'close' },
+      signal: AbortSignal.timeout(2000),
+    });
+    return response.ok ? ((await response.json()) as EntriesAnswer) : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
+/** Addresses that a node names in `/v1/entries`, in order of their text. */
+export const entryAddresses = async (node: ClusterNode): Promise<string[]> =>
+  ((await entriesOf(node))?.entries ?? []).map(({ address }) => address).sort();
+
+/** Asks again every 20 ms until `condition` holds. Returns the time it took, in ms. */
+export const waitUntil = async (
+  what: string,
+  condition: () => boolean | Promise<boolean>,
+  timeoutMs = 20_000,
+): Promise<number> => {
+  const startMs = performance.now();
+  while (!(await condition())) {
+    if (performance.now() - startMs > timeoutMs) {
+      throw new Error(`${what}: not so within ${timeoutMs} ms`);
+    }
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+  }
+  return performance.now() - startMs;
+};
+
+/** Waits until each of `nodes` names exactly the addresses of `named`. */
+export const waitForEntries = (
+  nodes: readonly ClusterNode[],
+  named: readonly ClusterNode[],
+  timeoutMs?: number,
+): Promise<number> => {
+  const expected = named
+    .map(({ address }) => address)
+    .sort()
+    .join();
+  return waitUntil(
+    `every node names ${named.map(({ name }) => name).join()}`,
+    async () => {
+      const answers = await Promise.all(nodes.map(entryAddresses));
+      return answers.every((addresses) => addresses.join() === expected);
+    },
+    timeoutMs,
+  );
+};
--- a/playground/processes.ts
+++ b/playground/processes.ts
@@ -21,7 +21,7 @@
 export class ProcessGroup implements AsyncDisposable {
   readonly #children = new Set<ChildProcess>();
 
-  #folder: string | undefined;
+  #folder: Promise<string> | undefined;
 
   /** Starts a TypeScript file and waits until a line of its output satisfies `ready`. */
   async start(
@@ -72,12 +72,17 @@
     return { process: started, address: started.firstLine };
   }
 
+  /** A folder for the files of this run, removed at the end. */
+  folder(): Promise<string> {
+    this.#folder ??= mkdtemp(path.join(tmpdir(), 'hyssoppulley-'));
+    return this.#folder;
+  }
+
   /** Starts a node from settings given as an object. JSON is YAML. */
   async node(
     settings: Record<string, unknown>,
   ): Promise<{ process: StartedProcess; callerPort: number; peerPort: number }> {
-    this.#folder ??= await mkdtemp(path.join(tmpdir(), 'hyssoppulley-'));
-    const file = path.join(this.#folder, `${String(settings.name)}.yaml`);
+    const file = path.join(await this.folder(), `${String(settings.name)}.yaml`);
     await writeFile(file, JSON.stringify(settings));
     const started = await this.start('src/node/cli.ts', ['node', '--config', file], (line) =>
       line.includes('event=node-started'),
@@ -92,6 +97,6 @@
     const exits = [...this.#children].map((child) => once(child, 'exit'));
     for (const child of this.#children) child.kill('SIGKILL');
     await Promise.all(exits);
-    if (this.#folder) await rm(this.#folder, { recursive: true, force: true });
+    if (this.#folder) await rm(await this.#folder, { recursive: true, force: true });
   }
 }
--- a/src/node/cli.ts
+++ b/src/node/cli.ts
@@ -31,10 +31,9 @@
   .action(async (options: { config: string }) => {
     const { loadSettings } = await import('./settings/resolveSettings.ts');
     const { startNode } = await import('./node.ts');
+    const { stopOnSignals } = await import('./shutdown.ts');
     const node = await startNode(await loadSettings(options.config));
-    process.once('SIGTERM', () => {
-      void node[Symbol.asyncDispose]().then(() => process.exit(ExitCode.DONE));
-    });
+    stopOnSignals(node.shutdown);
   });
 
 program
--- /dev/null
+++ b/src/node/membership/drains.ts
@@ -0,0 +1,197 @@
+import { create } from '@bufbuild/protobuf';
+import { type DrainList, DrainListSchema } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import { BaseError } from '../../shared/errors.ts';
+import { newId } from '../../shared/random.ts';
+import type { PlatformClient, PlatformObject } from '../platform/platformClient.ts';
+
+/** Key of the object that holds the drained workers and nodes. */
+export const DRAINS_KEY = 'drains';
+
+/** Bound of the drain list in names; a fleet that is drained further is better taken out of the tables. */
+const MAX_DRAINED = 4096;
+
+/** Attempts at a conditional write before the change counts as not kept. */
+const MAX_ATTEMPTS = 3;
+
+export type DrainKind = 'worker' | 'node';
+
+/** A drain that cannot be set. */
+export const DrainError = BaseError.subclass('DrainError');
+
+interface DrainNames {
+  readonly version: number;
+  readonly workers: readonly string[];
+  readonly nodes: readonly string[];
+}
+
+/** FNV-1a over the names, for telling two lists of the same version apart. */
+const checksumOf = (workers: readonly string[], nodes: readonly string[]): number => {
+  let hash = 0x811c9dc5;
+  /* eslint-disable no-bitwise */
+  for (const character of `${workers.join(',')};${nodes.join(',')}`) {
+    hash = Math.imul(hash ^ character.charCodeAt(0), 0x01000193) >>> 0;
+  }
+  /* eslint-enable no-bitwise */
+  return hash;
+};
+
+const drainList = (version: number, workers: Iterable<string>, nodes: Iterable<string>) => {
+  const sortedWorkers = [...workers].sort();
+  const sortedNodes = [...nodes].sort();
+  return create(DrainListSchema, {
+    version,
+    workers: sortedWorkers,
+    nodes: sortedNodes,
+    checksum: checksumOf(sortedWorkers, sortedNodes),
+  });
+};
+
+/** The operator's drains: kept at the platform, spread by heartbeats, the largest version wins. */
+export class Drains {
+  readonly #platform: PlatformClient;
+
+  readonly #onChange: () => void;
+
+  #list: DrainList = drainList(0, [], []);
+
+  #workers: ReadonlySet<string> = new Set();
+
+  #nodes: ReadonlySet<string> = new Set();
+
+  /** @param onChange - called after the list changed */
+  constructor(platform: PlatformClient, onChange: () => void) {
+    this.#platform = platform;
+    this.#onChange = onChange;
+  }
+
+  hasWorker(name: string): boolean {
+    return this.#workers.has(name);
+  }
+
+  hasNode(name: string): boolean {
+    return this.#nodes.has(name);
+  }
+
+  /** The list with its names. */
+  get list(): DrainList {
+    return this.#list;
+  }
+
+  /** Version and checksum alone, as heartbeats carry them. */
+  get summary(): DrainList {
+    const { version, checksum } = this.#list;
+    return create(DrainListSchema, { version, checksum });
+  }
+
+  /** Whether another node with this summary should be sent the names. */
+  isNewsFor(summary: DrainList | undefined): boolean {
+    return (summary?.version ?? 0) < this.#list.version || this.#differs(summary);
+  }
+
+  /** Whether a list of this summary would change the own one. */
+  wants(summary: DrainList | undefined): boolean {
+    return (summary?.version ?? 0) > this.#list.version || this.#differs(summary);
+  }
+
+  /** Takes over a newer list. Two lists that got the same version during an outage are united. */
+  merge(other: DrainNames): void {
+    if (other.version < this.#list.version) return;
+    if (other.version > this.#list.version) {
+      this.#adopt(drainList(other.version, other.workers, other.nodes));
+      return;
+    }
+    const workers = new Set([...this.#list.workers, ...other.workers]);
+    const nodes = new Set([...this.#list.nodes, ...other.nodes]);
+    const united = drainList(other.version, workers, nodes);
+    if (united.checksum !== this.#list.checksum) this.#adopt(united);
+  }
+
+  /** Takes in the list of a heartbeat's answer, which has names only when they differ from the own ones. */
+  mergeAnswer(list: DrainList | undefined): void {
+    if (list && checksumOf(list.workers, list.nodes) === list.checksum) this.merge(list);
+  }
+
+  /** Reads the kept list. @throws PlatformError when no answer arrived in time */
+  async refresh(): Promise<void> {
+    this.#mergeObject(await this.#platform.read(DRAINS_KEY));
+  }
+
+  /**
+   * Sets or lifts a drain. It is in force on this node at once; `kept` says whether the platform took it.
+   *
+   * @throws DrainError when the list is full
+   */
+  async set(
+    kind: DrainKind,
+    name: string,
+    drained: boolean,
+  ): Promise<{ kept: boolean; version: number }> {
+    const operationId = newId();
+    let kept = false;
+    for (let attempt = 0; attempt < MAX_ATTEMPTS && !kept; attempt += 1) {
+      const found = await this.#readBack();
+      if (found === 'unreachable') break;
+      kept = attempt > 0 && found?.operationId === operationId;
+      if (kept) break;
+      const next = this.#changed(kind, name, drained);
+      const { version, workers, nodes } = next;
+      const ifVersion = found?.version ?? 0;
+      const result = await this.#platform.write(
+        DRAINS_KEY,
+        { version, workers, nodes },
+        { ifVersion, operationId },
+      );
+      if (result.status === 'written') {
+        this.#adopt(next);
+        kept = true;
+      }
+      // After `conflict` and `unknown` the object is read again; the operation id shows whether the write took effect.
+      if (result.status === 'unavailable') break;
+    }
+    if (!kept) this.#adopt(this.#changed(kind, name, drained));
+    return { kept, version: this.#list.version };
+  }
+
+  async #readBack(): Promise<PlatformObject | undefined | 'unreachable'> {
+    try {
+      const found = await this.#platform.read(DRAINS_KEY);
+      this.#mergeObject(found);
+      return found;
+    } catch {
+      return 'unreachable';
+    }
+  }
+
+  #mergeObject(found: PlatformObject | undefined): void {
+    if (found !== undefined) this.merge(found.value as DrainNames);
+  }
+
+  #changed(kind: DrainKind, name: string, drained: boolean): DrainList {
+    const workers = new Set(this.#list.workers);
+    const nodes = new Set(this.#list.nodes);
+    const names = kind === 'worker' ? workers : nodes;
+    if (drained) names.add(name);
+    else names.delete(name);
+    if (workers.size + nodes.size > MAX_DRAINED) {
+      throw new DrainError(
+        `${MAX_DRAINED} names are drained already; lift a drain, or take workers out of the tables`,
+      );
+    }
+    return drainList(this.#list.version + 1, workers, nodes);
+  }
+
+  #differs(summary: DrainList | undefined): boolean {
+    return (
+      summary !== undefined &&
+      summary.version === this.#list.version &&
+      summary.checksum !== this.#list.checksum
+    );
+  }
+
+  #adopt(list: DrainList): void {
+    this.#list = list;
+    this.#workers = new Set(list.workers);
+    this.#nodes = new Set(list.nodes);
+    this.#onChange();
+  }
+}
--- /dev/null
+++ b/src/node/membership/membership.ts
@@ -0,0 +1,370 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  type HeartbeatRequest,
+  type HeartbeatResponse,
+  type NodeIdentity,
+  PeerDigestSchema,
+} from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import type { Clock, Stopwatch } from '../../shared/clock.ts';
+import { DisposableStore } from '../../shared/disposableStore.ts';
+import { messageOf } from '../../shared/errors.ts';
+import type { Random } from '../../shared/random.ts';
+import { repeatEvery } from '../../shared/repeat.ts';
+import { chooseEntries, type Entry, type EntryCandidate } from '../decisions/entriesAnswer.ts';
+import { isLater, type PeerRecord, PeerTable } from '../decisions/peerTable.ts';
+import type { WorkerFailureKind } from '../decisions/workerHealth.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformClient } from '../platform/platformClient.ts';
+import type { ResolvedTiming } from '../settings/resolveSettings.ts';
+import { acceptsConnection, splitAddress } from './connectionProbe.ts';
+import { type DrainKind, Drains } from './drains.ts';
+import { Heartbeats, type SelfState, type SendHeartbeat } from './heartbeats.ts';
+import type {
+  MembershipView,
+  Peer,
+  TablesView,
+  WorkerEndpoint,
+  WorkerReports,
+  WorkerStatusView,
+} from './membershipView.ts';
+import { Registration } from './registration.ts';
+import { WorkerDirectory } from './workerDirectory.ts';
+
+/** Least time between reads of all registrations, in ms. Peers tell of new nodes meanwhile. */
+const MIN_LIST_INTERVAL_MS = 30_000;
+
+/** Added for each known peer, in ms: with about 250 bytes a registration, reading them stays below 250 bytes/s. */
+const LIST_INTERVAL_PER_PEER_MS = 1000;
+
+/** Largest number of periods between two attempts to register. */
+const MAX_REGISTER_BACKOFF_PERIODS = 8;
+
+/** The right to serve, as far as membership uses it. */
+export interface ServingRight {
+  heardFromPeer(sentAt: Stopwatch): void;
+  mayServe(): boolean;
+}
+
+export interface MembershipOptions {
+  /** The own identity. Its ports are set before `start`. */
+  readonly self: NodeIdentity;
+  readonly timing: ResolvedTiming;
+  /** Peer addresses by which the node joins while the platform is unreachable. */
+  readonly seedPeers: readonly string[];
+  readonly platform: PlatformClient;
+  readonly tables: TablesView;
+  readonly send: SendHeartbeat;
+  readonly rightToServe: ServingRight;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  /** Leases that this node holds, such as `job/draft`. */
+  readonly heldLeases: () => readonly string[];
+  /** Highest revision that this node prepared. */
+  readonly preparedRevision: () => number;
+  /** A heartbeat showed a higher accepted revision than the own one. */
+  readonly onHigherRevision: (peer: Peer) => void;
+  /** Whether an answered heartbeat counts for the right to serve. @default every answer does */
+  readonly countsAsHeard?: (response: HeartbeatResponse) => boolean;
+  /** @default a TCP connection within `peerTimeoutMs` */
+  readonly probeWorker?: (address: string) => Promise<boolean>;
+}
+
+/** Which nodes and workers are live: registration, heartbeats, VM list, drains, and the own right to serve. */
+export class Membership implements MembershipView, WorkerReports, AsyncDisposable {
+  readonly self: NodeIdentity;
+
+  readonly #options: MembershipOptions;
+
+  readonly #table: PeerTable;
+
+  readonly #registration: Registration;
+
+  readonly #drains: Drains;
+
+  readonly #workers: WorkerDirectory;
+
+  readonly #heartbeats: Heartbeats;
+
+  readonly #store = new DisposableStore();
+
+  /** Names of peers that were suspected at the last period. At most as many as the table holds. */
+  #suspectedNames: ReadonlySet<string> = new Set();
+
+  #leaving = false;
+
+  /** Another node knows this incarnation, so it can no longer move behind an older one of the same name. */
+  #known = false;
+
+  /** A later incarnation of the own name exists: this process was replaced and takes no new work. */
+  #replaced = false;
+
+  constructor(options: MembershipOptions) {
+    const { self, timing, platform, tables, clock, random, logger, send } = options;
+    this.#options = options;
+    this.self = self;
+    this.#table = new PeerTable({ selfName: self.name, ...timing });
+    this.#registration = new Registration(platform, clock, self);
+    this.#drains = new Drains(platform, () => this.#workers.changed());
+    const probe =
+      options.probeWorker ??
+      ((address: string) => acceptsConnection(address, timing.peerTimeoutMs));
+    this.#workers = new WorkerDirectory({ platform, tables, clock, logger, probe }, this.#drains);
+    this.#heartbeats = new Heartbeats({
+      self,
+      state: this.#selfState(),
+      table: this.#table,
+      drains: this.#drains,
+      workers: this.#workers,
+      send,
+      clock,
+      random,
+      logger,
+      onAnswered: (response, sentAt) => this.#answered(response, sentAt),
+      onHigherRevision: (digest) => {
+        const record = this.#table.findIncarnation(digest.identity?.incarnation ?? '');
+        if (record) options.onHigherRevision(this.#peer(record));
+      },
+      onNamesake: (other) => this.#onNamesake(other),
+    });
+  }
+
+  /** Joins by the platform's list, or by a seed peer during an outage, and begins the periodic work. */
+  async start(): Promise<void> {
+    const { clock, timing, random } = this.#options;
+    const { heartbeatIntervalMs, vmListIntervalMs } = timing;
+    await this.#join();
+    if (this.#store.disposed) return;
+    const beats = repeatEvery(clock, heartbeatIntervalMs, () => this.#beat(), 0);
+    const probes = repeatEvery(clock, heartbeatIntervalMs, () => this.#workers.probeUnreachable());
+    // A random first delay spreads the reads of nodes that started together.
+    const vms = repeatEvery(
+      clock,
+      vmListIntervalMs,
+      () => this.#workers.refreshVms(),
+      random() * vmListIntervalMs,
+    );
+    const listIntervalMs = () =>
+      (MIN_LIST_INTERVAL_MS + this.#table.size * LIST_INTERVAL_PER_PEER_MS) * (0.5 + random() / 2);
+    const list = repeatEvery(clock, listIntervalMs, async () => {
+      await this.#refreshNodes();
+    });
+    for (const timer of [beats, probes, vms, list]) this.#store.add(timer);
+    if (!this.#registration.registered) this.#retryJoin();
+  }
+
+  peers(): readonly Peer[] {
+    return [...this.#table.records()].map((record) => this.#peer(record));
+  }
+
+  findIncarnation(incarnation: string): Peer | undefined {
+    const record = this.#table.findIncarnation(incarnation);
+    return record && this.#peer(record);
+  }
+
+  leaseHolder(lease: string): Peer | undefined {
+    const nowMs = this.#options.clock.monotonicMs();
+    const holders = [...this.#table.records()].filter(
+      (record) => record.digest.leases.includes(lease) && !this.#table.isSuspected(record, nowMs),
+    );
+    // Two peers name the same lease while news of a hand-over spreads; the later news is right more often.
+    const latest = holders.sort((left, right) => right.newsMs - left.newsMs)[0];
+    return latest && this.#peer(latest);
+  }
+
+  mayServe(): boolean {
+    return !this.#replaced && this.#options.rightToServe.mayServe();
+  }
+
+  get leaving(): boolean {
+    return this.#leaving;
+  }
+
+  workersOf(poolName: string): readonly WorkerEndpoint[] {
+    return this.#workers.workersOf(poolName);
+  }
+
+  workerStates(poolName: string): readonly WorkerStatusView[] {
+    return this.#workers.statesOf(poolName).map(({ worker, state, drained }) => ({
+      ...worker,
+      state: drained ? 'drained' : state,
+    }));
+  }
+
+  reportWorkerFailure(address: string, kind: WorkerFailureKind): void {
+    this.#workers.reportFailure(address, kind);
+  }
+
+  reportWorkerState(address: string, state: 'ready' | 'loading' | 'leaving' | 'failed'): void {
+    this.#workers.reportState(address, state);
+  }
+
+  /** The entries that a caller is told. While this node takes no new work it names the others, suspected or not. */
+  entries(): readonly Entry[] {
+    const { availabilityZone, name } = this.self;
+    const serves = this.mayServe();
+    const own = { ...this.#candidate(this.self), leaving: this.#leaving, suspected: false };
+    const peers = this.peers().map((peer) => ({
+      ...this.#candidate(peer.identity),
+      leaving: peer.leaving,
+      suspected: peer.suspected,
+    }));
+    const self = serves && !this.#drains.hasNode(name) ? own : undefined;
+    const { random } = this.#options;
+    const named = chooseEntries(self, peers, availabilityZone, random);
+    if (named.length > 0 || serves) return named;
+    const unchecked = peers.map((peer) => ({ ...peer, suspected: false }));
+    return chooseEntries(undefined, unchecked, availabilityZone, random);
+  }
+
+  /**
+   * Sets or lifts an operator's drain.
+   *
+   * @returns whether the platform took it; otherwise it is in force in memory only
+   * @throws DrainError when the list is full
+   */
+  setDrain(kind: DrainKind, name: string, drained: boolean) {
+    return this.#drains.set(kind, name, drained);
+  }
+
+  /** Answers a peer's heartbeat. */
+  heartbeat(request: HeartbeatRequest): HeartbeatResponse {
+    return this.#heartbeats.answer(request);
+  }
+
+  /** First step of a planned stop: leaves the entries answers and tells every peer. */
+  async announceLeaving(): Promise<void> {
+    this.#leaving = true;
+    await this.#heartbeats.announce();
+  }
+
+  /** Last step of a planned stop. Returns whether the platform took it. */
+  async deregister(): Promise<boolean> {
+    const done = await this.#registration.deregister();
+    await this.#heartbeats.announce();
+    return done;
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    return this.#store[Symbol.asyncDispose]();
+  }
+
+  #selfState(): SelfState {
+    const { tables, heldLeases, preparedRevision } = this.#options;
+    return {
+      leaving: () => this.#leaving,
+      acceptedRevision: () => tables.current()?.revision ?? 0,
+      preparedRevision,
+      heldLeases,
+      mayServe: () => this.mayServe(),
+    };
+  }
+
+  #beat(): void {
+    this.#heartbeats.beat();
+    const { clock, logger } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const suspected = new Set<string>();
+    for (const record of this.#table.records()) {
+      const name = record.digest.identity?.name ?? '';
+      if (this.#table.isSuspected(record, nowMs)) suspected.add(name);
+    }
+    for (const peer of suspected) {
+      if (!this.#suspectedNames.has(peer)) logger.warn('peer-suspected', { peer });
+    }
+    for (const peer of this.#suspectedNames) {
+      if (!suspected.has(peer)) logger.info('peer-no-longer-suspected', { peer });
+    }
+    this.#suspectedNames = suspected;
+  }
+
+  async #join(): Promise<void> {
+    // The list comes first: it is also how the node learns of an earlier incarnation of its name.
+    const listed = await this.#refreshNodes();
+    const registered = await this.#registration.register(!this.#known);
+    if (registered === 'registered') this.#known = true;
+    if (registered === 'replaced') this.#markReplaced();
+    if (listed || this.#table.size > 0) return;
+    this.#options.logger.warn('platform-unreachable-at-join', {
+      seedPeers: this.#options.seedPeers.length,
+    });
+    for (const address of this.#options.seedPeers) {
+      const { host, port } = splitAddress(address);
+      if (await this.#heartbeats.join({ host, peerPort: port })) return;
+    }
+  }
+
+  /** Tries to register again, after a delay that doubles up to `MAX_REGISTER_BACKOFF_PERIODS`. */
+  #retryJoin(): void {
+    const { clock, timing, random } = this.#options;
+    let periods = 1;
+    const nextDelayMs = () => {
+      const delayMs = timing.heartbeatIntervalMs * periods * (0.5 + random() / 2);
+      periods = Math.min(periods * 2, MAX_REGISTER_BACKOFF_PERIODS);
+      return delayMs;
+    };
+    const timer = repeatEvery(clock, nextDelayMs, async () => {
+      await this.#join();
+      if (this.#registration.registered || this.#replaced) timer[Symbol.dispose]();
+    });
+    this.#store.add(timer);
+  }
+
+  /** Learns peers and drains from the platform. Returns whether it answered. */
+  async #refreshNodes(): Promise<boolean> {
+    try {
+      const nodes = await this.#registration.list();
+      for (const { identity, deregistered } of nodes) {
+        if (!deregistered) this.#heartbeats.learn(create(PeerDigestSchema, { identity }));
+      }
+      await this.#drains.refresh();
+      return true;
+    } catch (error) {
+      this.#options.logger.debug('node-list-failed', { message: messageOf(error) });
+      return false;
+    }
+  }
+
+  #answered(response: HeartbeatResponse, sentAt: Stopwatch): void {
+    const { countsAsHeard, rightToServe } = this.#options;
+    this.#known = true;
+    if (countsAsHeard?.(response) ?? true) rightToServe.heardFromPeer(sentAt);
+  }
+
+  #onNamesake(other: NodeIdentity): void {
+    if (isLater(this.self, other)) return;
+    if (this.#known) this.#markReplaced();
+    else this.#registration.raiseAbove(other);
+  }
+
+  #markReplaced(): void {
+    if (this.#replaced) return;
+    this.#replaced = true;
+    this.#options.logger.error('node-replaced', {
+      message: `another process named ${this.self.name} started later; give each node its own name`,
+    });
+  }
+
+  #candidate({
+    host,
+    callerPort,
+    availabilityZone,
+    name,
+  }: NodeIdentity): Pick<EntryCandidate, 'address' | 'availabilityZone' | 'drained'> {
+    const address = `${host.includes(':') ? `[${host}]` : host}:${callerPort}`;
+    return { address, availabilityZone, drained: this.#drains.hasNode(name) };
+  }
+
+  #peer(record: PeerRecord): Peer {
+    const nowMs = this.#options.clock.monotonicMs();
+    const { digest, directMs } = record;
+    return {
+      identity: digest.identity as NodeIdentity,
+      suspected: this.#table.isSuspected(record, nowMs),
+      leaving: digest.leaving,
+      lastHeardMs: directMs === undefined ? undefined : nowMs - directMs,
+      acceptedRevision: digest.acceptedRevision,
+      leases: digest.leases,
+    };
+  }
+}
--- a/src/node/membership/membershipView.ts
+++ b/src/node/membership/membershipView.ts
@@ -43,3 +43,16 @@
   /** Workers of a pool that may get new work: listed, not leaving, not drained. */
   workersOf(poolName: string): readonly WorkerEndpoint[];
 }
+
+/** A worker and its state, as an operator is shown it. */
+export interface WorkerStatusView extends WorkerEndpoint {
+  readonly state: 'live' | 'leaving' | 'drained' | 'unreachable';
+}
+
+/** Signs of a worker's health that the data path observes. */
+export interface WorkerReports {
+  /** A connection to the worker was refused, broke off, or carried no answer and no answered probe. */
+  reportWorkerFailure(address: string, kind: 'refused' | 'reset' | 'timeout'): void;
+  /** State that the worker itself reported; also undoes earlier failures. */
+  reportWorkerState(address: string, state: 'ready' | 'loading' | 'leaving' | 'failed'): void;
+}
--- /dev/null
+++ b/src/node/membership/registration.ts
@@ -0,0 +1,112 @@
+import { fromJson, type JsonObject, toJson } from '@bufbuild/protobuf';
+import { type NodeIdentity, NodeIdentitySchema } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import type { Clock } from '../../shared/clock.ts';
+import { newId } from '../../shared/random.ts';
+import type { PlatformClient, PlatformObject } from '../platform/platformClient.ts';
+
+/** Prefix of the objects by which nodes register. */
+export const NODES_PREFIX = 'nodes/';
+
+/** A registration as the platform keeps it: the identity, and whether the node left by a planned stop. */
+export interface RegisteredNode {
+  readonly identity: NodeIdentity;
+  readonly deregistered: boolean;
+}
+
+/** Reads the value of a `nodes/<name>` object; undefined when it is none. */
+export const parseRegistration = (object: PlatformObject): RegisteredNode | undefined => {
+  try {
+    const { deregistered, ...identity } = object.value as JsonObject;
+    return {
+      identity: fromJson(NodeIdentitySchema, identity, { ignoreUnknownFields: true }),
+      deregistered: deregistered === true,
+    };
+  } catch {
+    return undefined;
+  }
+};
+
+/** Result of an attempt to register. `replaced`: a later incarnation of the name is registered. */
+export type RegisterResult = 'registered' | 'unreachable' | 'replaced';
+
+/** The node's own object `nodes/<name>` and the list of all nodes. */
+export class Registration {
+  readonly #platform: PlatformClient;
+
+  readonly #clock: Clock;
+
+  readonly #self: NodeIdentity;
+
+  #version: number | undefined;
+
+  constructor(platform: PlatformClient, clock: Clock, self: NodeIdentity) {
+    this.#platform = platform;
+    this.#clock = clock;
+    this.#self = self;
+    this.#self.generation = Math.floor(clock.nowMs() / 1000);
+  }
+
+  get registered(): boolean {
+    return this.#version !== undefined;
+  }
+
+  /** Makes this incarnation later than another one of the same name. Only before any node knows of this one. */
+  raiseAbove(other: NodeIdentity): void {
+    this.#self.generation = Math.max(this.#self.generation, other.generation + 1);
+  }
+
+  /**
+   * Writes the own registration once.
+   *
+   * @param mayRaise - whether no other node knows this incarnation yet, so that it may still move behind an older one
+   */
+  async register(mayRaise: boolean): Promise<RegisterResult> {
+    const key = `${NODES_PREFIX}${this.#self.name}`;
+    const operationId = newId();
+    try {
+      const found = await this.#platform.read(key);
+      const before = found && parseRegistration(found);
+      if (before && before.identity.incarnation !== this.#self.incarnation) {
+        if (mayRaise) this.raiseAbove(before.identity);
+        else if (before.identity.generation >= this.#self.generation) return 'replaced';
+      }
+      const result = await this.#platform.write(key, this.#value(), {
+        ifVersion: found?.version ?? 0,
+        operationId,
+      });
+      if (result.status === 'written') this.#version = result.version;
+      if (result.status === 'unknown') await this.#resolve(key, operationId);
+      // After a conflict or without an answer the next attempt reads the object again.
+      return this.registered ? 'registered' : 'unreachable';
+    } catch {
+      return 'unreachable';
+    }
+  }
+
+  /** Marks the registration as left. Keeps the generation, so that a restart is recognised as later. */
+  async deregister(): Promise<boolean> {
+    if (this.#version === undefined) return true;
+    const result = await this.#platform.write(
+      `${NODES_PREFIX}${this.#self.name}`,
+      { ...this.#value(), deregistered: true, deregisteredAtMs: this.#clock.nowMs() },
+      { ifVersion: this.#version },
+    );
+    // `conflict`: a later incarnation has registered, and this one is gone from the list already.
+    return result.status === 'written' || result.status === 'conflict';
+  }
+
+  /** Every registered node. @throws PlatformError when no answer arrived in time */
+  async list(): Promise<RegisteredNode[]> {
+    const objects = await this.#platform.list(NODES_PREFIX);
+    return objects.map(parseRegistration).filter((node) => node !== undefined);
+  }
+
+  async #resolve(key: string, operationId: string): Promise<void> {
+    const found = await this.#platform.read(key);
+    if (found?.operationId === operationId) this.#version = found.version;
+  }
+
+  #value(): JsonObject {
+    return toJson(NodeIdentitySchema, this.#self) as JsonObject;
+  }
+}
--- /dev/null
+++ b/src/node/membership/workerDirectory.ts
@@ -0,0 +1,226 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  type WorkerSign,
+  WorkerSignSchema,
+  WorkerSignSource,
+} from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import type { Clock } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import {
+  SIGN_SPREAD_MS,
+  type SignSource,
+  usableWorkers,
+  type WorkerChoice,
+  type WorkerFailureKind,
+  WorkerHealth,
+  type WorkerObservation,
+} from '../decisions/workerHealth.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformClient, VmEntry } from '../platform/platformClient.ts';
+import type { ResolvedPool } from '../tables/resolveTables.ts';
+import { splitAddress } from './connectionProbe.ts';
+import type { Drains } from './drains.ts';
+import type { TablesView, WorkerEndpoint } from './membershipView.ts';
+
+/** Trial connections to unreachable workers in one period. */
+const MAX_PROBES = 8;
+
+/** Worker signs in one heartbeat. About 30 bytes each. */
+const MAX_SIGNS = 8;
+
+const SOURCE_TO_WIRE: Record<SignSource, WorkerSignSource> = {
+  'vm-list': WorkerSignSource.VM_LIST,
+  'load-report': WorkerSignSource.LOAD_REPORT,
+};
+
+const SOURCE_FROM_WIRE = new Map<WorkerSignSource, SignSource>([
+  [WorkerSignSource.VM_LIST, 'vm-list'],
+  [WorkerSignSource.LOAD_REPORT, 'load-report'],
+]);
+
+const VM_STATE_RANK: Record<VmEntry['state'], number> = { live: 0, leaving: 1, gone: 2 };
+
+export interface WorkerDirectoryOptions {
+  readonly platform: PlatformClient;
+  readonly tables: TablesView;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Whether an address accepts a connection. */
+  readonly probe: (address: string) => Promise<boolean>;
+}
+
+/** Workers of each pool and what every source says of them. */
+export class WorkerDirectory {
+  readonly #options: WorkerDirectoryOptions;
+
+  readonly #drains: Drains;
+
+  readonly #health = new WorkerHealth();
+
+  #vms: readonly VmEntry[] = [];
+
+  /** Usable workers by pool; valid for `#cacheRevision` and emptied at every change of state. */
+  readonly #cache = new Map<string, readonly WorkerEndpoint[]>();
+
+  #cacheRevision = 0;
+
+  constructor(options: WorkerDirectoryOptions, drains: Drains) {
+    this.#options = options;
+    this.#drains = drains;
+  }
+
+  /** Workers that may get new work. */
+  workersOf(poolName: string): readonly WorkerEndpoint[] {
+    const revision = this.#options.tables.current()?.revision ?? 0;
+    if (revision !== this.#cacheRevision) {
+      this.#cacheRevision = revision;
+      this.#applyVms();
+      this.changed();
+    }
+    const cached = this.#cache.get(poolName);
+    if (cached) return cached;
+    const workers = usableWorkers(this.statesOf(poolName));
+    if (this.#pool(poolName)) this.#cache.set(poolName, workers);
+    return workers;
+  }
+
+  /** Every worker of a pool with its state, for the operator. */
+  statesOf(poolName: string): WorkerChoice<WorkerEndpoint>[] {
+    const pool = this.#pool(poolName);
+    if (pool === undefined) return [];
+    return this.#endpoints(pool).map((worker) => ({
+      worker,
+      state: this.#health.stateOf(worker.address),
+      drained: this.#drains.hasWorker(worker.name) || this.#drains.hasWorker(worker.address),
+    }));
+  }
+
+  reportFailure(address: string, kind: WorkerFailureKind): void {
+    this.#health.connectionFailed(address, kind, this.#options.clock.monotonicMs());
+    this.changed();
+  }
+
+  /** Takes in the state of a load report. `failed` engines answer and hence can be reached, but get no work. */
+  reportState(address: string, state: 'ready' | 'loading' | 'leaving' | 'failed'): void {
+    this.#health.answered(address);
+    this.#observe({
+      address,
+      source: 'load-report',
+      leaving: state === 'leaving' || state === 'failed',
+      observedMs: this.#options.clock.monotonicMs(),
+    });
+    this.changed();
+  }
+
+  /** Reads the VM list. During an outage the last list stays. */
+  async refreshVms(): Promise<void> {
+    const { platform, logger } = this.#options;
+    try {
+      const vms = await platform.listVms();
+      if (vms.length === 0 && this.#vms.length > 0) {
+        // Every VM gone at once is a fault of the list: the node that reads it runs on one of them.
+        logger.warn('vm-list-empty', { kept: this.#vms.length });
+        return;
+      }
+      this.#vms = vms;
+      this.#applyVms();
+      this.changed();
+    } catch (error) {
+      logger.warn('vm-list-failed', { message: messageOf(error) });
+    }
+  }
+
+  /** Tries connections to unreachable workers, and drops records that no longer matter. */
+  async probeUnreachable(): Promise<void> {
+    const { clock, probe } = this.#options;
+    const probes = this.#health.toProbe(MAX_PROBES).map(async (address) => {
+      if (!(await probe(address))) return;
+      this.#health.connected(address, clock.monotonicMs());
+      this.changed();
+    });
+    await Promise.all(probes);
+    if (this.#health.size === 0) return;
+    const known = this.#addresses();
+    this.#health.sweep(clock.monotonicMs(), (address) => known.has(address));
+  }
+
+  signsToSend(): WorkerSign[] {
+    const nowMs = this.#options.clock.monotonicMs();
+    return this.#health
+      .signsToSend(nowMs, MAX_SIGNS)
+      .map(({ address, source, leaving, observedMs }) =>
+        create(WorkerSignSchema, {
+          address,
+          source: SOURCE_TO_WIRE[source],
+          leaving,
+          ageMs: Math.max(0, Math.round(nowMs - observedMs)),
+        }),
+      );
+  }
+
+  learnSigns(signs: readonly WorkerSign[]): void {
+    if (signs.length === 0) return;
+    const nowMs = this.#options.clock.monotonicMs();
+    const known = this.#addresses();
+    for (const { address, source: wireSource, leaving, ageMs } of signs.slice(0, MAX_SIGNS)) {
+      const source = SOURCE_FROM_WIRE.get(wireSource);
+      if (source === undefined || ageMs >= SIGN_SPREAD_MS || !known.has(address)) continue;
+      this.#observe({ address, source, leaving, observedMs: nowMs - ageMs });
+    }
+    this.changed();
+  }
+
+  /** Makes the next `workersOf` choose again. */
+  changed(): void {
+    this.#cache.clear();
+  }
+
+  #observe(observation: WorkerObservation): void {
+    if (!this.#health.observe(observation)) return;
+    const { address, source, leaving } = observation;
+    this.#options.logger.info(leaving ? 'worker-leaving' : 'worker-back', { address, source });
+  }
+
+  #pool(poolName: string): ResolvedPool | undefined {
+    return this.#options.tables.current()?.pools.get(poolName);
+  }
+
+  #endpoints({ workers, fromVmList }: ResolvedPool): readonly WorkerEndpoint[] {
+    if (fromVmList === undefined) return workers;
+    return this.#vms
+      .filter(({ label, state }) => label === fromVmList.label && state !== 'gone')
+      .map(({ name, address, availabilityZone }) => ({
+        name,
+        address: `${address.includes(':') ? `[${address}]` : address}:${fromVmList.port}`,
+        availabilityZone,
+      }));
+  }
+
+  #addresses(): Set<string> {
+    const pools = [...(this.#options.tables.current()?.pools.values() ?? [])];
+    return new Set(pools.flatMap((pool) => this.#endpoints(pool).map((worker) => worker.address)));
+  }
+
+  /** Turns the VM list into one word on each worker. A worker whose VM is not listed gets none. */
+  #applyVms(): void {
+    const observedMs = this.#options.clock.monotonicMs();
+    const byName = new Map(this.#vms.map((vm) => [vm.name, vm]));
+    // An address that was given to a new VM belongs to the one that is live.
+    const byAddress = new Map<string, VmEntry>();
+    for (const vm of this.#vms) {
+      const other = byAddress.get(vm.address);
+      if (!other || VM_STATE_RANK[vm.state] < VM_STATE_RANK[other.state]) {
+        byAddress.set(vm.address, vm);
+      }
+    }
+    for (const pool of this.#options.tables.current()?.pools.values() ?? []) {
+      for (const { name, address } of this.#endpoints(pool)) {
+        const { host } = splitAddress(address);
+        const named = byName.get(name);
+        const vm = named?.address === host ? named : byAddress.get(host);
+        if (!vm) continue;
+        this.#observe({ address, source: 'vm-list', leaving: vm.state !== 'live', observedMs });
+      }
+    }
+  }
+}
--- a/src/node/settings/resolveSettings.ts
+++ b/src/node/settings/resolveSettings.ts
@@ -19,6 +19,7 @@
     callsPerSecond: settings.platform?.callsPerSecond ?? 50,
   },
   dataFolder: settings.dataFolder,
+  seedPeers: settings.seedPeers,
   limits: {
     maxConcurrent: settings.limits?.maxConcurrent ?? 4096,
     maxKeyRecords: settings.limits?.maxKeyRecords ?? 200_000,
