--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,5 +1,4 @@
 import { create } from '@bufbuild/protobuf';
-import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { NodeIdentitySchema, PeerService } from '../gen/hyssoppulley/v1/peer_pb.ts';
 import { OperatorService } from '../gen/hyssoppulley/v1/operator_pb.ts';
 import { type Clock, systemClock } from '../shared/clock.ts';
@@ -7,19 +6,23 @@
 import { messageOf } from '../shared/errors.ts';
 import { onInvariantViolation } from '../shared/invariants.ts';
 import { newId, type Random, systemRandom } from '../shared/random.ts';
-import { createHttpServer, listen, pathOf, type RequestHandler } from './dataPath/httpServer.ts';
-import { RequestError, sendProblem } from './dataPath/problem.ts';
 import { RequestRouter } from './dataPath/requestRouter.ts';
 import { RightToServe } from './decisions/rightToServe.ts';
 import { selectLeastLoadedOfTwo } from './decisions/workerSelection.ts';
+import { createEntriesHandler } from './membership/entriesHandler.ts';
+import { Membership } from './membership/membership.ts';
 import { PeerClients } from './membership/peerClients.ts';
-import { StaticMembership } from './membership/staticMembership.ts';
+import { createStatusHandler, NodeServers } from './nodeServers.ts';
 import { createLogger, type Logger } from './observability/logger.ts';
 import { createMetrics } from './observability/metrics.ts';
 import { Configuration } from './operator/configuration.ts';
+import { fetchFromPeer } from './operator/configurationHandlers.ts';
 import { createOperator } from './operator/createOperator.ts';
+import { createOperatorViews } from './operatorViews.ts';
 import { createPlatformClient } from './platform/createPlatformClient.ts';
+import { RequestTracker } from './requestTracker.ts';
 import type { ResolvedSettings } from './settings/resolveSettings.ts';
+import { Shutdown } from './shutdown.ts';
 
 /** What a node takes from its surroundings. */
 export interface NodeDependencies {
@@ -31,19 +34,21 @@
   readonly logger?: Logger;
 }
 
-/** A node that serves. */
+/** A node that serves. Disposing of it closes everything at once; `shutdown` stops it without cutting requests off. */
 export interface RunningNode extends AsyncDisposable {
   readonly incarnation: string;
   readonly callerPort: number;
   readonly peerPort: number;
+  readonly shutdown: Shutdown;
 }
 
-/** Starts a node: opens both ports and begins to serve the accepted tables. */
+/** Starts a node: opens both ports, joins, and begins to serve the accepted tables. */
 export const startNode = async (
   settings: ResolvedSettings,
   dependencies: NodeDependencies = {},
 ): Promise<RunningNode> => {
   const { clock = systemClock, random = systemRandom } = dependencies;
+  const { timing } = settings;
   const logger = dependencies.logger ?? createLogger(settings.log.level, { node: settings.name });
   const store = new DisposableStore();
   const metrics = createMetrics();
@@ -52,6 +57,23 @@
     logger.error('invariant-violated', { name, details: JSON.stringify(details) });
   });
 
+  const platform = createPlatformClient(settings.platform, { clock, random, metrics });
+  const rightToServe = new RightToServe(timing.isolationMs);
+  const configuration = new Configuration({
+    platform,
+    clock,
+    logger,
+    nodeName: settings.name,
+    right: rightToServe,
+    onRevision: (revision) => metrics.revision.set(revision),
+  });
+  const peerClients = store.add(new PeerClients(timing.peerTimeoutMs));
+  const requests = new RequestTracker();
+  /** Functions that name the leases this node holds. */
+  const heldLeases: (() => readonly string[])[] = [];
+  /** Functions that hand leases over at a planned stop. */
+  const handOvers: (() => Promise<void>)[] = [];
+
   const self = create(NodeIdentitySchema, {
     name: settings.name,
     incarnation: newId(),
@@ -59,17 +81,30 @@
     region: settings.region,
     availabilityZone: settings.availabilityZone,
   });
-  const platform = createPlatformClient(settings.platform, { clock, random, metrics });
-  const right = new RightToServe(settings.timing.isolationMs);
-  const configuration = new Configuration({
+  const membership = new Membership({
+    self,
+    timing,
+    seedPeers: settings.seedPeers,
     platform,
+    tables: configuration,
+    send: (target, request) => peerClients.get(target).heartbeat(request),
+    rightToServe,
     clock,
+    random,
     logger,
-    nodeName: settings.name,
-    right,
-    onRevision: (revision) => metrics.revision.set(revision),
+    heldLeases: () => heldLeases.flatMap((held) => held()),
+    preparedRevision: () => configuration.revisions().preparedRevision,
+    countsAsHeard: ({ responder, preparedRevision }) =>
+      configuration.countsAsHeard({
+        acceptedRevision: responder?.acceptedRevision ?? 0,
+        preparedRevision,
+      }),
+    onHigherRevision: ({ identity }) => {
+      fetchFromPeer(peerClients, configuration, identity).catch((error: unknown) =>
+        logger.warn('tables-fetch-failed', { peer: identity.name, message: messageOf(error) }),
+      );
+    },
   });
-  const membership = new StaticMembership(self, configuration);
   const router = new RequestRouter({
     tables: configuration,
     membership,
@@ -78,34 +113,6 @@
     metrics,
   });
 
-  const status: RequestHandler = async (request, response) => {
-    if (pathOf(request) === '/healthz') {
-      response.end('ok\n');
-    } else if (pathOf(request) === '/readyz') {
-      response.statusCode = configuration.current() && membership.mayServe() ? 200 : 503;
-      response.end();
-    } else if (pathOf(request) === '/metrics') {
-      response.setHeader('content-type', metrics.registry.contentType);
-      response.end(await metrics.registry.metrics());
-    } else {
-      return false;
-    }
-    return true;
-  };
-  const callerServer = createHttpServer([status, router.handler], (error, response) => {
-    if (error instanceof RequestError) {
-      logger.warn('request-refused', { code: error.code, message: error.message });
-      sendProblem(response, error.message, error);
-      return;
-    }
-    logger.error('request-error', { message: messageOf(error) });
-    sendProblem(response, 'internal error', {
-      outcome: 'unknown',
-      statusCode: 500,
-      code: 'internal',
-    });
-  });
-  const clients = store.add(new PeerClients(settings.timing.peerTimeoutMs));
   const operator = createOperator({
     platform,
     clock,
@@ -114,46 +121,61 @@
     self,
     configuration,
     membership,
-    clients,
-    timing: settings.timing,
+    clients: peerClients,
+    timing,
+    ...createOperatorViews({ membership, configuration }),
   });
-  const peerHandler = connectNodeAdapter({
-    routes: (connect) => {
-      connect.service(PeerService, operator.peerHandlers);
-      connect.service(OperatorService, operator.operatorHandlers);
-    },
-  });
-  const peerServer = createHttpServer(
-    [
-      (request, response) => {
-        peerHandler(request, response);
-        return true;
+
+  const servers = store.add(
+    new NodeServers({
+      logger,
+      requests,
+      callerHandlers: [
+        createStatusHandler({ tables: configuration, membership, metrics }),
+        createEntriesHandler({
+          entries: () => membership.entries(),
+          ttlMs: timing.entriesTtlMs,
+          issueKeyPrefix: () => undefined,
+        }),
+        router.handler,
+      ],
+      forwardHandlers: [],
+      routes: (connect) => {
+        connect.service(PeerService, {
+          ...operator.peerHandlers,
+          heartbeat: (request) => membership.heartbeat(request),
+        });
+        connect.service(OperatorService, operator.operatorHandlers);
       },
-    ],
-    (error) => logger.error('peer-request-error', { message: messageOf(error) }),
+    }),
   );
-  self.callerPort = await listen(callerServer, settings.host, settings.callerPort);
-  self.peerPort = await listen(peerServer, settings.host, settings.peerPort);
-  for (const server of [callerServer, peerServer]) {
-    store.defer(
-      () =>
-        new Promise((resolve) => {
-          server.close(() => resolve());
-          server.closeIdleConnections();
-        }),
-    );
-  }
-  // After the registration: a node that registers first is either asked to confirm a proposal or sees it in this read.
-  await store.add(operator.follower).start();
-  logger.info('node-started', {
-    incarnation: self.incarnation,
-    callerPort: self.callerPort,
-    peerPort: self.peerPort,
+  const shutdown = new Shutdown({
+    clock,
+    logger,
+    requests,
+    // Peers may name this node until the announcement has reached them: one call and two periods of spreading.
+    keepServingMs: timing.entriesTtlMs + timing.peerTimeoutMs + 2 * timing.heartbeatIntervalMs,
+    deadlineMs: timing.drainDeadlineMs,
+    announce: () => membership.announceLeaving(),
+    closeListener: () => servers.closeCallerListener(),
+    handOvers,
+    deregister: () => membership.deregister(),
+    dispose: () => store[Symbol.asyncDispose](),
   });
+
+  const { callerPort, peerPort } = await servers.listen(settings);
+  Object.assign(self, { callerPort, peerPort });
+  // Registers first: a node that has registered is either asked to confirm a proposal or sees it in this read.
+  await membership.start();
+  store.add(membership);
+  await store.add(operator.follower).start();
+  const { incarnation } = self;
+  logger.info('node-started', { incarnation, callerPort, peerPort });
   return {
-    incarnation: self.incarnation,
-    callerPort: self.callerPort,
-    peerPort: self.peerPort,
+    incarnation,
+    callerPort,
+    peerPort,
+    shutdown,
     [Symbol.asyncDispose]: () => store[Symbol.asyncDispose](),
   };
 };
--- a/src/node/operator/configuration.ts
+++ b/src/node/operator/configuration.ts
@@ -184,16 +184,9 @@
     return true;
   }
 
-  /**
-   * Counts an answered heartbeat towards the right to serve.
-   *
-   * @param sentAt - started directly before the heartbeat was sent
-   * @returns false when the peer knows a newer revision, which has to be fetched first
-   */
-  peerAnswered(peer: PeerRevisions, sentAt: Stopwatch): boolean {
-    const counts = this.#replica.countsAsHeard(peer, this.#everyPeerHeard?.() ?? true);
-    if (counts) this.#options.right.heardFromPeer(sentAt);
-    return peer.acceptedRevision <= this.#replica.acceptedRevision;
+  /** Whether a peer's answered heartbeat counts towards the right to serve. */
+  countsAsHeard(peer: PeerRevisions): boolean {
+    return this.#replica.countsAsHeard(peer, this.#everyPeerHeard?.() ?? true);
   }
 
   #resolve(record: RevisionRecord, headVersion: number): PrepareAnswer {
--- a/src/node/operator/configurationCoordinator.ts
+++ b/src/node/operator/configurationCoordinator.ts
@@ -194,7 +194,10 @@
       );
     }
     const skipped = ruling.kind === 'accept' ? ruling.skipped : [];
-    this.#options.configuration.adopt(proposal);
+    const { configuration } = this.#options;
+    configuration.adopt(proposal);
+    // The operator is told "in force" only once this node may serve: a first revision brings the right with a read.
+    await configuration.refresh().catch(() => undefined);
     return this.#spread(proposal.revision, request, started, base, skipped);
   }
 
--- a/src/node/operator/configurationHandlers.ts
+++ b/src/node/operator/configurationHandlers.ts
@@ -54,8 +54,8 @@
     },
     commit: async ({ revision, operationId }) => {
       let acceptedRevision = configuration.commit(revision, operationId);
-      if (acceptedRevision < revision) {
-        // The node missed the proposal; the platform holds the accepted tables.
+      if (acceptedRevision < revision || !mayServe()) {
+        // The node missed the proposal, or its first tables came into force: the read brings the right to serve.
         await configuration.refresh().catch(() => undefined);
         acceptedRevision = configuration.revisions().acceptedRevision;
       }
