feat(data-path): add dispatchOnce for requests that must not run twice

The handler of non-idempotent requests must know whether a byte of a request may have left the node. dispatchOnce opens its own connection first and hands over the request only after that, so a refused or timed-out connection is provably not dispatched. Reusing kept-alive connections was ruled out: the worker may have closed one already, and then the result is ambiguous.

--- /dev/null
+++ b/src/node/dataPath/dispatchOnce.ts
@@ -0,0 +1,157 @@
+import http, { type IncomingHttpHeaders, type OutgoingHttpHeaders } from 'node:http';
+import net from 'node:net';
+import type { Clock } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import { workerAddress } from './workerAddress.ts';
+
+/** One buffered request to one worker. */
+export interface OnceRequest {
+  /** IP number and port of the worker. */
+  readonly address: string;
+  readonly method: string;
+  /** Path with query. */
+  readonly path: string;
+  /** Headers to send; `host`, `connection` and `content-length` are set here. */
+  readonly headers: OutgoingHttpHeaders;
+  readonly body: Buffer;
+}
+
+export interface OnceOptions {
+  readonly clock: Clock;
+  /** Time to open the connection, in ms. */
+  readonly connectTimeoutMs: number;
+  /** Time from the call to the end of the answer, in ms. */
+  readonly timeoutMs: number;
+  /** Largest answer body; a larger one is `unknown`, since it cannot be stored whole. */
+  readonly maxAnswerBytes: number;
+  /**
+   * Called synchronously directly before the first byte is handed to the socket. Returning false withdraws the
+   * request, which is then `not-dispatched`.
+   *
+   * @default always true
+   */
+  readonly mayDispatch?: () => boolean;
+}
+
+/** What is known after the call about whether the worker may have received the request. */
+export type OnceResult =
+  /** No byte was handed to a socket. */
+  | { readonly status: 'not-dispatched'; readonly reason: string }
+  /** The worker's whole answer. */
+  | {
+      readonly status: 'answered';
+      readonly statusCode: number;
+      readonly headers: IncomingHttpHeaders;
+      readonly body: Buffer;
+    }
+  /** A byte may have left and there is no whole answer. */
+  | { readonly status: 'unknown'; readonly reason: string };
+
+const openConnection = (
+  address: string,
+  timeoutMs: number,
+  clock: Clock,
+): Promise<net.Socket | { readonly reason: string }> =>
+  new Promise((resolve) => {
+    const socket = net.connect({ ...workerAddress(address), noDelay: true });
+    const timer = clock.schedule(timeoutMs, () => {
+      socket.destroy();
+      resolve({ reason: `no connection to ${address} within ${timeoutMs} ms` });
+    });
+    // Stays attached: errors after the promise is settled are reported by the request that uses the socket.
+    socket.on('error', (error) => {
+      timer[Symbol.dispose]();
+      resolve({ reason: `no connection to ${address}: ${messageOf(error)}` });
+    });
+    socket.once('connect', () => {
+      timer[Symbol.dispose]();
+      resolve(socket);
+    });
+  });
+
+const readAnswer = async (
+  answer: http.IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | { readonly reason: string }> => {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of answer as AsyncIterable<Buffer>) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > maxBytes) return { reason: `the answer is larger than ${maxBytes} bytes` };
+    chunks.push(chunk);
+  }
+  if (!answer.complete) return { reason: 'the answer was cut off' };
+  return Buffer.concat(chunks);
+};
+
+const exchange = async (
+  socket: net.Socket,
+  { address, method, path, headers, body }: OnceRequest,
+  maxAnswerBytes: number,
+): Promise<OnceResult> => {
+  try {
+    const answer = await new Promise<http.IncomingMessage>((resolve, reject) => {
+      const request = http.request(
+        {
+          createConnection: () => socket,
+          method,
+          path,
+          headers: {
+            ...headers,
+            host: address,
+            connection: 'close',
+            'content-length': body.length,
+          },
+        },
+        resolve,
+      );
+      request.on('error', reject);
+      request.end(body);
+    });
+    const read = await readAnswer(answer, maxAnswerBytes);
+    if (!Buffer.isBuffer(read)) return { status: 'unknown', reason: read.reason };
+    return {
+      status: 'answered',
+      statusCode: answer.statusCode ?? 0,
+      headers: answer.headers,
+      body: read,
+    };
+  } catch (error) {
+    return { status: 'unknown', reason: `no whole answer: ${messageOf(error)}` };
+  }
+};
+
+/**
+ * Sends a request to a worker at most once, on a new connection: a kept-alive one may already be closed by the worker,
+ * and then it is not known whether the request was read. Never throws.
+ */
+export const dispatchOnce = async (
+  request: OnceRequest,
+  { clock, connectTimeoutMs, timeoutMs, maxAnswerBytes, mayDispatch = () => true }: OnceOptions,
+): Promise<OnceResult> => {
+  const startMs = clock.monotonicMs();
+  const socket = await openConnection(
+    request.address,
+    Math.min(connectTimeoutMs, timeoutMs),
+    clock,
+  );
+  if (!(socket instanceof net.Socket)) return { status: 'not-dispatched', reason: socket.reason };
+  if (!socket.writable) {
+    socket.destroy();
+    return { status: 'not-dispatched', reason: 'the worker closed the connection' };
+  }
+  if (!mayDispatch()) {
+    socket.destroy();
+    return { status: 'not-dispatched', reason: 'withdrawn before the first byte' };
+  }
+  const remainingMs = Math.max(0, timeoutMs - (clock.monotonicMs() - startMs));
+  const timer = clock.schedule(remainingMs, () =>
+    socket.destroy(new Error(`no whole answer within ${timeoutMs} ms`)),
+  );
+  try {
+    return await exchange(socket, request, maxAnswerBytes);
+  } finally {
+    timer[Symbol.dispose]();
+    socket.destroy();
+  }
+};
