feat(data-path): add the model engine client

An abandoned stream is cancelled at the engine. Cutting a stream on idle time alone was ruled out: it would end healthy slow streams.

Proved by engineClient.test.ts: resumption, crash, cancellation, silent connection, slow stream.

--- /dev/null
+++ b/src/node/dataPath/__tests__/engineClient.test.ts
@@ -0,0 +1,127 @@
+import { once } from 'node:events';
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { startEngine } from '../../../../playground/standIns/engine.ts';
+import { systemClock } from '../../../shared/clock.ts';
+import type { TokenChunk } from '../engineApi.ts';
+import { EngineError } from '../engineMessages.ts';
+import { EngineClient } from '../engineClient.ts';
+import { WorkerHttp } from '../workerHttp.ts';
+
+const clientWith = (streamIdleMs = 5000) =>
+  new EngineClient({ http: new WorkerHttp(systemClock), clock: systemClock, streamIdleMs });
+
+const request = { streamId: 's1', prompt: 'gas', maxTokens: 6, priority: 'caller' } as const;
+
+const workerAt = (address: string) => ({ name: 'e', address, availabilityZone: 'a' });
+
+const collect = async (stream: AsyncIterable<TokenChunk>, into: TokenChunk[] = []) => {
+  for await (const chunk of stream) into.push(chunk);
+  return into;
+};
+
+const close = async (server: http.Server) => {
+  server.closeAllConnections();
+  server.close();
+  await once(server, 'close');
+};
+
+// Guards against lost or doubled tokens at the boundary of a resumed stream.
+test('a resumed generation continues after the given tokens', async () => {
+  const engine = await startEngine();
+  const client = clientWith();
+  const worker = workerAt(engine.address);
+  const { signal } = new AbortController();
+  const whole = await collect(client.generate(worker, request, signal));
+  const head = whole.slice(0, 2).flatMap((chunk) => [...chunk.tokenIds]);
+  const tail = await collect(client.generate(worker, { ...request, resumeAfter: head }, signal));
+  expect(whole.map((chunk) => chunk.position)).toEqual([0, 1, 2, 3, 4, 5]);
+  expect(whole.at(-1)?.finishReason).toEqual('length');
+  expect(tail).toEqual(whole.slice(2));
+  await close(engine.server);
+});
+
+// Guards against a broken stream that looks like a finished one.
+test('a crash of the engine ends the stream with an error', async () => {
+  const engine = await startEngine();
+  engine.faults.crashAfterTokens = 3;
+  const { signal } = new AbortController();
+  const got: TokenChunk[] = [];
+  const stream = clientWith().generate(workerAt(engine.address), request, signal);
+  await expect(collect(stream, got)).toBeRejectedWith(EngineError);
+  expect(got.length).toEqual(3);
+  await close(engine.server);
+});
+
+// Guards against an engine that keeps generating for a caller that has gone.
+test('aborting cancels the stream at the engine', async () => {
+  const engine = await startEngine();
+  engine.faults.tokenIntervalMs = 5;
+  const abort = new AbortController();
+  const client = clientWith();
+  const worker = workerAt(engine.address);
+  const stream = client.generate(worker, { ...request, maxTokens: 100_000 }, abort.signal);
+  await stream.next();
+  expect(await client.streams(worker)).toEqual(['s1']);
+  abort.abort();
+  await expect(collect(stream)).toBeRejectedWith('aborted');
+  while ((await client.streams(worker)).length > 0);
+  await close(engine.server);
+});
+
+/** An engine whose streams send one event and then nothing; `listed` says whether it still lists them. */
+const startStalled = async (
+  listed: () => boolean,
+  onProbe: (response: http.ServerResponse) => void,
+) => {
+  let stalled: http.ServerResponse | undefined;
+  const server = http.createServer((incoming, response) => {
+    if (incoming.url === '/v1/streams') {
+      response.end(JSON.stringify({ streams: listed() ? ['s1'] : [] }));
+      if (stalled) onProbe(stalled);
+    } else if (incoming.url === '/v1/completions') {
+      stalled = response;
+      response.write(
+        'data: {"choices":[{"text":"a"}],"token_ids":[1],"weight_version":1,"position":0}\n\n',
+      );
+    } else {
+      response.end('{}');
+    }
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return { server, worker: workerAt(`127.0.0.1:${(server.address() as AddressInfo).port}`) };
+};
+
+// Guards against a connection that stopped carrying data while new ones work.
+test('a stream that the engine no longer lists is found silent', { timeout: 10_000 }, async () => {
+  const { server, worker } = await startStalled(
+    () => false,
+    () => {},
+  );
+  const stream = clientWith(50).generate(worker, request, new AbortController().signal);
+  await stream.next();
+  await expect(collect(stream)).toBeRejectedWith('the connection is silent');
+  await close(server);
+});
+
+// Guards against cutting a healthy stream that is only slow.
+test('a slow stream that the engine still lists is not cut', { timeout: 10_000 }, async () => {
+  let probes = 0;
+  const { server, worker } = await startStalled(
+    () => true,
+    (response) => {
+      probes += 1;
+      if (probes < 4) return;
+      response.end(
+        'data: {"choices":[{"text":"b","finish_reason":"stop"}],"token_ids":[2],"weight_version":1,"position":1}\n\n',
+      );
+    },
+  );
+  const stream = clientWith(20).generate(worker, request, new AbortController().signal);
+  expect((await collect(stream)).map((chunk) => chunk.text)).toEqual(['a', 'b']);
+  expect(probes >= 4).toEqual(true);
+  await close(server);
+});
--- a/src/node/dataPath/engineApi.ts
+++ b/src/node/dataPath/engineApi.ts
@@ -1,3 +1,4 @@
+import type { Readable } from 'node:stream';
 import type { WorkerEndpoint } from '../membership/membershipView.ts';
 
 /** One generation on a model engine. */
@@ -11,6 +12,12 @@
   readonly priority: 'caller' | 'training';
   /** Tokens that an earlier attempt already gave; generation continues after them. */
   readonly resumeAfter?: readonly number[];
+  /** Model or adapter; absent: the engine's only one. */
+  readonly model?: string;
+  /** Further fields of the usual completions interface, passed on as they are. */
+  readonly sampling?: Readonly<Record<string, unknown>>;
+  /** W3C trace context passed on to the engine. */
+  readonly traceparent?: string;
 }
 
 /** One event of a generation stream. */
@@ -23,6 +30,8 @@
   readonly position: number;
   /** Set on the last chunk: why the generation ended. */
   readonly finishReason?: string;
+  /** May be set on the last chunk: tokens in the prompt, when the engine reports them. */
+  readonly promptTokens?: number;
 }
 
 /** Load report of an engine; lags behind. */
@@ -57,6 +66,13 @@
   /** The engine did not answer; it may have taken the order. */
   | { readonly status: 'unknown' };
 
+/** A change of an engine's prefix cache. Events come late and with gaps in `sequence`. */
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly kind: 'stored' | 'removed';
+  readonly prefixHash: string;
+}
+
 /** Calls to one model engine. Every call is bounded in time. */
 export interface EngineApi {
   /**
@@ -73,4 +89,13 @@
   streams(worker: WorkerEndpoint): Promise<readonly string[]>;
   cancel(worker: WorkerEndpoint, streamId: string): Promise<void>;
   order(worker: WorkerEndpoint, order: EngineOrder): Promise<OrderResult>;
+  /** Bytes of the KV cache of a stream. The reader must read to the end or destroy it. */
+  exportKv(worker: WorkerEndpoint, streamId: string): Promise<Readable>;
+  /** Loads a KV cache. Resolves with the name of the stream that can be continued at this engine. */
+  importKv(worker: WorkerEndpoint, bytes: Readable): Promise<string>;
+  /** Cache events with a sequence above `after`, and the value for the next call. */
+  cacheEvents(
+    worker: WorkerEndpoint,
+    after: number,
+  ): Promise<{ readonly events: readonly CacheEvent[]; readonly next: number }>;
 }
--- /dev/null
+++ b/src/node/dataPath/engineClient.ts
@@ -0,0 +1,229 @@
+import type { IncomingMessage } from 'node:http';
+import type { Readable } from 'node:stream';
+import type { Clock } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import { ProgressGuard } from '../decisions/progressGuard.ts';
+import type { WorkerEndpoint } from '../membership/membershipView.ts';
+import {
+  KV_CALL_TIMEOUT_MS,
+  MAX_REPLAYABLE_BODY_BYTES,
+  SHORT_CALL_TIMEOUT_MS,
+} from './constants.ts';
+import type {
+  CacheEvent,
+  EngineApi,
+  EngineLoad,
+  EngineOrder,
+  GenerationRequest,
+  OrderResult,
+  TokenChunk,
+} from './engineApi.ts';
+import {
+  completionBody,
+  EngineError,
+  orderBody,
+  parseCacheEvents,
+  parseJson,
+  parseLoad,
+} from './engineMessages.ts';
+import { readTokenChunks } from './engineStream.ts';
+import { readAnswer, type ShortCall, WorkerCallError, type WorkerHttp } from './workerHttp.ts';
+
+export interface EngineClientOptions {
+  readonly http: WorkerHttp;
+  readonly clock: Clock;
+  /** Without progress of a stream for this long the engine is probed, in ms. */
+  readonly streamIdleMs: number;
+}
+
+const rejected = (statusCode: number, body?: Buffer) =>
+  new EngineError(`the engine answered with status ${statusCode}`, {
+    props: { kind: 'rejected' as const, statusCode, body },
+  });
+
+const failureOf = (error: unknown, silent: boolean, aborted: boolean) => {
+  if (aborted) return new EngineError('aborted', { props: { kind: 'aborted' as const } });
+  if (silent) {
+    return new EngineError('the connection is silent and the engine lost the stream', {
+      props: { kind: 'silent' as const },
+    });
+  }
+  if (error instanceof EngineError) return error;
+  const notConnected = error instanceof WorkerCallError && error.notConnected;
+  return new EngineError(messageOf(error), {
+    cause: error,
+    props: { kind: notConnected ? ('not-connected' as const) : ('broken' as const) },
+  });
+};
+
+/** Calls model engines over HTTP. */
+export class EngineClient implements EngineApi {
+  readonly #options: EngineClientOptions;
+
+  constructor(options: EngineClientOptions) {
+    this.#options = options;
+  }
+
+  async *generate(
+    worker: WorkerEndpoint,
+    request: GenerationRequest,
+    signal: AbortSignal,
+  ): AsyncGenerator<TokenChunk> {
+    const abort = new AbortController();
+    const forwardAbort = () => abort.abort();
+    signal.addEventListener('abort', forwardAbort, { once: true });
+    if (signal.aborted) forwardAbort();
+    let silent = false;
+    using guard = new ProgressGuard({
+      clock: this.#options.clock,
+      idleMs: this.#options.streamIdleMs,
+      probe: () => this.isWorkingOn(worker, request.streamId),
+      onSilent: () => {
+        silent = true;
+        abort.abort();
+      },
+    });
+    let ended = false;
+    try {
+      const answer = await this.#start(worker, request, guard, abort.signal);
+      yield* readTokenChunks(answer, guard);
+      ended = true;
+    } catch (error) {
+      const failure = failureOf(error, silent, signal.aborted);
+      ended = failure.kind === 'rejected' || failure.kind === 'not-connected';
+      throw failure;
+    } finally {
+      signal.removeEventListener('abort', forwardAbort);
+      if (!ended) {
+        abort.abort();
+        // The engine may not notice a lost connection; nothing depends on the answer.
+        void this.cancel(worker, request.streamId).catch(() => {});
+      }
+    }
+  }
+
+  /** Whether the engine answers on a new connection and lists the stream. */
+  async isWorkingOn(worker: WorkerEndpoint, streamId: string): Promise<boolean> {
+    const answer = await this.#call(worker, {
+      method: 'GET',
+      path: '/v1/streams',
+      newConnection: true,
+    });
+    const { streams } = parseJson(answer.toString());
+    return Array.isArray(streams) && streams.includes(streamId);
+  }
+
+  async load(worker: WorkerEndpoint): Promise<EngineLoad> {
+    return parseLoad((await this.#call(worker, { method: 'GET', path: '/v1/load' })).toString());
+  }
+
+  async streams(worker: WorkerEndpoint): Promise<readonly string[]> {
+    const answer = await this.#call(worker, { method: 'GET', path: '/v1/streams' });
+    const { streams } = parseJson(answer.toString());
+    return Array.isArray(streams) ? streams.map(String) : [];
+  }
+
+  async cancel(worker: WorkerEndpoint, streamId: string): Promise<void> {
+    const path = `/v1/streams/${encodeURIComponent(streamId)}`;
+    const { statusCode } = await this.#options.http.call(worker, { method: 'DELETE', path });
+    // 404: the stream has already ended.
+    if (statusCode >= 300 && statusCode !== 404) throw rejected(statusCode);
+  }
+
+  async order(worker: WorkerEndpoint, order: EngineOrder): Promise<OrderResult> {
+    try {
+      const { statusCode, body } = await this.#options.http.call(worker, {
+        method: 'POST',
+        path: '/v1/orders',
+        headers: { 'content-type': 'application/json' },
+        body: orderBody(order),
+        timeoutMs: Math.min(SHORT_CALL_TIMEOUT_MS, order.deadlineMs),
+      });
+      if (statusCode === 202) return { status: 'taken' };
+      const answer = statusCode === 409 ? parseJson(body.toString()) : {};
+      if (typeof answer.fencing === 'number') return { status: 'fenced', fencing: answer.fencing };
+    } catch (error) {
+      if (!(error instanceof WorkerCallError || error instanceof EngineError)) throw error;
+    }
+    return { status: 'unknown' };
+  }
+
+  async exportKv(worker: WorkerEndpoint, streamId: string): Promise<Readable> {
+    const abort = new AbortController();
+    const timer = this.#options.clock.schedule(KV_CALL_TIMEOUT_MS, () => abort.abort());
+    try {
+      const answer = await this.#options.http.send(
+        worker,
+        {
+          method: 'POST',
+          path: '/v1/kv/export',
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify({ stream_id: streamId }),
+        },
+        abort.signal,
+      );
+      answer.once('close', () => timer[Symbol.dispose]());
+      if (answer.statusCode === 200) return answer;
+      answer.destroy();
+      throw rejected(answer.statusCode ?? 0);
+    } catch (error) {
+      timer[Symbol.dispose]();
+      throw error;
+    }
+  }
+
+  async importKv(worker: WorkerEndpoint, bytes: Readable): Promise<string> {
+    const answer = await this.#call(worker, {
+      method: 'POST',
+      path: '/v1/kv/import',
+      headers: { 'content-type': 'application/octet-stream' },
+      body: bytes,
+      timeoutMs: KV_CALL_TIMEOUT_MS,
+    });
+    return String(parseJson(answer.toString()).stream_id);
+  }
+
+  async cacheEvents(
+    worker: WorkerEndpoint,
+    after: number,
+  ): Promise<{ events: CacheEvent[]; next: number }> {
+    const answer = await this.#call(worker, {
+      method: 'GET',
+      path: `/v1/cache-events?after=${after}`,
+    });
+    return parseCacheEvents(answer.toString());
+  }
+
+  async #start(
+    worker: WorkerEndpoint,
+    request: GenerationRequest,
+    guard: ProgressGuard,
+    signal: AbortSignal,
+  ): Promise<IncomingMessage> {
+    guard.wait();
+    const answer = await this.#options.http.send(
+      worker,
+      {
+        method: 'POST',
+        path: '/v1/completions',
+        headers: {
+          'content-type': 'application/json',
+          'x-request-id': request.streamId,
+          'x-priority': request.priority,
+          ...(request.traceparent && { traceparent: request.traceparent }),
+        },
+        body: completionBody(request),
+      },
+      signal,
+    );
+    guard.progress();
+    if (answer.statusCode === 200) return answer;
+    throw rejected(answer.statusCode ?? 0, await readAnswer(answer, MAX_REPLAYABLE_BODY_BYTES));
+  }
+
+  async #call(worker: WorkerEndpoint, call: ShortCall): Promise<Buffer> {
+    const { statusCode, body } = await this.#options.http.call(worker, call);
+    if (statusCode >= 300) throw rejected(statusCode, body);
+    return body;
+  }
+}
--- /dev/null
+++ b/src/node/dataPath/engineMessages.ts
@@ -0,0 +1,135 @@
+import { BaseError } from '../../shared/errors.ts';
+import type {
+  CacheEvent,
+  EngineLoad,
+  EngineOrder,
+  GenerationRequest,
+  TokenChunk,
+} from './engineApi.ts';
+
+/**
+ * A call to a model engine failed. `not-connected`: the engine received nothing. `rejected`: it answered with another
+ * status than success. `broken`: the answer broke off or could not be read. `silent`: the connection carried nothing
+ * and the engine no longer works on the request. `aborted`: this side gave up.
+ */
+export const EngineError = BaseError.subclass('EngineError', {
+  props: {
+    kind: 'broken' as 'not-connected' | 'rejected' | 'broken' | 'silent' | 'aborted',
+    /** Status of a rejecting answer. */
+    statusCode: undefined as number | undefined,
+    /** Body of a rejecting answer, at most 64 KiB. */
+    body: undefined as Buffer | undefined,
+  },
+});
+
+const isRecord = (value: unknown): value is Record<string, unknown> =>
+  typeof value === 'object' && value !== null;
+
+const asNumber = (value: unknown, name: string): number => {
+  if (typeof value === 'number' && Number.isFinite(value)) return value;
+  throw new EngineError(`the engine's field ${name} is ${JSON.stringify(value)}, not a number`);
+};
+
+/** Parses an answer of the engine. */
+export const parseJson = (text: string): Record<string, unknown> => {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (error) {
+    throw new EngineError('the engine sent a text that is not JSON', { cause: error });
+  }
+  if (isRecord(value)) return value;
+  throw new EngineError('the engine sent a JSON value that is not an object');
+};
+
+/** Body of `POST /v1/completions`. */
+export const completionBody = (request: GenerationRequest): string =>
+  JSON.stringify({
+    ...request.sampling,
+    model: request.model,
+    prompt: request.prompt,
+    max_tokens: request.maxTokens,
+    temperature: request.temperature,
+    seed: request.seed,
+    stream: true,
+    resume: request.resumeAfter?.length ? { token_ids: request.resumeAfter } : undefined,
+  });
+
+/** What one server-sent event says. */
+export type EngineEvent =
+  | { readonly kind: 'chunk'; readonly chunk: TokenChunk }
+  | { readonly kind: 'usage'; readonly promptTokens: number };
+
+/**
+ * Parses the data of one event.
+ *
+ * @throws EngineError when it lacks the fields that a resumable stream needs
+ */
+export const parseEvent = (data: string): EngineEvent => {
+  const event = parseJson(data);
+  if (event.error !== undefined) {
+    throw new EngineError(`the engine reported an error: ${JSON.stringify(event.error)}`);
+  }
+  const [choice] = (event.choices ?? []) as { text?: string; finish_reason?: string | null }[];
+  if (choice === undefined && isRecord(event.usage)) {
+    return { kind: 'usage', promptTokens: asNumber(event.usage.prompt_tokens, 'prompt_tokens') };
+  }
+  if (!Array.isArray(event.token_ids)) {
+    throw new EngineError("an event of the engine's stream has no token_ids");
+  }
+  return {
+    kind: 'chunk',
+    chunk: {
+      text: choice?.text ?? '',
+      tokenIds: event.token_ids.map((token) => asNumber(token, 'token_ids')),
+      weightVersion: asNumber(event.weight_version, 'weight_version'),
+      position: asNumber(event.position, 'position'),
+      finishReason: choice?.finish_reason ?? undefined,
+    },
+  };
+};
+
+const LOAD_STATES = new Set(['ready', 'loading', 'leaving', 'failed']);
+
+/** Parses the answer of `GET /v1/load`. */
+export const parseLoad = (text: string): EngineLoad => {
+  const load = parseJson(text);
+  if (!LOAD_STATES.has(String(load.state))) {
+    throw new EngineError(`the engine's state ${JSON.stringify(load.state)} is not known`);
+  }
+  return {
+    running: asNumber(load.running, 'running'),
+    waiting: asNumber(load.waiting, 'waiting'),
+    maxRunning: asNumber(load.max_running, 'max_running'),
+    weightVersion: asNumber(load.weight_version, 'weight_version'),
+    state: load.state as EngineLoad['state'],
+  };
+};
+
+/** Body of `POST /v1/orders`. */
+export const orderBody = (order: EngineOrder): string =>
+  JSON.stringify({
+    order_id: order.orderId,
+    kind: order.kind,
+    version: order.version,
+    uri: order.uri,
+    adapter: order.adapter,
+    role: order.role,
+    fencing: order.fencing,
+    deadline_ms: order.deadlineMs,
+    strategy: order.strategy,
+  });
+
+/** Parses the answer of `GET /v1/cache-events`. */
+export const parseCacheEvents = (text: string): { events: CacheEvent[]; next: number } => {
+  const answer = parseJson(text);
+  const events = (Array.isArray(answer.events) ? answer.events : []) as Record<string, unknown>[];
+  return {
+    events: events.map((event) => ({
+      sequence: asNumber(event.sequence, 'sequence'),
+      kind: event.kind === 'removed' ? 'removed' : 'stored',
+      prefixHash: String(event.prefix_hash),
+    })),
+    next: asNumber(answer.next, 'next'),
+  };
+};
--- /dev/null
+++ b/src/node/dataPath/watchedChunks.ts
@@ -0,0 +1,26 @@
+import type { IncomingMessage } from 'node:http';
+import type { ProgressGuard } from '../decisions/progressGuard.ts';
+
+/**
+ * The chunks of an answer. The guard runs only while the next chunk is awaited. Throws when the answer is cut off, also
+ * where Node reports a clean end.
+ */
+export async function* watchedChunks(
+  answer: IncomingMessage,
+  guard: ProgressGuard,
+): AsyncGenerator<Buffer> {
+  const chunks = (answer as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
+  try {
+    for (;;) {
+      guard.wait();
+      const next = await chunks.next();
+      guard.progress();
+      if (next.done) break;
+      yield next.value;
+    }
+    if (!answer.complete) throw new Error('the answer was cut off');
+  } finally {
+    guard.progress();
+    if (!answer.complete) answer.destroy();
+  }
+}
--- /dev/null
+++ b/src/node/dataPath/workerHttp.ts
@@ -0,0 +1,157 @@
+import http, { type OutgoingHttpHeaders } from 'node:http';
+import type { Readable } from 'node:stream';
+import type { Clock } from '../../shared/clock.ts';
+import { BaseError, messageOf } from '../../shared/errors.ts';
+import type { WorkerEndpoint } from '../membership/membershipView.ts';
+import {
+  CONNECT_TIMEOUT_MS,
+  MAX_IDLE_SOCKETS_PER_WORKER,
+  MAX_SHORT_ANSWER_BYTES,
+  SHORT_CALL_TIMEOUT_MS,
+} from './constants.ts';
+import { workerAddress } from './workerAddress.ts';
+
+/** A call to a worker had no whole answer. */
+export const WorkerCallError = BaseError.subclass('WorkerCallError', {
+  props: {
+    /** True when no connection was opened, so that the worker cannot have received anything. */
+    notConnected: false,
+  },
+});
+
+export interface WorkerRequest {
+  readonly method: string;
+  /** Path with query. */
+  readonly path: string;
+  readonly headers?: OutgoingHttpHeaders;
+  /** A stream is piped with back-pressure; the caller of `send` watches it for errors. */
+  readonly body?: Buffer | string | Readable;
+  /**
+   * Opens a new connection instead of using a kept one.
+   *
+   * @default false
+   */
+  readonly newConnection?: boolean;
+}
+
+export interface ShortCall extends WorkerRequest {
+  /** @default SHORT_CALL_TIMEOUT_MS */
+  readonly timeoutMs?: number;
+}
+
+export interface ShortAnswer {
+  readonly statusCode: number;
+  readonly body: Buffer;
+}
+
+/** Reads an answer whole. Throws when it is cut off or larger than `maxBytes`. */
+export const readAnswer = async (
+  answer: http.IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer> => {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of answer as AsyncIterable<Buffer>) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > maxBytes) throw new WorkerCallError(`answer larger than ${maxBytes} bytes`);
+    chunks.push(chunk);
+  }
+  if (!answer.complete) throw new WorkerCallError('the answer was cut off');
+  return Buffer.concat(chunks);
+};
+
+/** HTTP client for workers with kept-alive connections. */
+export class WorkerHttp implements Disposable {
+  readonly clock: Clock;
+
+  readonly #agent = new http.Agent({
+    keepAlive: true,
+    maxFreeSockets: MAX_IDLE_SOCKETS_PER_WORKER,
+  });
+
+  constructor(clock: Clock) {
+    this.clock = clock;
+  }
+
+  /**
+   * Sends a request and resolves with the answer's head. Opening the connection is bounded; the wait for the answer is
+   * bounded by `signal`.
+   *
+   * @throws WorkerCallError
+   */
+  send(
+    worker: WorkerEndpoint,
+    { method, path, headers, body, newConnection = false }: WorkerRequest,
+    signal: AbortSignal,
+  ): Promise<http.IncomingMessage> {
+    return new Promise((resolve, reject) => {
+      let connected = false;
+      const request = http.request(
+        {
+          ...workerAddress(worker.address),
+          method,
+          path,
+          headers,
+          signal,
+          agent: newConnection ? false : this.#agent,
+        },
+        resolve,
+      );
+      request.once('socket', (socket) => {
+        connected = !socket.connecting;
+        if (connected) return;
+        // Probes of a connection that lost its path end it after about 15 s even while a worker lists the request.
+        socket.setKeepAlive(true, 5000);
+        const timer = this.clock.schedule(CONNECT_TIMEOUT_MS, () =>
+          request.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`)),
+        );
+        socket.once('connect', () => {
+          connected = true;
+          timer[Symbol.dispose]();
+        });
+        socket.once('close', () => timer[Symbol.dispose]());
+      });
+      request.on('error', (error) =>
+        reject(
+          new WorkerCallError(messageOf(error), {
+            cause: error,
+            props: { notConnected: !connected },
+          }),
+        ),
+      );
+      if (body === undefined || typeof body === 'string' || Buffer.isBuffer(body)) {
+        request.end(body);
+      } else {
+        body.pipe(request);
+      }
+    });
+  }
+
+  /**
+   * Makes a call with a small answer.
+   *
+   * @throws WorkerCallError when there is no whole answer in time
+   */
+  async call(worker: WorkerEndpoint, call: ShortCall): Promise<ShortAnswer> {
+    const abort = new AbortController();
+    const timeoutMs = call.timeoutMs ?? SHORT_CALL_TIMEOUT_MS;
+    const timer = this.clock.schedule(timeoutMs, () =>
+      abort.abort(new WorkerCallError(`no answer within ${timeoutMs} ms`)),
+    );
+    try {
+      const answer = await this.send(worker, call, abort.signal);
+      const body = await readAnswer(answer, MAX_SHORT_ANSWER_BYTES);
+      return { statusCode: answer.statusCode ?? 0, body };
+    } catch (error) {
+      if (error instanceof WorkerCallError) throw error;
+      throw new WorkerCallError(messageOf(error), { cause: error });
+    } finally {
+      timer[Symbol.dispose]();
+    }
+  }
+
+  /** Closes the kept connections. */
+  [Symbol.dispose](): void {
+    this.#agent.destroy();
+  }
+}
