feat(data-path): admit, place, retry and resume callers' requests

The router becomes small modules: admission before anything is read, worker choice from lagging load reports and own counts with bounded prefix and zone preference, numbered attempts with one retry budget a route, streamed bodies with back-pressure, generations that go on at another engine. Failures carry an outcome and a problem document; spans are off at no cost unless a file or an OTLP endpoint is set. Requests to model engines other than a few inference paths are refused, because not all engines check who orders them. Passing unknown paths on was ruled out for that reason.

--- /dev/null
+++ b/src/node/dataPath/completionsRequest.ts
@@ -0,0 +1,104 @@
+import { requestError } from './problem.ts';
+
+/** A request for one generation that can be resumed on another engine. */
+export interface CompletionPlan {
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly stream: boolean;
+  /** Whether the caller wants a last event with the token counts. */
+  readonly includeUsage: boolean;
+  readonly model?: string;
+  readonly temperature?: number;
+  readonly seed?: number;
+  /** All other fields, passed on as they are. */
+  readonly sampling: Readonly<Record<string, unknown>>;
+}
+
+/** Default of the completions interface. */
+const DEFAULT_MAX_TOKENS = 16;
+
+/** Largest generation that is resumed; its token ids are kept while it runs, about 8 MB. */
+const MAX_RESUMABLE_TOKENS = 1_000_000;
+
+const invalid = (detail: string) =>
+  requestError(detail, { outcome: 'not-run', statusCode: 400, code: 'invalid-request' });
+
+const parseObject = (body: Buffer): Record<string, unknown> => {
+  let value: unknown;
+  try {
+    value = JSON.parse(body.toString());
+  } catch {
+    throw invalid('the body is not JSON; send an object with the field `prompt`');
+  }
+  if (typeof value === 'object' && value !== null && !Array.isArray(value)) {
+    return value as Record<string, unknown>;
+  }
+  throw invalid('the body is not a JSON object; send an object with the field `prompt`');
+};
+
+const optional = <T extends 'number' | 'string' | 'boolean'>(
+  fields: Record<string, unknown>,
+  name: string,
+  type: T,
+): { number: number; string: string; boolean: boolean }[T] | undefined => {
+  const value = fields[name];
+  if (value === undefined || value === null) return undefined;
+
+  if (typeof value !== type) throw invalid(`the field \`${name}\` must be a ${type}`);
+  return value as { number: number; string: string; boolean: boolean }[T];
+};
+
+/** Fields that the engine client sets itself. */
+const OWN_FIELDS = new Set([
+  'prompt',
+  'max_tokens',
+  'stream',
+  'stream_options',
+  'model',
+  'temperature',
+  'seed',
+  'resume',
+]);
+
+/** Fields whose effect the token stream of one generation does not carry. */
+const isSingleStream = (fields: Record<string, unknown>): boolean =>
+  typeof fields.prompt === 'string' &&
+  (fields.n ?? 1) === 1 &&
+  (fields.best_of ?? 1) === 1 &&
+  !fields.echo &&
+  (fields.logprobs ?? null) === null &&
+  (fields.suffix ?? null) === null &&
+  (fields.resume ?? null) === null;
+
+/**
+ * Reads the body of `POST /v1/completions`.
+ *
+ * @returns undefined for requests that cannot be resumed, such as several prompts or choices
+ * @throws RequestError with outcome `not-run` when the body is invalid
+ */
+export const planCompletion = (body: Buffer): CompletionPlan | undefined => {
+  const fields = parseObject(body);
+  if (fields.prompt === undefined) throw invalid('the field `prompt` is missing');
+  const maxTokens = optional(fields, 'max_tokens', 'number') ?? DEFAULT_MAX_TOKENS;
+  if (!Number.isInteger(maxTokens) || maxTokens < 0) {
+    throw invalid('the field `max_tokens` must be a whole number of at least 0');
+  }
+  const stream = optional(fields, 'stream', 'boolean') ?? false;
+  const model = optional(fields, 'model', 'string');
+  const temperature = optional(fields, 'temperature', 'number');
+  const seed = optional(fields, 'seed', 'number');
+  if (!isSingleStream(fields) || maxTokens === 0 || maxTokens > MAX_RESUMABLE_TOKENS) {
+    return undefined;
+  }
+  const streamOptions = fields.stream_options as { include_usage?: unknown } | null | undefined;
+  return {
+    prompt: fields.prompt as string,
+    maxTokens,
+    stream,
+    includeUsage: streamOptions?.include_usage === true,
+    model,
+    temperature,
+    seed,
+    sampling: Object.fromEntries(Object.entries(fields).filter(([name]) => !OWN_FIELDS.has(name))),
+  };
+};
--- a/src/node/dataPath/engineClient.ts
+++ b/src/node/dataPath/engineClient.ts
@@ -113,6 +113,12 @@
     return Array.isArray(streams) && streams.includes(streamId);
   }
 
+  /** Whether the engine answers on a new connection. */
+  async isReachable(worker: WorkerEndpoint): Promise<boolean> {
+    await this.#call(worker, { method: 'GET', path: '/v1/load', newConnection: true });
+    return true;
+  }
+
   async load(worker: WorkerEndpoint): Promise<EngineLoad> {
     return parseLoad((await this.#call(worker, { method: 'GET', path: '/v1/load' })).toString());
   }
--- a/src/node/dataPath/engineMessages.ts
+++ b/src/node/dataPath/engineMessages.ts
@@ -52,6 +52,7 @@
     temperature: request.temperature,
     seed: request.seed,
     stream: true,
+    stream_options: { include_usage: true },
     resume: request.resumeAfter?.length ? { token_ids: request.resumeAfter } : undefined,
   });
 
--- /dev/null
+++ b/src/node/dataPath/failureOf.ts
@@ -0,0 +1,37 @@
+import { messageOf } from '../../shared/errors.ts';
+import { RequestError, requestError, type RequestFailure } from './problem.ts';
+import type { RequestContext } from './requestContext.ts';
+
+/** What the caller of an idempotent request is told. `not-run` only when no worker can have received a byte. */
+export const failureOf = (
+  error: unknown,
+  { scope, mayHaveRun, route }: Pick<RequestContext, 'scope' | 'mayHaveRun' | 'route'>,
+): RequestFailure => {
+  const outcome = mayHaveRun ? 'failed' : 'not-run';
+  if (scope.endedBy === 'timeout') {
+    return requestError(
+      `the request took longer than the route's ${route.timeoutMs} ms`,
+      { outcome, statusCode: 504, code: 'route-timeout', retryAfterMs: 1000 },
+      error,
+    );
+  }
+  if (!(error instanceof RequestError)) {
+    return requestError(
+      messageOf(error),
+      { outcome, statusCode: 500, code: 'internal', retryAfterMs: 1000 },
+      error,
+    );
+  }
+  if (error.code === 'worker-failed' && !mayHaveRun) {
+    return requestError(
+      `no worker of pool ${route.pool} could be reached`,
+      { outcome, statusCode: 503, code: 'worker-unreachable', retryAfterMs: 1000 },
+      error,
+    );
+  }
+  if (error.outcome === 'not-run' && mayHaveRun) {
+    const { statusCode, code, retryAfterMs } = error;
+    return requestError(error.message, { outcome, statusCode, code, retryAfterMs }, error);
+  }
+  return error;
+};
--- a/src/node/dataPath/forwardHeaders.ts
+++ b/src/node/dataPath/forwardHeaders.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
+import { OUTCOME_HEADER } from '../constants.ts';
 
-/** Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1). */
+/** Headers that belong to one connection (RFC 9110, section 7.6.1) or to this node, and are not passed on. */
 const HOP_BY_HOP = new Set([
   'connection',
   'keep-alive',
@@ -12,6 +13,10 @@
   'upgrade',
   'proxy-connection',
   'host',
+  // The node has answered it itself when it began to read the body.
+  'expect',
+  // Only the system says what became of a request.
+  OUTCOME_HEADER,
 ]);
 
 /** The headers that are passed on to the next hop. */
--- a/src/node/dataPath/httpServer.ts
+++ b/src/node/dataPath/httpServer.ts
@@ -1,5 +1,8 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
+import type { Duplex } from 'node:stream';
+import { OUTCOME_HEADER } from '../constants.ts';
+import { problemBody } from './problem.ts';
 
 /** Handles one request, or returns false to pass it to the next handler. */
 export type RequestHandler = (
@@ -17,6 +20,44 @@
   return (Array.isArray(value) ? value[0] : value) ?? '';
 };
 
+/** Node keeps the response in progress on the connection; a second answer in it would be taken for a part of it. */
+const hasBegunAnswer = (socket: Duplex): boolean => {
+  const { _httpMessage: response } = socket as Duplex & { _httpMessage?: http.ServerResponse };
+  return response !== undefined && response !== null;
+};
+
+const CLIENT_ERRORS: Readonly<Record<string, { statusCode: number; code: string }>> = {
+  HPE_HEADER_OVERFLOW: { statusCode: 431, code: 'headers-too-large' },
+  ERR_HTTP_REQUEST_TIMEOUT: { statusCode: 408, code: 'headers-timeout' },
+};
+
+/** Answers bytes that are no HTTP request, on the bare connection. */
+const refuseMalformed = (error: NodeJS.ErrnoException, socket: Duplex): void => {
+  // A reset connection and one whose answer has begun take no further answer.
+  if (error.code === 'ECONNRESET' || !socket.writable || hasBegunAnswer(socket)) {
+    socket.destroy();
+    return;
+  }
+  const { statusCode, code } = CLIENT_ERRORS[error.code ?? ''] ?? {
+    statusCode: 400,
+    code: 'malformed-request',
+  };
+  const body = JSON.stringify(
+    problemBody('the request is not valid HTTP', { outcome: 'not-run', statusCode, code }),
+  );
+  socket.end(
+    [
+      `HTTP/1.1 ${statusCode} ${http.STATUS_CODES[statusCode] ?? ''}`,
+      'connection: close',
+      'content-type: application/problem+json',
+      `content-length: ${Buffer.byteLength(body)}`,
+      `${OUTCOME_HEADER}: not-run`,
+      '',
+      body,
+    ].join('\r\n'),
+  );
+};
+
 /** Makes a server that offers each request to the handlers in order. `onError` gets what a handler throws. */
 export const createHttpServer = (
   handlers: readonly RequestHandler[],
@@ -32,6 +73,7 @@
     };
     run().catch((error: unknown) => onError(error, response));
   });
+  server.on('clientError', refuseMalformed);
   // Node's defaults end requests whose upload takes over 5 minutes; route timeouts bound requests instead.
   server.requestTimeout = 0;
   // Bounds clients that send their headers byte by byte.
--- a/src/node/dataPath/problem.ts
+++ b/src/node/dataPath/problem.ts
@@ -30,8 +30,11 @@
 }
 
 /** Makes a RequestError. */
-export const requestError = (message: string, props: ProblemFields, cause?: unknown) =>
-  new RequestError(message, { props, cause });
+export const requestError = (
+  message: string,
+  { retryAfterMs, ...props }: ProblemFields,
+  cause?: unknown,
+): RequestFailure => new RequestError(message, { props: { ...props, retryAfterMs }, cause });
 
 /** Body of a problem document (RFC 9457). */
 export const problemBody = (detail: string, fields: ProblemFields) => ({
@@ -41,6 +44,8 @@
   detail,
   outcome: fields.outcome,
   retryAfterMs: fields.retryAfterMs,
+  // Extension member in the form that clients of the completions interface read.
+  error: { message: detail, type: fields.outcome, code: fields.code },
 });
 
 /** Sends a problem document. Destroys the connection when the answer has begun, so that it cannot pass for whole. */
@@ -50,10 +55,13 @@
   fields: ProblemFields,
 ): void => {
   if (response.headersSent) {
-    response.destroy();
+    // A stream that ended with an error event is left to be flushed.
+    if (!response.writableEnded) response.destroy();
     return;
   }
   response.statusCode = fields.statusCode;
+  // The rest of a body that nobody reads would otherwise be received to the end.
+  if (!response.req.complete) response.setHeader('connection', 'close');
   response.setHeader('content-type', 'application/problem+json');
   response.setHeader(OUTCOME_HEADER, fields.outcome);
   if (fields.retryAfterMs !== undefined) {
--- /dev/null
+++ b/src/node/dataPath/requestContext.ts
@@ -0,0 +1,37 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { AttemptGate } from '../decisions/attemptGate.ts';
+import type { AdmissionPriority } from '../decisions/admissionPool.ts';
+import type { RetryBudget } from '../decisions/retryBudget.ts';
+import type { HopSpan, Tracing } from '../observability/tracing.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { Metrics } from '../observability/metrics.ts';
+import type { ResolvedPool, ResolvedRoute } from '../tables/resolveTables.ts';
+import type { RequestScope } from './requestScope.ts';
+import type { WorkerSlot } from './workerSlot.ts';
+
+/** One admitted request of a caller. */
+export interface RequestContext {
+  /** Unique; the names of the attempts' streams begin with it. */
+  readonly id: string;
+  readonly route: ResolvedRoute;
+  readonly pool: ResolvedPool;
+  readonly priority: AdmissionPriority;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly slot: WorkerSlot;
+  readonly scope: RequestScope;
+  readonly budget: RetryBudget;
+  readonly gate: AttemptGate;
+  readonly span: HopSpan;
+  /** Addresses of the workers tried so far. */
+  readonly tried: Set<string>;
+  /** Whether a worker may have received a part of the request. */
+  mayHaveRun: boolean;
+}
+
+/** What the handlers of requests share. */
+export interface HandlerServices {
+  readonly tracing: Tracing;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
--- a/src/node/dataPath/requestRouter.ts
+++ b/src/node/dataPath/requestRouter.ts
@@ -1,38 +1,100 @@
-import http from 'node:http';
-import { pipeline } from 'node:stream/promises';
-import type { Random } from '../../shared/random.ts';
-import { CALLER_HEADER } from '../constants.ts';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Priority, Protocol } from '../../gen/hyssoppulley/v1/tables_pb.ts';
+import type { Clock } from '../../shared/clock.ts';
+import { newId, type Random } from '../../shared/random.ts';
+import { CALLER_HEADER, OUTCOME_HEADER } from '../constants.ts';
+import { AdmissionError } from '../decisions/admission.ts';
+import { AttemptGate } from '../decisions/attemptGate.ts';
 import { matchRoute } from '../decisions/matchRoute.ts';
-import type { WorkerSelector } from '../decisions/workerSelection.ts';
-import type { MembershipView, TablesView, WorkerEndpoint } from '../membership/membershipView.ts';
-import type { Metrics } from '../observability/metrics.ts';
-import type { ResolvedRoute } from '../tables/resolveTables.ts';
-import { forwardHeaders } from './forwardHeaders.ts';
+import { RetryBudgets } from '../decisions/retryBudgets.ts';
+import type { MembershipView, TablesView } from '../membership/membershipView.ts';
+import type { HopSpan } from '../observability/tracing.ts';
+import type { ResolvedPool, ResolvedRoute } from '../tables/resolveTables.ts';
+import type { AdmissionController } from './admissionController.ts';
+import { planCompletion } from './completionsRequest.ts';
+import { MAX_QUEUE_WAIT_MS } from './constants.ts';
+import { COMPLETIONS_PATH, ENGINE_PATHS } from './enginePaths.ts';
+import { failureOf } from './failureOf.ts';
+import type { GenerationHandler } from './generationHandler.ts';
 import { headerOf, pathOf, type RequestHandler } from './httpServer.ts';
-import { requestError } from './problem.ts';
+import { RequestError, requestError, sendProblem } from './problem.ts';
+import { prepareBody, readWholeBody } from './requestBody.ts';
+import type { HandlerServices, RequestContext } from './requestContext.ts';
+import { RequestScope } from './requestScope.ts';
+import type { ServiceHandler } from './serviceHandler.ts';
+import type { WorkerSlot } from './workerSlot.ts';
 
-export interface RequestRouterOptions {
+/** Answers requests of a route with `idempotent: false`. */
+export type NonIdempotentHandler = (
+  route: ResolvedRoute,
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void>;
+
+export interface RequestRouterOptions extends HandlerServices {
+  readonly clock: Clock;
+  readonly random: Random;
   readonly tables: TablesView;
   readonly membership: MembershipView;
-  readonly selectWorker: WorkerSelector;
-  readonly random: Random;
-  readonly metrics: Metrics;
+  readonly admission: AdmissionController;
+  readonly services: ServiceHandler;
+  readonly generations: GenerationHandler;
+  /**
+   * Answers requests that must not run twice.
+   *
+   * @default they are refused
+   */
+  readonly handleNonIdempotent?: NonIdempotentHandler;
 }
 
-/** Sends callers' requests to a worker of the pool that their route names. */
+/** Time for a caller to read an answer that was ended early, in ms, before its connection is destroyed. */
+const LINGER_MS = 1000;
+
+const translateAdmission = (error: unknown): unknown => {
+  if (!(error instanceof AdmissionError)) return error;
+  const { code, retryAfterMs } = error;
+  const isCallerLimit = code.startsWith('caller-') && code !== 'caller-gone';
+  return requestError(
+    error.message,
+    { outcome: 'not-run', statusCode: isCallerLimit ? 429 : 503, code, retryAfterMs },
+    error,
+  );
+};
+
+/** Sends callers' requests to workers of the pool that their route names. */
 export class RequestRouter {
   readonly #options: RequestRouterOptions;
 
-  readonly #agent = new http.Agent({ keepAlive: true });
-
-  readonly #inFlight = new Map<string, number>();
+  readonly #budgets = new RetryBudgets();
 
   constructor(options: RequestRouterOptions) {
     this.#options = options;
   }
 
   readonly handler: RequestHandler = async (request, response) => {
-    const { tables, membership, metrics } = this.#options;
+    const { clock, metrics } = this.#options;
+    const route = this.#match(request);
+    const startMs = clock.monotonicMs();
+    const span = this.#options.tracing.start(
+      'request',
+      'server',
+      headerOf(request, 'traceparent'),
+      {
+        'hyssoppulley.route': route.name,
+        'http.request.method': request.method,
+      },
+    );
+    let outcome: string;
+    if (route.idempotent) outcome = await this.#serve(route, request, response, span);
+    else outcome = await this.#passNonIdempotent(route, request, response);
+    span.end(outcome === 'answered' ? undefined : outcome);
+    metrics.requests.inc({ route: route.name, outcome });
+    metrics.requestSeconds.observe({ route: route.name }, (clock.monotonicMs() - startMs) / 1000);
+    return true;
+  };
+
+  #match(request: IncomingMessage): ResolvedRoute {
+    const { tables, membership } = this.#options;
     const current = tables.current();
     if (!membership.mayServe() || current === undefined) {
       throw requestError('this node takes no new work now; use another entry', {
@@ -48,82 +110,138 @@
       caller: headerOf(request, CALLER_HEADER),
       headers: request.headers,
     });
-    if (route === undefined) {
-      throw requestError('no route matches the request', {
-        outcome: 'not-run',
-        statusCode: 404,
-        code: 'no-route',
-      });
-    }
-    const worker = this.#select(route);
-    await this.#send(route, worker, request, response);
-    metrics.requests.inc({ route: route.name, outcome: 'answered' });
-    return true;
-  };
-
-  #select(route: ResolvedRoute): WorkerEndpoint {
-    const { membership, selectWorker, random } = this.#options;
-    const candidates = membership.workersOf(route.pool).map((worker) => ({
-      ...worker,
-      inFlight: this.#inFlight.get(worker.address) ?? 0,
-    }));
-    const worker = selectWorker(candidates, {
-      availabilityZone: membership.self.availabilityZone,
-      random,
+    if (route !== undefined) return route;
+    throw requestError('no route matches the request', {
+      outcome: 'not-run',
+      statusCode: 404,
+      code: 'no-route',
     });
-    if (worker === undefined) {
-      throw requestError(`pool ${route.pool} has no worker that takes requests`, {
+  }
+
+  async #passNonIdempotent(
+    route: ResolvedRoute,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<string> {
+    const { handleNonIdempotent } = this.#options;
+    if (handleNonIdempotent === undefined) {
+      throw requestError('this node does not run non-idempotent requests', {
         outcome: 'not-run',
         statusCode: 503,
-        code: 'no-worker',
-        retryAfterMs: 1000,
+        code: 'non-idempotent-unavailable',
       });
     }
-    return worker;
+    await handleNonIdempotent(route, request, response);
+    return String(response.getHeader(OUTCOME_HEADER) ?? 'answered');
+  }
+
+  /** Answers a request that may run more than once. Returns its outcome. */
+  async #serve(
+    route: ResolvedRoute,
+    request: IncomingMessage,
+    response: ServerResponse,
+    span: HopSpan,
+  ): Promise<string> {
+    using scope = new RequestScope(this.#options.clock, route.timeoutMs, response);
+    const id = newId();
+    let context: RequestContext | undefined;
+    try {
+      const pool = this.#poolOf(route, request);
+      using slot = await this.#admit(route, request, scope);
+      context = {
+        id,
+        route,
+        pool,
+        priority: route.priority === Priority.TRAINING ? 'training' : 'caller',
+        request,
+        response,
+        slot,
+        scope,
+        budget: this.#budgets.of(route.name, route.retryBudgetFraction),
+        gate: new AttemptGate(),
+        span,
+        tried: new Set(),
+        mayHaveRun: false,
+      };
+      await this.#run(context);
+      return 'answered';
+    } catch (error) {
+      const failed = context ?? { scope, mayHaveRun: false, route };
+      return this.#answerFailure(id, route, response, failureOf(error, failed), scope);
+    }
   }
 
-  async #send(
+  #poolOf(route: ResolvedRoute, request: IncomingMessage): ResolvedPool {
+    const pool = this.#options.tables.current()?.pools.get(route.pool);
+    const isEngine = pool?.protocol === Protocol.MODEL_ENGINE;
+    if (pool !== undefined && (!isEngine || ENGINE_PATHS.has(request.url ?? ''))) return pool;
+    throw requestError(`pool ${route.pool} serves no ${pathOf(request)} to callers`, {
+      outcome: 'not-run',
+      statusCode: 404,
+      code: 'no-route',
+    });
+  }
+
+  async #admit(
     route: ResolvedRoute,
-    worker: WorkerEndpoint,
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<void> {
-    this.#count(worker, 1);
+    request: IncomingMessage,
+    scope: RequestScope,
+  ): Promise<WorkerSlot> {
+    const { maxConcurrent, maxRequestsPerSecond } = route.limitPerCaller;
+    const isLimited = maxConcurrent !== Infinity || maxRequestsPerSecond !== Infinity;
     try {
-      const answer = await new Promise<http.IncomingMessage>((resolve, reject) => {
-        const outgoing = http.request(
-          `http://${worker.address}${request.url ?? '/'}`,
-          {
-            method: request.method,
-            agent: this.#agent,
-            headers: forwardHeaders(request.headers),
-            signal: AbortSignal.timeout(route.timeoutMs),
-          },
-          resolve,
-        );
-        outgoing.on('error', reject);
-        request.pipe(outgoing);
+      return await this.#options.admission.admit({
+        pool: route.pool,
+        priority: route.priority === Priority.TRAINING ? 'training' : 'caller',
+        maxWaitMs: Math.min(MAX_QUEUE_WAIT_MS, route.timeoutMs / 2),
+        caller: isLimited
+          ? {
+              key: `${route.name}|${headerOf(request, CALLER_HEADER)}`,
+              limit: route.limitPerCaller,
+            }
+          : undefined,
+        signal: scope.signal,
       });
-      response.writeHead(answer.statusCode ?? 502, forwardHeaders(answer.headers));
-      await pipeline(answer, response);
     } catch (error) {
-      throw requestError(
-        `worker of pool ${route.pool} did not answer`,
-        {
-          outcome: route.idempotent ? 'failed' : 'unknown',
-          statusCode: 502,
-          code: 'worker-failed',
-        },
-        error,
-      );
-    } finally {
-      this.#count(worker, -1);
+      throw translateAdmission(error);
+    }
+  }
+
+  async #run(context: RequestContext): Promise<void> {
+    const { request, pool, scope } = context;
+    const { services, generations } = this.#options;
+    if (pool.protocol === Protocol.MODEL_ENGINE && pathOf(request) === COMPLETIONS_PATH) {
+      const bytes = await readWholeBody(request, pool.maxBodyBytes, scope.signal);
+      const plan = planCompletion(bytes);
+      if (plan !== undefined) await generations.handle(context, plan);
+      else await services.handle(context, { kind: 'buffered', bytes });
+      return;
     }
+    const body = await prepareBody(request, pool.maxBodyBytes, scope.signal);
+    await services.handle(context, body);
   }
 
-  #count(worker: WorkerEndpoint, change: number): void {
-    const next = (this.#inFlight.get(worker.address) ?? 0) + change;
-    if (next === 0) this.#inFlight.delete(worker.address);
-    else this.#inFlight.set(worker.address, next);
+  #answerFailure(
+    requestId: string,
+    route: ResolvedRoute,
+    response: ServerResponse,
+    failure: InstanceType<typeof RequestError>,
+    scope: RequestScope,
+  ): string {
+    const { logger, clock } = this.#options;
+    const { outcome, code, message } = failure;
+    if (scope.endedBy === 'caller-gone') {
+      logger.debug('caller-gone', { requestId, route: route.name });
+      return 'caller-gone';
+    }
+    const fields = { requestId, route: route.name, outcome, code, message };
+    // Refusals come in great numbers under overload; metrics count them.
+    if (outcome === 'not-run') logger.debug('request-refused', fields);
+    else logger.warn('request-failed', fields);
+    sendProblem(response, message, failure);
+    const linger = clock.schedule(LINGER_MS, () => response.destroy());
+    response.once('close', () => linger[Symbol.dispose]());
+    response.once('finish', () => linger[Symbol.dispose]());
+    return outcome;
   }
 }
--- /dev/null
+++ b/src/node/dataPath/workerLoads.ts
@@ -0,0 +1,177 @@
+import { Protocol } from '../../gen/hyssoppulley/v1/tables_pb.ts';
+import type { Clock } from '../../shared/clock.ts';
+import type { Random } from '../../shared/random.ts';
+import type { InFlightCounts } from '../decisions/inFlightCounts.ts';
+import type { MembershipView, TablesView, WorkerEndpoint } from '../membership/membershipView.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { ResolvedPool } from '../tables/resolveTables.ts';
+import type { EngineApi } from './engineApi.ts';
+import { readServiceLoad } from './serviceLoad.ts';
+import type { WorkerHttp } from './workerHttp.ts';
+
+/** Time between polls of one worker, in ms, while there are few workers. */
+const POLL_INTERVAL_MS = 1000;
+
+/** Polls of one node per second. Each costs about 0.2 ms of CPU time; this bounds them to 1% of a core. */
+const MAX_POLLS_PER_SECOND = 50;
+
+/** Share of the interval by which polls are moved at random, so that nodes don't poll together. */
+const JITTER = 0.2;
+
+/** Failed polls in a row after which a worker gets no requests. One may be lost to a pause of this node. */
+const MAX_FAILED_POLLS = 2;
+
+/** How long a worker that refused a connection gets no requests, in ms, unless a poll succeeds earlier. */
+const REFUSED_MS = 2000;
+
+export interface WorkerLoadsOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly tables: TablesView;
+  readonly membership: MembershipView;
+  readonly engines: Pick<EngineApi, 'load'>;
+  readonly http: WorkerHttp;
+  readonly inFlight: InFlightCounts;
+  readonly logger: Logger;
+  /** Told after each report that may change how many requests a pool can take. */
+  readonly onReport: (poolName: string) => void;
+  /**
+   * Told when a worker reports that it is leaving.
+   *
+   * @default nothing
+   */
+  readonly onLeaving?: (worker: WorkerEndpoint) => void;
+}
+
+interface Report {
+  state: 'ready' | 'loading' | 'leaving' | 'failed';
+  /** Requests of others in progress or waiting. */
+  others: number | undefined;
+  failedPolls: number;
+  refusedUntilMs: number;
+}
+
+const newReport = (): Report => ({
+  state: 'ready',
+  others: undefined,
+  failedPolls: 0,
+  refusedUntilMs: 0,
+});
+
+const isUsable = (report: Report, nowMs: number): boolean =>
+  report.state === 'ready' &&
+  report.failedPolls < MAX_FAILED_POLLS &&
+  report.refusedUntilMs <= nowMs;
+
+/** Load reports of all workers, read in a jittered loop. Reports lag; the node's own counts fill the gap. */
+export class WorkerLoads implements Disposable {
+  readonly #options: WorkerLoadsOptions;
+
+  /** By worker address; workers that left the tables are dropped in each round. */
+  #reports = new Map<string, Report>();
+
+  #timer: Disposable | undefined;
+
+  #disposed = false;
+
+  constructor(options: WorkerLoadsOptions) {
+    this.#options = options;
+  }
+
+  /** Begins to poll. */
+  start(): void {
+    this.#pollRound();
+  }
+
+  /** Whether the worker may get a request, as far as its reports tell. */
+  isUsable(address: string): boolean {
+    const report = this.#reports.get(address);
+    return report === undefined || isUsable(report, this.#options.clock.monotonicMs());
+  }
+
+  /** Requests of others in progress or waiting at the worker; undefined: not reported. */
+  othersAt(address: string): number | undefined {
+    return this.#reports.get(address)?.others;
+  }
+
+  /** Records that a worker refused a connection. */
+  recordRefused(address: string): void {
+    const report = this.#reports.get(address) ?? newReport();
+    report.refusedUntilMs = this.#options.clock.monotonicMs() + REFUSED_MS;
+    this.#reports.set(address, report);
+  }
+
+  /** Reads the load of one worker now. */
+  async poll(pool: ResolvedPool, worker: WorkerEndpoint): Promise<void> {
+    const known = this.#reports.get(worker.address);
+    const report = known ?? {
+      state: 'ready',
+      others: undefined,
+      failedPolls: 0,
+      refusedUntilMs: 0,
+    };
+    try {
+      const { state, busy } = await this.#read(pool, worker);
+      const peak = this.#options.inFlight.takePeak(worker.address);
+      if (state === 'leaving' && report.state !== state) this.#options.onLeaving?.(worker);
+      report.others = busy === undefined ? undefined : Math.max(0, busy - peak);
+      report.state = state;
+      report.failedPolls = 0;
+      report.refusedUntilMs = 0;
+    } catch {
+      report.failedPolls += 1;
+      report.others = undefined;
+      if (report.failedPolls === MAX_FAILED_POLLS) {
+        this.#options.logger.warn('worker-unreachable', { pool: pool.name, worker: worker.name });
+      }
+    }
+    if (this.#disposed) return;
+    this.#reports.set(worker.address, report);
+    this.#options.onReport(pool.name);
+  }
+
+  [Symbol.dispose](): void {
+    this.#disposed = true;
+    this.#timer?.[Symbol.dispose]();
+  }
+
+  async #read(
+    pool: ResolvedPool,
+    worker: WorkerEndpoint,
+  ): Promise<{ state: Report['state']; busy: number | undefined }> {
+    if (pool.protocol === Protocol.PLAIN_SERVICE) {
+      const load = await readServiceLoad(this.#options.http, worker);
+      return { state: load.state, busy: load.running };
+    }
+    const load = await this.#options.engines.load(worker);
+    return { state: load.state, busy: load.running + load.waiting };
+  }
+
+  /** Polls every worker once, spread over the interval, and then begins the next round. */
+  #pollRound(): void {
+    const { tables, membership } = this.#options;
+    const pools = [...(tables.current()?.pools.values() ?? [])];
+    const work = pools.flatMap((pool) =>
+      membership.workersOf(pool.name).map((worker) => ({ pool, worker })),
+    );
+    const listed = new Set(work.map(({ worker }) => worker.address));
+    this.#reports = new Map([...this.#reports].filter(([address]) => listed.has(address)));
+    const intervalMs = Math.max(POLL_INTERVAL_MS, (work.length * 1000) / MAX_POLLS_PER_SECOND);
+    this.#pollNext(work.values(), intervalMs / Math.max(1, work.length));
+  }
+
+  #pollNext(
+    work: IterableIterator<{ pool: ResolvedPool; worker: WorkerEndpoint }>,
+    gapMs: number,
+  ): void {
+    if (this.#disposed) return;
+    const { clock, random } = this.#options;
+    const { value, done } = work.next();
+    if (!done) void this.poll(value.pool, value.worker);
+    const jitteredMs = gapMs * (1 - JITTER + 2 * JITTER * random());
+    this.#timer = clock.schedule(jitteredMs, () => {
+      if (done) this.#pollRound();
+      else this.#pollNext(work, gapMs);
+    });
+  }
+}
--- /dev/null
+++ b/src/node/dataPath/writeResponse.ts
@@ -0,0 +1,40 @@
+import type { ServerResponse } from 'node:http';
+
+const untilWritable = (response: ServerResponse, signal: AbortSignal): Promise<void> =>
+  new Promise((resolve) => {
+    const done = () => {
+      response.off('drain', done);
+      response.off('close', done);
+      signal.removeEventListener('abort', done);
+      resolve();
+    };
+    response.once('drain', done);
+    response.once('close', done);
+    signal.addEventListener('abort', done, { once: true });
+  });
+
+/** Writes a chunk and waits while the caller reads slower than it arrives. Throws when the request has ended. */
+export const writeChunk = async (
+  response: ServerResponse,
+  chunk: Buffer | string,
+  signal: AbortSignal,
+): Promise<void> => {
+  if (!response.write(chunk) && !response.destroyed && !signal.aborted) {
+    await untilWritable(response, signal);
+  }
+  if (response.destroyed || signal.aborted) throw new Error('the caller is gone or out of time');
+};
+
+/** Ends an answer and waits until it has been handed to the connection. */
+export const endResponse = async (
+  response: ServerResponse,
+  signal: AbortSignal,
+  lastChunk = '',
+): Promise<void> => {
+  await new Promise<void>((resolve) => {
+    response.once('close', resolve);
+    signal.addEventListener('abort', () => resolve(), { once: true });
+    response.end(lastChunk, () => resolve());
+  });
+  if (!response.writableFinished) throw new Error('the caller is gone or out of time');
+};
--- a/src/node/decisions/attemptGate.ts
+++ b/src/node/decisions/attemptGate.ts
@@ -10,25 +10,29 @@
 
 /** Numbers the attempts of a request; beginning one abandons all earlier ones for good. */
 export class AttemptGate {
-  #current = 0;
+  #begun = 0;
+
+  /** Number of the attempt in progress; undefined between attempts. */
+  #current: number | undefined;
 
   /** Number of the attempt whose bytes the caller has seen. */
   #answeredBy: number | undefined;
 
   /** Attempts begun so far. */
   get attempts(): number {
-    return this.#current;
+    return this.#begun;
   }
 
   begin(): Attempt {
-    this.#current += 1;
-    const number = this.#current;
+    this.#begun += 1;
+    const number = this.#begun;
+    this.#current = number;
     return { number, isCurrent: () => number === this.#current };
   }
 
   /** Ends the current attempt without a next one; its late bytes are dropped too. */
   close(): void {
-    this.#current += 1;
+    this.#current = undefined;
   }
 
   /**
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -7,13 +7,13 @@
 import { messageOf } from '../shared/errors.ts';
 import { onInvariantViolation } from '../shared/invariants.ts';
 import { newId, type Random, systemRandom } from '../shared/random.ts';
+import { createDataPath } from './dataPath/dataPath.ts';
 import { createHttpServer, listen, pathOf, type RequestHandler } from './dataPath/httpServer.ts';
 import { RequestError, sendProblem } from './dataPath/problem.ts';
-import { RequestRouter } from './dataPath/requestRouter.ts';
-import { selectLeastLoadedOfTwo } from './decisions/workerSelection.ts';
 import { StaticMembership } from './membership/staticMembership.ts';
 import { createLogger, type Logger } from './observability/logger.ts';
 import { createMetrics } from './observability/metrics.ts';
+import { createTracing } from './observability/tracing.ts';
 import { Configuration } from './operator/configuration.ts';
 import { HttpPlatformClient } from './platform/httpPlatformClient.ts';
 import type { ResolvedSettings } from './settings/resolveSettings.ts';
@@ -62,13 +62,15 @@
     availabilityZone: settings.availabilityZone,
   });
   const membership = new StaticMembership(self, configuration);
-  const router = new RequestRouter({
-    tables: configuration,
-    membership,
-    selectWorker: selectLeastLoadedOfTwo,
-    random,
-    metrics,
+  const tracing = await createTracing({ serviceName: settings.name, ...settings.trace });
+  store.add(tracing);
+  const dataPath = createDataPath({
+    ...{ clock, random, logger, metrics, tracing, membership, tables: configuration },
+    maxConcurrent: settings.limits.maxConcurrent,
+    streamIdleMs: settings.timing.streamIdleMs,
   });
+  store.add(dataPath);
+  const { router } = dataPath;
 
   const status: RequestHandler = async (request, response) => {
     if (pathOf(request) === '/healthz') {
@@ -138,6 +140,7 @@
     }
   };
   await poll();
+  dataPath.loads.start();
   logger.info('node-started', {
     incarnation: self.incarnation,
     callerPort: self.callerPort,
