--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -6,15 +6,15 @@
 import { messageOf } from '../shared/errors.ts';
 import { onInvariantViolation } from '../shared/invariants.ts';
 import { newId, type Random, systemRandom } from '../shared/random.ts';
-import { RequestRouter } from './dataPath/requestRouter.ts';
+import { createDataPath } from './dataPath/dataPath.ts';
 import { RightToServe } from './decisions/rightToServe.ts';
-import { selectLeastLoadedOfTwo } from './decisions/workerSelection.ts';
 import { createEntriesHandler } from './membership/entriesHandler.ts';
 import { Membership } from './membership/membership.ts';
 import { PeerClients } from './membership/peerClients.ts';
 import { createStatusHandler, NodeServers } from './nodeServers.ts';
 import { createLogger, type Logger } from './observability/logger.ts';
 import { createMetrics } from './observability/metrics.ts';
+import { createTracing } from './observability/tracing.ts';
 import { Configuration } from './operator/configuration.ts';
 import { fetchFromPeer } from './operator/configurationHandlers.ts';
 import { createOperator } from './operator/createOperator.ts';
@@ -105,13 +105,15 @@
       );
     },
   });
-  const router = new RequestRouter({
-    tables: configuration,
-    membership,
-    selectWorker: selectLeastLoadedOfTwo,
-    random,
-    metrics,
-  });
+  const tracing = store.add(await createTracing({ serviceName: settings.name, ...settings.trace }));
+  const dataPath = store.add(
+    createDataPath({
+      ...{ clock, random, logger, metrics, tracing, membership, tables: configuration },
+      maxConcurrent: settings.limits.maxConcurrent,
+      streamIdleMs: timing.streamIdleMs,
+      onWorkerLeaving: ({ address }) => membership.reportWorkerState(address, 'leaving'),
+    }),
+  );
 
   const operator = createOperator({
     platform,
@@ -137,7 +139,7 @@
           ttlMs: timing.entriesTtlMs,
           issueKeyPrefix: () => undefined,
         }),
-        router.handler,
+        dataPath.router.handler,
       ],
       forwardHandlers: [],
       routes: (connect) => {
@@ -169,6 +171,7 @@
   await membership.start();
   store.add(membership);
   await store.add(operator.follower).start();
+  dataPath.loads.start();
   const { incarnation } = self;
   logger.info('node-started', { incarnation, callerPort, peerPort });
   return {
