--- /dev/null
+++ b/playground/training/trainingCase.ts
@@ -0,0 +1,211 @@
+import { execFile } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { promisify } from 'node:util';
+import { ProcessGroup, type StartedProcess } from '../processes.ts';
+
+const run = promisify(execFile);
+
+export interface CaseNode {
+  readonly name: string;
+  readonly process: StartedProcess;
+  readonly callerPort: number;
+  readonly peerPort: number;
+}
+
+export interface CaseOptions {
+  readonly nodes: number;
+  readonly groups: number;
+  readonly samplesPerGroup: number;
+  readonly steps: number;
+  /** Added to the settings of each node. */
+  readonly timing?: Record<string, number>;
+  readonly engineFaults?: Record<string, unknown>;
+}
+
+export interface TrainerReport {
+  readonly voids: number;
+  readonly refused: number;
+  readonly received: readonly {
+    readonly stepId: string;
+    readonly ordinal: number;
+    readonly position: number;
+    readonly scores: Record<string, number>;
+    readonly ranges: readonly { readonly weightVersion: number }[];
+  }[];
+}
+
+const POLL_MS = 50;
+
+const JOB = 'draft';
+
+/** Waits until `get` gives a value that `accepts` takes; polls, because it asks other processes. */
+export const waitFor = async <T>(
+  what: string,
+  get: () => Promise<T>,
+  accepts: (value: T) => boolean,
+  limitMs = 60_000,
+): Promise<T> => {
+  const limit = AbortSignal.timeout(limitMs);
+  for (;;) {
+    const value = await get();
+    if (accepts(value)) return value;
+    if (limit.aborted) throw new Error(`${what}: not within ${limitMs} ms`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+};
+
+/** Platform, engines, scorer, trainer and nodes of one whole-process test of training. */
+export class TrainingCase implements AsyncDisposable {
+  readonly #group = new ProcessGroup();
+
+  readonly #options: CaseOptions;
+
+  readonly nodes: CaseNode[] = [];
+
+  #platform = '';
+
+  #trainer = '';
+
+  #folder = '';
+
+  private constructor(options: CaseOptions) {
+    this.#options = options;
+  }
+
+  static async start(options: CaseOptions): Promise<TrainingCase> {
+    const started = new TrainingCase(options);
+    await started.#start();
+    return started;
+  }
+
+  /** Number of samples that the trainer must receive. */
+  get expected(): number {
+    const { steps, groups, samplesPerGroup } = this.#options;
+    return steps * groups * samplesPerGroup;
+  }
+
+  async setFaults(of: 'platform' | 'trainer', faults: Record<string, unknown>): Promise<void> {
+    const address = of === 'platform' ? this.#platform : this.#trainer;
+    await fetch(`http://${address}/control/faults`, {
+      method: 'PUT',
+      body: JSON.stringify(faults),
+    });
+  }
+
+  /** Lets the trainer submit all steps and pull. */
+  async train(callTimeoutMs = 3000): Promise<void> {
+    const { steps, groups, samplesPerGroup } = this.#options;
+    const numbers = (count: number) => Array.from({ length: count }, (_, index) => index);
+    const body = {
+      entries: this.nodes.map(({ callerPort }) => `127.0.0.1:${callerPort}`),
+      job: JOB,
+      steps: numbers(steps).map((step) => ({
+        stepId: `step-${step}`,
+        groups: numbers(groups).map((group) => ({
+          groupId: `group-${group}`,
+          prompt: `quote ${group} of step ${step}`,
+        })),
+      })),
+      samplesPerGroup,
+      maxTokens: 8,
+      callTimeoutMs,
+    };
+    await fetch(`http://${this.#trainer}/control/run`, {
+      method: 'PUT',
+      body: JSON.stringify(body),
+    });
+  }
+
+  async report(): Promise<TrainerReport> {
+    const response = await fetch(`http://${this.#trainer}/control/received`);
+    return (await response.json()) as TrainerReport;
+  }
+
+  /** Waits until the trainer has at least `count` samples. */
+  received(count: number, limitMs?: number): Promise<TrainerReport> {
+    return waitFor(
+      `${count} samples`,
+      () => this.report(),
+      ({ received }) => received.length >= count,
+      limitMs,
+    );
+  }
+
+  /** The node that holds the job's lease at the platform. */
+  async owner(): Promise<CaseNode> {
+    const holder = await waitFor(
+      'an owner',
+      async () => {
+        const response = await fetch(`http://${this.#platform}/objects/leases/job/${JOB}`);
+        const { value } = (await response.json()) as { value?: { holder: string } };
+        return value?.holder ?? '';
+      },
+      (name) => name !== '',
+    );
+    const node = this.nodes.find(({ name }) => name === holder);
+    if (!node) throw new Error(`no node ${holder}`);
+    return node;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#group[Symbol.asyncDispose]();
+    if (this.#folder) await rm(this.#folder, { recursive: true, force: true });
+  }
+
+  async #start(): Promise<void> {
+    const names = ['platform', 'trainer', 'scorer', 'engine', 'engine'];
+    const standIns = await Promise.all(names.map((name) => this.#group.standIn(name)));
+    const [platform = '', trainer = '', scorer = '', ...engines] = standIns.map(
+      ({ address }) => address,
+    );
+    this.#platform = platform;
+    this.#trainer = trainer;
+    const { engineFaults = {}, nodes, timing } = this.#options;
+    for (const engine of engines) {
+      await fetch(`http://${engine}/control/faults`, {
+        method: 'PUT',
+        body: JSON.stringify(engineFaults),
+      });
+    }
+    const settings = Array.from({ length: nodes }, (_, index) => ({
+      name: `entry-${index}`,
+      region: 'new-england',
+      availabilityZone: 'worcester',
+      callerPort: 0,
+      peerPort: 0,
+      platform: { url: `http://${platform}` },
+      timing,
+    }));
+    const started = await Promise.all(settings.map((each) => this.#group.node(each)));
+    started.forEach((node, index) => this.nodes.push({ ...node, name: `entry-${index}` }));
+    await this.#applyTables(engines, scorer);
+  }
+
+  async #applyTables(engines: readonly string[], scorer: string): Promise<void> {
+    this.#folder = await mkdtemp(path.join(tmpdir(), 'hyssoppulley-'));
+    const file = path.join(this.#folder, 'tables.yaml');
+    const worker = (address: string, index: number) => ({ name: `worker-${index}`, address });
+    const tables = {
+      routes: [
+        {
+          name: 'train',
+          match: {},
+          pool: 'draft-model',
+          job: { name: JOB, scorerPool: 'scorers' },
+        },
+      ],
+      pools: [
+        { name: 'draft-model', protocol: 'model-engine', workers: engines.map(worker) },
+        { name: 'scorers', protocol: 'plain-service', workers: [worker(scorer, 9)] },
+      ],
+    };
+    await writeFile(file, JSON.stringify(tables));
+    const node = `127.0.0.1:${this.nodes[0]?.peerPort}`;
+    const args = ['--import', 'tsx', 'src/node/cli.ts', 'apply', '-f', file, '--node', node];
+    await run(process.execPath, args);
+  }
+}
--- /dev/null
+++ b/src/node/decisions/sampleLedger.ts
@@ -0,0 +1,424 @@
+import { invariant } from '../../shared/invariants.ts';
+import type { PlatformObject } from '../platform/platformClient.ts';
+import {
+  type CompletedSample,
+  LEDGER_WINDOW,
+  type LedgerValue,
+  MAX_FINISHED_STEPS,
+  MAX_LEDGER_STEPS,
+} from './ledgerValue.ts';
+import { type LedgerRules, STANDARD_LEDGER_RULES } from './ledgerRules.ts';
+import { stalenessOf } from './staleness.ts';
+import { decodeCursor, encodeCursor, type SampleCursor } from './sampleCursor.ts';
+import { StepBitmap } from './stepBitmap.ts';
+
+/** A write of the ledger. It is repeated unchanged until its result is known. */
+export interface LedgerWrite {
+  readonly value: LedgerValue;
+  readonly ifVersion: number;
+  readonly operationId: string;
+}
+
+/** What a confirmed write changed. */
+export interface LedgerChange {
+  readonly committed: readonly number[];
+  readonly voided: readonly { readonly stepId: string; readonly ordinal: number }[];
+}
+
+export type PullCheck =
+  | { readonly status: 'accepted'; readonly position: number }
+  | {
+      readonly status: 'bad-cursor' | 'stale-sequence' | 'behind' | 'ahead' | 'other-fencing';
+      /** Cursor with which the trainer pulls again, where that helps. */
+      readonly cursor?: string;
+    };
+
+export type Handover<S extends CompletedSample = CompletedSample> =
+  | { readonly position: number; readonly voided: true }
+  | { readonly position: number; readonly voided: false; readonly sample: S };
+
+interface Entry<S> {
+  readonly position: number;
+  readonly stepId: string;
+  readonly ordinal: number;
+  readonly attempt: number;
+  readonly digest: string;
+  /** Undefined when the content was lost with an earlier owner. */
+  readonly sample: S | undefined;
+  readonly publishedAtCompletion: readonly number[];
+  state: 'pending' | 'committed' | 'voiding' | 'voided';
+}
+
+interface Step {
+  readonly digest: string;
+  readonly total: number;
+  readonly taken: StepBitmap;
+  /** Whether a confirmed write contains the step. */
+  recorded: boolean;
+}
+
+interface Waiting<S> {
+  readonly sample: S;
+  readonly publishedAtCompletion: readonly number[];
+}
+
+export interface SampleLedgerOptions<S extends CompletedSample = CompletedSample> {
+  readonly fencing: number;
+  readonly newOperationId: () => string;
+  /** @default LEDGER_WINDOW */
+  readonly windowLimit?: number;
+  /** @default STANDARD_LEDGER_RULES */
+  readonly rules?: LedgerRules;
+  /** Told of each sample whose content is no longer needed. */
+  readonly onDropped?: (sample: S) => void;
+}
+
+/**
+ * The ledger of one job in the hands of one owner: gives completed samples their positions, decides what is written to
+ * the platform and what may be handed over.
+ */
+export class SampleLedger<S extends CompletedSample = CompletedSample> {
+  readonly #options: SampleLedgerOptions<S>;
+
+  readonly #rules: LedgerRules;
+
+  readonly #steps = new Map<string, Step>();
+
+  readonly #finished = new Map<string, string>();
+
+  readonly #entries = new Map<number, Entry<S>>();
+
+  readonly #waiting: Waiting<S>[] = [];
+
+  readonly #waitingNames = new Set<string>();
+
+  #version: number;
+
+  #acknowledged: number;
+
+  #nextPosition: number;
+
+  /** End of what the trainer can have received: a cursor beyond it is a fault of the trainer. */
+  #handedOverEnd: number;
+
+  #lastSequence = -1;
+
+  #inFlight: LedgerWrite | undefined;
+
+  /** Something other than waiting samples must be written; at first the fencing number of this owner. */
+  #changed = true;
+
+  #takenOver = false;
+
+  /** @param object - the ledger as read after the lease was acquired */
+  constructor(
+    options: SampleLedgerOptions<S>,
+    object: Pick<PlatformObject, 'version'> | undefined,
+    value: LedgerValue,
+  ) {
+    this.#options = options;
+    this.#rules = options.rules ?? STANDARD_LEDGER_RULES;
+    invariant(value.fencing <= options.fencing, 'ledger-fencing-not-newer', {
+      stored: value.fencing,
+      own: options.fencing,
+    });
+    this.#version = object?.version ?? 0;
+    this.#acknowledged = value.acknowledged;
+    this.#nextPosition = value.nextPosition;
+    this.#handedOverEnd = value.nextPosition;
+    for (const [stepId, { digest, total, committed }] of Object.entries(value.steps)) {
+      this.#steps.set(stepId, {
+        digest,
+        total,
+        taken: new StepBitmap(total, committed),
+        recorded: true,
+      });
+    }
+    for (const [stepId, digest] of Object.entries(value.finished)) {
+      this.#finished.set(stepId, digest);
+    }
+    for (const { voided, ...entry } of value.window) {
+      this.#entries.set(entry.position, {
+        ...entry,
+        sample: undefined,
+        publishedAtCompletion: [],
+        state: voided ? 'voided' : 'committed',
+      });
+    }
+  }
+
+  get fencing(): number {
+    return this.#options.fencing;
+  }
+
+  /** Whether the fencing number of this owner is in the stored ledger. Nothing is handed over before. */
+  get takenOver(): boolean {
+    return this.#takenOver;
+  }
+
+  get acknowledged(): number {
+    return this.#acknowledged;
+  }
+
+  get nextPosition(): number {
+    return this.#nextPosition;
+  }
+
+  /** Samples that occupy the window or wait for a place in it. */
+  get occupied(): number {
+    return this.#entries.size + this.#waiting.length;
+  }
+
+  get windowLimit(): number {
+    return this.#options.windowLimit ?? LEDGER_WINDOW;
+  }
+
+  /** Unfinished steps, the oldest first. */
+  steps(): readonly { readonly stepId: string; readonly digest: string; readonly total: number }[] {
+    return [...this.#steps].map(([stepId, { digest, total }]) => ({ stepId, digest, total }));
+  }
+
+  /** Whether later owners know of the step. */
+  isRecorded(stepId: string): boolean {
+    return this.#steps.get(stepId)?.recorded ?? this.#finished.has(stepId);
+  }
+
+  /** Whether every sample of a step has a place. */
+  isComplete(stepId: string): boolean {
+    const step = this.#steps.get(stepId);
+    return step === undefined || step.taken.count === step.total;
+  }
+
+  /** Whether a sample has a place: committed, being committed, or waiting for it. */
+  isTaken(stepId: string, ordinal: number): boolean {
+    return (
+      (this.#steps.get(stepId)?.taken.has(ordinal) ?? this.#finished.has(stepId)) ||
+      this.#waitingNames.has(`${ordinal} ${stepId}`)
+    );
+  }
+
+  /** What is known of a submitted step. */
+  checkStep(stepId: string, digest: string): 'new' | 'known' | 'finished' | 'different' | 'full' {
+    const known = this.#steps.get(stepId)?.digest ?? this.#finished.get(stepId);
+    if (known !== undefined && known !== digest) return 'different';
+    if (this.#finished.has(stepId)) return 'finished';
+    if (known !== undefined) return 'known';
+    return this.#steps.size >= MAX_LEDGER_STEPS ? 'full' : 'new';
+  }
+
+  /** Adds a new step. Later owners know of it once the next write is confirmed. */
+  addStep(stepId: string, digest: string, total: number): void {
+    this.#steps.set(stepId, { digest, total, taken: new StepBitmap(total), recorded: false });
+    this.#changed = true;
+  }
+
+  /** Takes a completed sample; false when another attempt of it was first or the step has ended. */
+  complete(sample: S, publishedAtCompletion: readonly number[]): boolean {
+    const { stepId, ordinal } = sample;
+    if (!this.#steps.has(stepId) || this.isTaken(stepId, ordinal)) return false;
+    this.#waiting.push({ sample, publishedAtCompletion });
+    this.#waitingNames.add(`${ordinal} ${stepId}`);
+    return true;
+  }
+
+  /** The write to send now; undefined when nothing is to be written. The same write until its result is known. */
+  nextWrite(): LedgerWrite | undefined {
+    if (this.#inFlight) return this.#inFlight;
+    this.#placeWaiting();
+    if (!this.#changed) return undefined;
+    this.#changed = false;
+    this.#inFlight = {
+      value: this.#value(),
+      ifVersion: this.#version,
+      operationId: this.#options.newOperationId(),
+    };
+    return this.#inFlight;
+  }
+
+  /** Records that the write in flight took effect. */
+  confirm(version: number): LedgerChange {
+    const write = this.#inFlight;
+    invariant(write !== undefined, 'ledger-confirms-own-write', { version });
+    invariant(version > this.#version, 'ledger-version-grows', { version, known: this.#version });
+    this.#inFlight = undefined;
+    this.#version = version;
+    this.#takenOver = true;
+    const committed: number[] = [];
+    const voided: { stepId: string; ordinal: number }[] = [];
+    for (const { position, voided: isVoided } of write.value.window) {
+      const entry = this.#entries.get(position);
+      if (entry?.state === 'pending' && !isVoided) {
+        entry.state = 'committed';
+        committed.push(position);
+      } else if (entry?.state === 'voiding' && isVoided) {
+        entry.state = 'voided';
+        voided.push({ stepId: entry.stepId, ordinal: entry.ordinal });
+      }
+    }
+    for (const stepId of Object.keys(write.value.steps)) {
+      const step = this.#steps.get(stepId);
+      if (step) step.recorded = true;
+    }
+    return { committed, voided };
+  }
+
+  /**
+   * Compares the write in flight with the object read back. `lost`: another owner has written the ledger.
+   * `retry`: the write has not taken effect and may be sent again unchanged.
+   */
+  resolve(object: PlatformObject | undefined): 'confirmed' | 'retry' | 'lost' {
+    if (this.#inFlight && object?.operationId === this.#inFlight.operationId) return 'confirmed';
+    return (object?.version ?? 0) === this.#version ? 'retry' : 'lost';
+  }
+
+  /** Checks a pull, and when it is accepted takes its acknowledgement and voids what cannot be handed over. */
+  acceptPull(cursorText: string, pullSequence: number): PullCheck {
+    const cursor = decodeCursor(cursorText);
+    const { fencing } = this;
+    if (cursor === undefined) {
+      const position = this.#acknowledged;
+      return { status: 'bad-cursor', cursor: encodeCursor({ fencing, position }) };
+    }
+    if (!this.#rules.acceptsFencing(cursor.fencing, fencing)) {
+      return { status: 'other-fencing', cursor: encodeCursor({ ...cursor, fencing }) };
+    }
+    if (!this.#rules.acceptsSequence(pullSequence, this.#lastSequence)) {
+      return { status: 'stale-sequence' };
+    }
+    const check = this.#rules.checkPosition(
+      cursor.position,
+      this.#acknowledged,
+      this.#handedOverEnd,
+    );
+    if (check !== 'accepted') return { status: check };
+    this.#lastSequence = pullSequence;
+    this.#acknowledge(cursor);
+    return { status: 'accepted', position: cursor.position };
+  }
+
+  /** Whether a newer pull than this one was accepted. */
+  isSuperseded(pullSequence: number): boolean {
+    return this.#lastSequence !== pullSequence;
+  }
+
+  /**
+   * The positions to hand over now, from `position` on and without a gap; voids the ones that have become too stale.
+   * Only for the newest accepted pull: it proves that the trainer has received nothing at or after `position`.
+   */
+  handOver(
+    position: number,
+    maxSamples: number,
+    published: readonly number[],
+    maxStaleness: number,
+  ): Handover<S>[] {
+    const result: Handover<S>[] = [];
+    let open = true;
+    for (let at = position; at < position + maxSamples; at += 1) {
+      const entry = this.#entries.get(at);
+      if (entry === undefined) break;
+      const reference = this.#rules.publishedForStaleness(published, entry.publishedAtCompletion);
+      if (
+        entry.state === 'committed' &&
+        entry.sample &&
+        stalenessOf(entry.sample.oldestVersion, reference) > maxStaleness
+      ) {
+        this.#void(entry);
+      }
+      open &&= entry.state === 'voided' || this.#rules.mayHandOver(entry.state);
+      if (!open) continue;
+      if (entry.state === 'voided') result.push({ position: at, voided: true });
+      else if (entry.sample) result.push({ position: at, voided: false, sample: entry.sample });
+      else open = false;
+    }
+    this.#handedOverEnd = Math.max(this.#handedOverEnd, position + result.length);
+    return result;
+  }
+
+  #acknowledge({ position }: SampleCursor): void {
+    for (const entry of this.#entries.values()) {
+      if (entry.position >= position) break;
+      this.#entries.delete(entry.position);
+      this.#drop(entry);
+    }
+    if (position > this.#acknowledged) this.#finishSteps();
+    this.#acknowledged = Math.max(this.#acknowledged, position);
+    this.#handedOverEnd = position;
+    for (const entry of this.#entries.values()) {
+      if (entry.state === 'committed' && entry.sample === undefined) this.#void(entry);
+    }
+  }
+
+  #void(entry: Entry<S>): void {
+    const mutable = entry;
+    mutable.state = 'voiding';
+    this.#drop(entry);
+    this.#steps.get(entry.stepId)?.taken.set(entry.ordinal, false);
+    this.#changed = true;
+  }
+
+  #drop({ sample }: Entry<S>): void {
+    if (sample) this.#options.onDropped?.(sample);
+  }
+
+  /** A step ends when every sample is committed and no position of it is left in the window. */
+  #finishSteps(): void {
+    const open = new Set([...this.#entries.values()].map(({ stepId }) => stepId));
+    for (const [stepId, { digest, total, taken }] of this.#steps) {
+      if (taken.count < total || open.has(stepId)) continue;
+      this.#steps.delete(stepId);
+      this.#finished.set(stepId, digest);
+      const [oldest] = this.#finished.keys();
+      if (this.#finished.size > MAX_FINISHED_STEPS && oldest !== undefined) {
+        this.#finished.delete(oldest);
+      }
+      this.#changed = true;
+    }
+  }
+
+  #placeWaiting(): void {
+    const places = Math.max(0, this.windowLimit - this.#entries.size);
+    for (const waiting of this.#waiting.splice(0, places)) {
+      const { sample, publishedAtCompletion } = waiting;
+      const { stepId, ordinal, attempt, digest } = sample;
+      this.#waitingNames.delete(`${ordinal} ${stepId}`);
+      this.#steps.get(stepId)?.taken.set(ordinal, true);
+      const position = this.#nextPosition;
+      this.#nextPosition += 1;
+      this.#entries.set(position, {
+        position,
+        stepId,
+        ordinal,
+        attempt,
+        digest,
+        sample,
+        publishedAtCompletion,
+        state: 'pending',
+      });
+      this.#changed = true;
+    }
+  }
+
+  #value(): LedgerValue {
+    const steps = [...this.#steps].map(([stepId, { digest, total, taken }]) => [
+      stepId,
+      { digest, total, committed: taken.encode() },
+    ]);
+    return {
+      fencing: this.fencing,
+      acknowledged: this.#acknowledged,
+      nextPosition: this.#nextPosition,
+      steps: Object.fromEntries(steps),
+      finished: Object.fromEntries(this.#finished),
+      window: [...this.#entries.values()].map(
+        ({ position, stepId, ordinal, attempt, digest, state }) => ({
+          position,
+          stepId,
+          ordinal,
+          attempt,
+          digest,
+          voided: state === 'voiding' || state === 'voided',
+        }),
+      ),
+    };
+  }
+}
--- /dev/null
+++ b/src/node/decisions/stepPlan.ts
@@ -0,0 +1,277 @@
+import { invariant } from '../../shared/invariants.ts';
+
+/** One sample that is to be generated. */
+export interface SampleTask {
+  readonly stepId: string;
+  readonly ordinal: number;
+  readonly groupIndex: number;
+  /** Counted from 1 for each sample by each owner. */
+  readonly attempt: number;
+}
+
+/** What is known of a group when the next sample is chosen. */
+export interface GroupOutlook {
+  /** Position of the step among the steps in flight; 0 is the oldest. */
+  readonly stepIndex: number;
+  readonly groupIndex: number;
+  readonly promptBytes: number;
+  /** Mean length of the group's finished samples, in tokens; undefined: none has finished. */
+  readonly meanTokens: number | undefined;
+}
+
+/** Orders groups; the first is generated next. */
+export type GroupOrder = (first: GroupOutlook, second: GroupOutlook) => number;
+
+/** Baseline: in the order of submission. */
+export const orderBySubmission: GroupOrder = (first, second) =>
+  first.stepIndex - second.stepIndex || first.groupIndex - second.groupIndex;
+
+const expectedLength = ({ meanTokens, promptBytes }: GroupOutlook): number =>
+  meanTokens ?? promptBytes;
+
+/** Long samples first, so that they do not start last and delay the end of the step. */
+export const orderLongestFirst: GroupOrder = (first, second) =>
+  first.stepIndex - second.stepIndex ||
+  expectedLength(second) - expectedLength(first) ||
+  first.groupIndex - second.groupIndex;
+
+/** A sample in progress, when no other sample is waiting. */
+export interface RunningSample {
+  readonly task: SampleTask;
+  readonly attempts: number;
+  /** Time since its newest attempt began, in ms. */
+  readonly runningMs: number;
+  /** Mean time of the step's finished samples, in ms; undefined: none has finished. */
+  readonly meanMs: number | undefined;
+  /** Time until the step's deadline, in ms; negative: it has passed. */
+  readonly remainingMs: number;
+}
+
+/** Whether to start a further attempt of a straggler. The first attempt to finish is kept. */
+export type StragglerPolicy = (sample: RunningSample) => boolean;
+
+/** Baseline: never. */
+export const neverDuplicate: StragglerPolicy = () => false;
+
+/** A second attempt once a sample has taken three times as long as the step's mean. */
+export const duplicateSlowSamples: StragglerPolicy = ({ attempts, runningMs, meanMs }) =>
+  attempts < 2 && meanMs !== undefined && runningMs > 3 * meanMs;
+
+export interface PlannedStep {
+  readonly stepId: string;
+  readonly samplesPerGroup: number;
+  /** Length of each group's prompt. */
+  readonly promptBytes: readonly number[];
+  /** When the step should be complete, in ms on the clock passed to `next`. */
+  readonly deadlineAtMs: number;
+}
+
+export interface StepPlanOptions {
+  readonly maxStepsInFlight: number;
+  readonly order: GroupOrder;
+  readonly duplicate: StragglerPolicy;
+}
+
+/** Delay before a sample whose generation failed is tried again, in ms. Doubles with each failure in a row. */
+const FIRST_RETRY_DELAY_MS = 200;
+
+const MAX_RETRY_DELAY_MS = 10_000;
+
+interface Group {
+  readonly outlook: Omit<GroupOutlook, 'stepIndex' | 'meanTokens'>;
+  readonly pending: { readonly ordinal: number; readonly notBeforeMs: number }[];
+  finished: number;
+  tokens: number;
+}
+
+interface Sample {
+  failures: number;
+  readonly running: Map<number, number>;
+}
+
+interface Step {
+  readonly spec: PlannedStep;
+  readonly groups: Group[];
+  readonly samples: Map<number, Sample>;
+  readonly done: Set<number>;
+  /** Attempts begun, for each ordinal. */
+  readonly attempts: Uint16Array;
+  finished: number;
+  totalMs: number;
+}
+
+/** Decides which sample is generated next. Holds the steps whose prompts this owner has. */
+export class StepPlan {
+  readonly #options: StepPlanOptions;
+
+  readonly #steps = new Map<string, Step>();
+
+  constructor(options: StepPlanOptions) {
+    this.#options = options;
+  }
+
+  has(stepId: string): boolean {
+    return this.#steps.has(stepId);
+  }
+
+  /** Number of steps with samples still to be generated that are open for generation. */
+  get stepsInFlight(): number {
+    return this.#open().length;
+  }
+
+  /** @param isTaken - whether a sample needs no generation, because it is already committed */
+  add(spec: PlannedStep, isTaken: (ordinal: number) => boolean): void {
+    const step: Step = {
+      spec,
+      groups: spec.promptBytes.map((promptBytes, groupIndex) => ({
+        outlook: { groupIndex, promptBytes },
+        pending: [],
+        finished: 0,
+        tokens: 0,
+      })),
+      samples: new Map(),
+      done: new Set(),
+      attempts: new Uint16Array(spec.promptBytes.length * spec.samplesPerGroup),
+      finished: 0,
+      totalMs: 0,
+    };
+    for (let ordinal = 0; ordinal < this.#total(step); ordinal += 1) {
+      if (isTaken(ordinal)) step.done.add(ordinal);
+      else this.#groupOf(step, ordinal)?.pending.push({ ordinal, notBeforeMs: 0 });
+    }
+    this.#steps.set(spec.stepId, step);
+  }
+
+  remove(stepId: string): void {
+    this.#steps.delete(stepId);
+  }
+
+  /** The next sample to start now; undefined when nothing may be started. */
+  next(nowMs: number): SampleTask | undefined {
+    const open = this.#open();
+    const best = this.#bestGroup(open, nowMs);
+    if (best) {
+      const at = best.group.pending.findIndex(({ notBeforeMs }) => notBeforeMs <= nowMs);
+      const [found] = best.group.pending.splice(at, 1);
+      if (found) return this.#start(best.step, found.ordinal, nowMs);
+    }
+    return this.#nextDuplicate(open, nowMs);
+  }
+
+  /** Whether some attempt of the task's sample is in progress and still wanted. */
+  isRunning({ stepId, ordinal }: SampleTask): boolean {
+    return (this.#steps.get(stepId)?.samples.get(ordinal)?.running.size ?? 0) > 0;
+  }
+
+  /** Records the end of an attempt that gave a sample; false when another attempt was first. */
+  finished(task: SampleTask, tokens: number, nowMs: number): boolean {
+    const step = this.#steps.get(task.stepId);
+    if (!step || step.done.has(task.ordinal)) return false;
+    const startedMs = step.samples.get(task.ordinal)?.running.get(task.attempt);
+    step.samples.delete(task.ordinal);
+    step.done.add(task.ordinal);
+    step.finished += 1;
+    step.totalMs += nowMs - (startedMs ?? nowMs);
+    const group = this.#groupOf(step, task.ordinal);
+    if (group) {
+      group.finished += 1;
+      group.tokens += tokens;
+    }
+    return true;
+  }
+
+  /** Records the end of an attempt without a sample; the sample is tried again unless an attempt still runs. */
+  failed(task: SampleTask, nowMs: number): void {
+    const step = this.#steps.get(task.stepId);
+    const sample = step?.samples.get(task.ordinal);
+    if (!step || !sample) return;
+    if (!sample.running.delete(task.attempt) || sample.running.size > 0) return;
+    sample.failures += 1;
+    const delayMs = FIRST_RETRY_DELAY_MS * 2 ** Math.min(sample.failures - 1, 10);
+    this.#requeue(step, task.ordinal, nowMs + Math.min(delayMs, MAX_RETRY_DELAY_MS));
+  }
+
+  /** A finished sample is needed again, because its position was voided. */
+  reopen(stepId: string, ordinal: number, nowMs: number): void {
+    const step = this.#steps.get(stepId);
+    if (!step?.done.delete(ordinal)) return;
+    this.#requeue(step, ordinal, nowMs);
+  }
+
+  /** Time in ms until a delayed retry is due; undefined: none is waiting. */
+  nextDueInMs(nowMs: number): number | undefined {
+    const due = this.#open().flatMap(({ groups }) =>
+      groups.flatMap(({ pending }) => pending.map(({ notBeforeMs }) => notBeforeMs)),
+    );
+    return due.length === 0 ? undefined : Math.max(0, due.reduce((a, b) => Math.min(a, b)) - nowMs);
+  }
+
+  /** Steps that still lack samples, the oldest first, at most `maxStepsInFlight`. */
+  #open(): Step[] {
+    return [...this.#steps.values()]
+      .filter((step) => step.done.size < this.#total(step))
+      .slice(0, this.#options.maxStepsInFlight);
+  }
+
+  #bestGroup(open: readonly Step[], nowMs: number): { step: Step; group: Group } | undefined {
+    let best: { step: Step; group: Group; outlook: GroupOutlook } | undefined;
+    open.forEach((step, stepIndex) => {
+      for (const group of step.groups) {
+        if (!group.pending.some(({ notBeforeMs }) => notBeforeMs <= nowMs)) continue;
+        const meanTokens = group.finished > 0 ? group.tokens / group.finished : undefined;
+        const outlook = { ...group.outlook, stepIndex, meanTokens };
+        if (!best || this.#options.order(outlook, best.outlook) < 0) {
+          best = { step, group, outlook };
+        }
+      }
+    });
+    return best;
+  }
+
+  #nextDuplicate(open: readonly Step[], nowMs: number): SampleTask | undefined {
+    for (const step of open) {
+      const meanMs = step.finished > 0 ? step.totalMs / step.finished : undefined;
+      for (const [ordinal, sample] of step.samples) {
+        if (sample.running.size === 0) continue;
+        const runningMs = nowMs - Math.max(...sample.running.values());
+        const remainingMs = step.spec.deadlineAtMs - nowMs;
+        const task = this.#task(step, ordinal);
+        const attempts = sample.running.size;
+        if (this.#options.duplicate({ task, attempts, runningMs, meanMs, remainingMs })) {
+          return this.#start(step, ordinal, nowMs);
+        }
+      }
+    }
+    return undefined;
+  }
+
+  #start(step: Step, ordinal: number, nowMs: number): SampleTask {
+    invariant(!step.done.has(ordinal), 'sample-started-once-done', { ordinal });
+    const sample = step.samples.get(ordinal) ?? { failures: 0, running: new Map() };
+    step.samples.set(ordinal, sample);
+    step.attempts.set([(step.attempts[ordinal] ?? 0) + 1], ordinal);
+    const task = this.#task(step, ordinal);
+    sample.running.set(task.attempt, nowMs);
+    return task;
+  }
+
+  #requeue(step: Step, ordinal: number, notBeforeMs: number): void {
+    this.#groupOf(step, ordinal)?.pending.push({ ordinal, notBeforeMs });
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  #task({ spec, attempts }: Step, ordinal: number): SampleTask {
+    const groupIndex = Math.floor(ordinal / spec.samplesPerGroup);
+    return { stepId: spec.stepId, ordinal, groupIndex, attempt: attempts[ordinal] ?? 0 };
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  #groupOf({ groups, spec }: Step, ordinal: number): Group | undefined {
+    return groups[Math.floor(ordinal / spec.samplesPerGroup)];
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  #total({ spec }: Step): number {
+    return spec.promptBytes.length * spec.samplesPerGroup;
+  }
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -17,6 +17,8 @@
 import { Configuration } from './operator/configuration.ts';
 import { HttpPlatformClient } from './platform/httpPlatformClient.ts';
 import type { ResolvedSettings } from './settings/resolveSettings.ts';
+import { assembleTraining } from './training/assembleTraining.ts';
+import { SimpleEngineClient } from './training/simpleEngineClient.ts';
 
 /** What a node takes from its surroundings. */
 export interface NodeDependencies {
@@ -70,6 +72,18 @@
     metrics,
   });
 
+  const training = assembleTraining({
+    settings,
+    tables: configuration,
+    membership,
+    platform,
+    engine: new SimpleEngineClient(),
+    clock,
+    random,
+    logger,
+    metrics,
+  });
+
   const status: RequestHandler = async (request, response) => {
     if (pathOf(request) === '/healthz') {
       response.end('ok\n');
@@ -84,19 +98,22 @@
     }
     return true;
   };
-  const callerServer = createHttpServer([status, router.handler], (error, response) => {
-    if (error instanceof RequestError) {
-      logger.warn('request-refused', { code: error.code, message: error.message });
-      sendProblem(response, error.message, error);
-      return;
-    }
-    logger.error('request-error', { message: messageOf(error) });
-    sendProblem(response, 'internal error', {
-      outcome: 'unknown',
-      statusCode: 500,
-      code: 'internal',
-    });
-  });
+  const callerServer = createHttpServer(
+    [status, training.callerHandler, router.handler],
+    (error, response) => {
+      if (error instanceof RequestError) {
+        logger.warn('request-refused', { code: error.code, message: error.message });
+        sendProblem(response, error.message, error);
+        return;
+      }
+      logger.error('request-error', { message: messageOf(error) });
+      sendProblem(response, 'internal error', {
+        outcome: 'unknown',
+        statusCode: 500,
+        code: 'internal',
+      });
+    },
+  );
   const peerHandler = connectNodeAdapter({
     routes: (connect) =>
       connect.service(OperatorService, {
@@ -105,10 +122,12 @@
           const revision = await configuration.accept(request.tables, request.operationId);
           return { result: ApplyResult.IN_FORCE, revision, nodesInForce: 1, nodesTotal: 1 };
         },
+        getJobs: () => ({ jobs: training.jobs() }),
       }),
   });
   const peerServer = createHttpServer(
     [
+      training.peerHandler,
       (request, response) => {
         peerHandler(request, response);
         return true;
@@ -127,6 +146,8 @@
         }),
     );
   }
+  store.add(training);
+  training.start();
   const poll = async () => {
     try {
       await configuration.refresh();
--- /dev/null
+++ b/src/node/training/jobOwner.ts
@@ -0,0 +1,407 @@
+import { createHash } from 'node:crypto';
+import type { Clock } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import { invariant } from '../../shared/invariants.ts';
+import type { Random } from '../../shared/random.ts';
+import { requestError } from '../dataPath/problem.ts';
+import type { LedgerRules } from '../decisions/ledgerRules.ts';
+import { type CompletedSample, EMPTY_LEDGER, type LedgerValue } from '../decisions/ledgerValue.ts';
+import { encodeCursor } from '../decisions/sampleCursor.ts';
+import { type Handover, type LedgerChange, SampleLedger } from '../decisions/sampleLedger.ts';
+import { stalenessOf } from '../decisions/staleness.ts';
+import { type GroupOrder, StepPlan, type StragglerPolicy } from '../decisions/stepPlan.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformClient } from '../platform/platformClient.ts';
+import type { ByteBudget } from './byteBudget.ts';
+import { cursorRefusal, notOwner, refusedStep } from './jobRefusals.ts';
+import type { Lease } from './leaseKeeper.ts';
+import { LedgerWriter } from './ledgerWriter.ts';
+import { SampleGenerator, type SampleGeneratorOptions } from './sampleGenerator.ts';
+import { SampleScheduler } from './sampleScheduler.ts';
+import type { PullEnd, PullRequest, SampleContent, StepSubmission } from './trainerMessages.ts';
+import { WakeUp } from './wakeUp.ts';
+import type { WeightRecords } from './weightRecords.ts';
+
+export interface JobOwnerOptions extends Pick<
+  SampleGeneratorOptions,
+  'engine' | 'slots' | 'score'
+> {
+  readonly job: string;
+  readonly pool: string;
+  readonly lease: Lease;
+  readonly platform: PlatformClient;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly newOperationId: () => string;
+  readonly budget: ByteBudget;
+  readonly records: Pick<WeightRecords, 'published' | 'refresh'>;
+  readonly maxStaleness: () => number;
+  readonly maxStepsInFlight: number;
+  readonly order: GroupOrder;
+  readonly duplicate: StragglerPolicy;
+  readonly rules?: LedgerRules;
+  /** @default LEDGER_WINDOW */
+  readonly windowLimit?: number;
+  /** Shortest time between two writes of the ledger, in ms. */
+  readonly commitIntervalMs: number;
+  /** Told of everything that is handed over, directly before it is sent. */
+  readonly onHandOver?: (handover: Handover<KeptSample>, fencing: number) => void;
+}
+
+/** A completed sample with its content as it will be sent. */
+export interface KeptSample extends CompletedSample {
+  /** JSON object without its opening brace; the position is put in front at hand-over. */
+  readonly rest: string;
+  readonly sizeBytes: number;
+}
+
+/** Answer to a pull: lines of JSON, the last one a `PullEnd`. */
+export interface PullAnswer {
+  readonly lines: readonly string[];
+  readonly end: PullEnd;
+}
+
+export interface JobState {
+  readonly fencing: number;
+  readonly nextPosition: number;
+  readonly acknowledged: number;
+  readonly weightVersion: number;
+  readonly stepsInFlight: number;
+  readonly resubmitSteps: readonly string[];
+  /** Unfinished steps. */
+  readonly steps: readonly string[];
+}
+
+/** Longest time that a submission waits for its record at the platform, in ms. */
+const SUBMIT_WAIT_MS = 5000;
+
+const READ_RETRY_MS = 300;
+
+/** Bytes of samples in one answer to a pull; the rest follows with the next pull. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** Expected size of a sample before the first one has finished, in bytes for each token. */
+const BYTES_PER_TOKEN = 16;
+
+const digestOf = (text: string): string =>
+  createHash('sha256').update(text).digest('hex').slice(0, 16);
+
+/** Owns one job under one fencing number: generates, commits and hands over its samples. */
+export class JobOwner {
+  readonly #options: JobOwnerOptions;
+
+  readonly #changes: WakeUp;
+
+  readonly #plan: StepPlan;
+
+  /** Steps whose prompts are here; bounded by the steps of the ledger and the byte budget. */
+  readonly #prompts = new Map<string, { step: StepSubmission; sizeBytes: number }>();
+
+  readonly #fencing: number;
+
+  #ledger: SampleLedger<KeptSample> | undefined;
+
+  #writer: LedgerWriter | undefined;
+
+  #scheduler: SampleScheduler | undefined;
+
+  #stopped = false;
+
+  #keptBytes = 0;
+
+  /** Running mean of sample sizes, in bytes. */
+  #meanBytes: number | undefined;
+
+  constructor(options: JobOwnerOptions) {
+    this.#options = options;
+    this.#fencing = options.lease.fencing;
+    this.#changes = new WakeUp(options.clock);
+    const { maxStepsInFlight, order, duplicate } = options;
+    this.#plan = new StepPlan({ maxStepsInFlight, order, duplicate });
+  }
+
+  /** Takes the ledger over and works until `stop`. */
+  async run(): Promise<void> {
+    while (!this.#stopped && this.#ledger === undefined) {
+      try {
+        await this.#takeOver();
+      } catch (error) {
+        this.#options.logger.warn('ledger-take-over-failed', { message: messageOf(error) });
+        await this.#changes.wait(READ_RETRY_MS);
+      }
+    }
+    if (!this.#stopped) await Promise.all([this.#writer?.run(), this.#scheduler?.run()]);
+  }
+
+  /** Ends all work at once and frees what it holds. */
+  stop(): void {
+    if (this.#stopped) return;
+    this.#stopped = true;
+    this.#writer?.stop();
+    this.#scheduler?.stop();
+    this.#options.budget.giveBack(this.#keptBytes);
+    this.#changes.notify();
+  }
+
+  /** Takes a step, or recognises a repeat. Resolves once later owners will know of the step. */
+  async submit(step: StepSubmission): Promise<{ readonly state: 'accepted' | 'finished' }> {
+    const ledger = this.#owned();
+    const { stepId } = step;
+    const content = JSON.stringify([step.groups, step.samplesPerGroup, step.sampling]);
+    const digest = digestOf(content);
+    const check = ledger.checkStep(stepId, digest);
+    if (check === 'different' || check === 'full') throw refusedStep(stepId, check);
+    if (check === 'finished') return { state: 'finished' };
+    this.#reserveStep(step, content);
+    if (check === 'new') {
+      ledger.addStep(stepId, digest, step.groups.length * step.samplesPerGroup);
+    }
+    this.#planStep(ledger, step);
+    this.#notify();
+    await this.#until(() => ledger.isRecorded(stepId), SUBMIT_WAIT_MS);
+    if (this.#owned().isRecorded(stepId)) return { state: 'accepted' };
+    throw requestError('the platform has not confirmed the step yet; submit it again', {
+      outcome: 'unknown',
+      statusCode: 503,
+      code: 'step-not-recorded',
+      retryAfterMs: 1000,
+    });
+  }
+
+  /** Hands samples over, waiting up to `waitMs` for the first one. */
+  async pull(request: PullRequest): Promise<PullAnswer> {
+    const ledger = this.#owned();
+    const check = ledger.acceptPull(request.cursor, request.pullSequence);
+    if (check.status !== 'accepted') throw cursorRefusal(check.status, check.cursor);
+    this.#freeFinishedSteps(ledger);
+    this.#notify();
+    const { clock, maxStaleness, records, pool } = this.#options;
+    const endMs = clock.monotonicMs() + request.waitMs;
+    for (;;) {
+      this.#owned();
+      if (ledger.isSuperseded(request.pullSequence)) throw cursorRefusal('stale-sequence');
+      const found = ledger.handOver(
+        check.position,
+        request.maxSamples,
+        records.published(pool),
+        maxStaleness(),
+      );
+      const restMs = endMs - clock.monotonicMs();
+      if (found.length > 0 || restMs <= 0) return this.#answer(check.position, found);
+      this.#writer?.notify();
+      await this.#changes.wait(restMs);
+    }
+  }
+
+  /** Wakes waiting pulls, for example because a weight version was published. */
+  notify(): void {
+    this.#notify();
+  }
+
+  state(): JobState {
+    const ledger = this.#owned();
+    return {
+      fencing: this.#fencing,
+      nextPosition: ledger.nextPosition,
+      acknowledged: ledger.acknowledged,
+      weightVersion: this.#options.records.published(this.#options.pool).at(-1) ?? 0,
+      stepsInFlight: this.#plan.stepsInFlight,
+      resubmitSteps: this.#resubmitSteps(ledger),
+      steps: ledger.steps().map(({ stepId }) => stepId),
+    };
+  }
+
+  async #takeOver(): Promise<void> {
+    const { platform, job, records, pool, rules, windowLimit, newOperationId } = this.#options;
+    // Without the published versions, staleness could not be judged.
+    await records.refresh(pool);
+    const object = await platform.read(`ledger/${job}`);
+    const value = (object?.value as LedgerValue | undefined) ?? EMPTY_LEDGER;
+    if (this.#stopped) return;
+    if (value.fencing > this.#fencing) {
+      this.stop();
+      return;
+    }
+    const ledger = new SampleLedger<KeptSample>(
+      {
+        fencing: this.#fencing,
+        newOperationId,
+        rules,
+        windowLimit,
+        onDropped: ({ sizeBytes }) => this.#keep(-sizeBytes),
+      },
+      object,
+      value,
+    );
+    this.#ledger = ledger;
+    this.#writer = this.#makeWriter(ledger);
+    this.#scheduler = this.#makeScheduler(ledger);
+  }
+
+  #makeWriter(ledger: SampleLedger<KeptSample>): LedgerWriter {
+    const { job, commitIntervalMs } = this.#options;
+    return new LedgerWriter({
+      ...this.#options,
+      key: `ledger/${job}`,
+      ledger,
+      minIntervalMs: commitIntervalMs,
+      onConfirmed: (change) => this.#confirmed(ledger, change),
+      onLost: () => this.stop(),
+    });
+  }
+
+  #makeScheduler(ledger: SampleLedger<KeptSample>): SampleScheduler {
+    const { job, records, pool, maxStaleness, budget } = this.#options;
+    const generator = new SampleGenerator({
+      ...this.#options,
+      streamPrefix: `${job}-${this.#fencing}`,
+      isFresh: (version) => stalenessOf(version, records.published(pool)) <= maxStaleness(),
+    });
+    return new SampleScheduler({
+      ...this.#options,
+      plan: this.#plan,
+      hasRoom: (running) =>
+        ledger.occupied + running < ledger.windowLimit &&
+        budget.usedBytes + (running + 1) * (this.#meanBytes ?? 0) < budget.limitBytes,
+      stepOf: (stepId) => this.#prompts.get(stepId)?.step,
+      generate: (task, step, worker, signal) => generator.generate(task, step, worker, signal),
+      onSample: (sample) => this.#complete(ledger, sample),
+    });
+  }
+
+  /** The ledger, when this node may act as the job's owner now. */
+  #owned(): SampleLedger<KeptSample> {
+    const { lease } = this.#options;
+    const isOwner = !this.#stopped && lease.isHeld() && lease.fencing === this.#fencing;
+    if (!isOwner || !this.#ledger?.takenOver) throw notOwner();
+    return this.#ledger;
+  }
+
+  #complete(ledger: SampleLedger<KeptSample>, content: SampleContent): void {
+    const { records, pool, clock } = this.#options;
+    const { stepId, ordinal, attempt } = content;
+    const rest = JSON.stringify(content).slice(1);
+    const sizeBytes = Buffer.byteLength(rest);
+    this.#meanBytes = ((this.#meanBytes ?? sizeBytes) * 15 + sizeBytes) / 16;
+    const oldestVersion = content.ranges.reduce(
+      (oldest, { weightVersion }) => Math.min(oldest, weightVersion),
+      Infinity,
+    );
+    const sample = {
+      stepId,
+      ordinal,
+      attempt,
+      digest: digestOf(rest),
+      oldestVersion,
+      rest,
+      sizeBytes,
+    };
+    if (!ledger.complete(sample, records.published(pool))) {
+      if (!ledger.isTaken(stepId, ordinal)) {
+        this.#plan.reopen(stepId, ordinal, clock.monotonicMs());
+      }
+      return;
+    }
+    this.#keep(sizeBytes);
+    this.#writer?.notify();
+  }
+
+  #confirmed(ledger: SampleLedger<KeptSample>, { voided }: LedgerChange): void {
+    const { clock, logger } = this.#options;
+    for (const { stepId, ordinal } of voided) {
+      if (!ledger.isTaken(stepId, ordinal)) {
+        this.#plan.reopen(stepId, ordinal, clock.monotonicMs());
+      }
+    }
+    if (voided.length > 0) logger.info('positions-voided', { count: voided.length });
+    this.#notify();
+  }
+
+  #answer(position: number, found: readonly Handover<KeptSample>[]): PullAnswer {
+    const { records, pool, maxStaleness, onHandOver } = this.#options;
+    const ledger = this.#owned();
+    const lines: string[] = [];
+    let sizeBytes = 0;
+    for (const handover of found) {
+      if (sizeBytes > MAX_ANSWER_BYTES) break;
+      const { position: at } = handover;
+      if (handover.voided) {
+        lines.push(`{"position":${at},"void":true}`);
+      } else {
+        const staleness = stalenessOf(handover.sample.oldestVersion, records.published(pool));
+        invariant(staleness <= maxStaleness(), 'staleness-at-hand-over', { staleness });
+        lines.push(`{"position":${at},${handover.sample.rest}`);
+        sizeBytes += handover.sample.sizeBytes;
+      }
+      onHandOver?.(handover, this.#fencing);
+    }
+    const cursor = encodeCursor({ fencing: this.#fencing, position: position + lines.length });
+    return { lines, end: { cursor, resubmitSteps: this.#resubmitSteps(ledger) } };
+  }
+
+  /** Steps that lack samples and whose prompts this owner does not have. */
+  #resubmitSteps(ledger: SampleLedger<KeptSample>): string[] {
+    return ledger
+      .steps()
+      .map(({ stepId }) => stepId)
+      .filter((stepId) => !this.#plan.has(stepId) && !ledger.isComplete(stepId));
+  }
+
+  #reserveStep(step: StepSubmission, content: string): void {
+    if (this.#prompts.has(step.stepId)) return;
+    const sizeBytes = Buffer.byteLength(content);
+    if (!this.#options.budget.tryTake(sizeBytes)) throw refusedStep(step.stepId, 'full');
+    this.#keptBytes += sizeBytes;
+    this.#prompts.set(step.stepId, { step, sizeBytes });
+    this.#meanBytes ??= step.sampling.maxTokens * BYTES_PER_TOKEN;
+  }
+
+  #planStep(ledger: SampleLedger<KeptSample>, step: StepSubmission): void {
+    const { stepId, samplesPerGroup, deadlineMs } = step;
+    if (this.#plan.has(stepId)) return;
+    this.#plan.add(
+      {
+        stepId,
+        samplesPerGroup,
+        promptBytes: step.groups.map(({ prompt }) => prompt.length),
+        deadlineAtMs: this.#options.clock.monotonicMs() + deadlineMs,
+      },
+      (ordinal) => ledger.isTaken(stepId, ordinal),
+    );
+  }
+
+  #freeFinishedSteps(ledger: SampleLedger<KeptSample>): void {
+    const unfinished = new Set(ledger.steps().map(({ stepId }) => stepId));
+    for (const stepId of [...this.#prompts.keys()]) {
+      if (!unfinished.has(stepId)) this.#freeStep(stepId);
+    }
+  }
+
+  #freeStep(stepId: string): void {
+    const sizeBytes = this.#prompts.get(stepId)?.sizeBytes ?? 0;
+    this.#prompts.delete(stepId);
+    this.#plan.remove(stepId);
+    this.#keep(-sizeBytes);
+  }
+
+  #keep(byBytes: number): void {
+    if (this.#stopped) return;
+    this.#keptBytes += byBytes;
+    this.#options.budget.adjust(byBytes);
+  }
+
+  #notify(): void {
+    this.#writer?.notify();
+    this.#scheduler?.notify();
+    this.#changes.notify();
+  }
+
+  async #until(condition: () => boolean, limitMs: number): Promise<void> {
+    const { clock } = this.#options;
+    const endMs = clock.monotonicMs() + limitMs;
+    while (!condition() && !this.#stopped && clock.monotonicMs() < endMs) {
+      await this.#changes.wait(endMs - clock.monotonicMs());
+    }
+  }
+}
--- /dev/null
+++ b/src/node/training/leaseObserver.ts
@@ -0,0 +1,54 @@
+import { type Clock, sleep } from '../../shared/clock.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformClient, PlatformObject } from '../platform/platformClient.ts';
+
+const PREFIX = 'leases/';
+
+export interface LeaseObserverOptions {
+  readonly platform: PlatformClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Between lists, in ms. A list finds what a silent watch has missed. */
+  readonly intervalMs: number;
+  /** Told of each lease that was seen, changed or not. */
+  readonly onLease: (name: string, object: PlatformObject) => void;
+}
+
+/**
+ * Reads all leases with one list for each interval, so that the platform calls of a node do not grow with the number
+ * of leases for which it contends.
+ */
+export class LeaseObserver implements Disposable {
+  readonly #options: LeaseObserverOptions;
+
+  readonly #stop = new AbortController();
+
+  constructor(options: LeaseObserverOptions) {
+    this.#options = options;
+  }
+
+  async run(): Promise<void> {
+    const { platform, clock, intervalMs, logger } = this.#options;
+    const watch = platform.watch(PREFIX, ({ type, object }) => {
+      if (type === 'written') this.#report(object);
+    });
+    while (!this.#stop.signal.aborted) {
+      try {
+        for (const object of await platform.list(PREFIX)) this.#report(object);
+      } catch (error) {
+        logger.debug('lease-list-failed', { message: String(error) });
+      }
+      await sleep(clock, intervalMs, this.#stop.signal);
+    }
+    watch[Symbol.dispose]();
+  }
+
+  [Symbol.dispose](): void {
+    this.#stop.abort();
+  }
+
+  #report(object: PlatformObject): void {
+    if (this.#stop.signal.aborted) return;
+    this.#options.onLease(object.key.slice(PREFIX.length), object);
+  }
+}
--- /dev/null
+++ b/src/node/training/ownerForwarder.ts
@@ -0,0 +1,73 @@
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import { pipeline } from 'node:stream/promises';
+import { FORWARD_PREFIX } from '../constants.ts';
+import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
+import { requestError } from '../dataPath/problem.ts';
+
+/** Header that marks a request that another node has forwarded; it is not forwarded again. */
+export const HOP_HEADER = 'x-hyssoppulley-hop';
+
+/** Longest answer time of an owner: the longest pull and some time for its transfer, in ms. */
+const IDLE_LIMIT_MS = 25_000;
+
+/** Passes a trainer's request on to the node that owns its job. */
+export class OwnerForwarder implements Disposable {
+  readonly #agent = new http.Agent({ keepAlive: true, maxSockets: 64 });
+
+  /**
+   * @param address - peer address of the owner
+   * @throws RequestError when the owner does not answer
+   */
+  async forward(
+    address: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    try {
+      const answer = await this.#send(address, request, response);
+      response.writeHead(answer.statusCode ?? 502, forwardHeaders(answer.headers));
+      await pipeline(answer, response);
+    } catch (error) {
+      const neverSent = (error as { code?: string }).code === 'ECONNREFUSED';
+      throw requestError(
+        'the owner of the job did not answer; try again',
+        {
+          outcome: neverSent ? 'not-run' : 'unknown',
+          statusCode: 503,
+          code: 'owner-unreachable',
+          retryAfterMs: 1000,
+        },
+        error,
+      );
+    }
+  }
+
+  [Symbol.dispose](): void {
+    this.#agent.destroy();
+  }
+
+  #send(
+    address: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<IncomingMessage> {
+    return new Promise((resolve, reject) => {
+      const outgoing = http.request(
+        `http://${address}${FORWARD_PREFIX}${request.url ?? '/'}`,
+        {
+          method: request.method,
+          agent: this.#agent,
+          headers: { ...forwardHeaders(request.headers), [HOP_HEADER]: '1' },
+          timeout: IDLE_LIMIT_MS,
+        },
+        resolve,
+      );
+      outgoing.on('timeout', () => outgoing.destroy(new Error('the owner was silent')));
+      outgoing.on('error', reject);
+      // A trainer that has given up its pull must not keep the owner's answer waiting.
+      response.on('close', () => outgoing.destroy());
+      request.on('error', () => outgoing.destroy());
+      request.pipe(outgoing);
+    });
+  }
+}
--- /dev/null
+++ b/src/node/training/trainerApi.ts
@@ -0,0 +1,188 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { FORWARD_PREFIX } from '../constants.ts';
+import { headerOf, pathOf, type RequestHandler } from '../dataPath/httpServer.ts';
+import { problemBody, requestError, RequestError, sendProblem } from '../dataPath/problem.ts';
+import { readBody } from '../dataPath/readBody.ts';
+import type { JobOwner, PullAnswer } from './jobOwner.ts';
+import { cursorOf, notOwner } from './jobRefusals.ts';
+import type { Lease } from './leaseKeeper.ts';
+import { HOP_HEADER, type OwnerForwarder } from './ownerForwarder.ts';
+import {
+  parsePullRequest,
+  parseStepSubmission,
+  parseWeightPublication,
+} from './parseTrainerRequests.ts';
+import type { PublishResult } from './weightRecords.ts';
+import type { WeightPublication } from './trainerMessages.ts';
+
+/** A job as the trainer interface sees it. */
+export interface ServedJob {
+  readonly name: string;
+  readonly lease: Lease;
+  /** Undefined while this node does not own the job. */
+  readonly owner: JobOwner | undefined;
+  publish(publication: WeightPublication): Promise<PublishResult>;
+}
+
+export interface TrainerApiOptions {
+  /** The job with this name; undefined when no route names it. */
+  readonly findJob: (name: string) => ServedJob | undefined;
+  /** Peer address of this node. */
+  readonly ownAddress: () => string;
+  readonly forwarder: Pick<OwnerForwarder, 'forward'>;
+  /** Largest body of a step, in bytes. */
+  readonly maxStepBytes: number;
+}
+
+const JOBS_PREFIX = '/v1/jobs/';
+
+/** Bodies other than steps. */
+const MAX_SMALL_BODY_BYTES = 64 * 1024;
+
+const sendJson = (response: ServerResponse, statusCode: number, body: unknown): void => {
+  response.writeHead(statusCode, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+};
+
+/** The length is declared, so that a trainer sees a truncated answer as truncated. */
+const sendLines = (response: ServerResponse, { lines, end }: PullAnswer): void => {
+  const body = Buffer.from(`${[...lines, JSON.stringify(end)].join('\n')}\n`);
+  response.writeHead(200, {
+    'content-type': 'application/x-ndjson',
+    'content-length': body.length,
+  });
+  response.end(body);
+};
+
+const publishAnswer = (response: ServerResponse, result: PublishResult): void => {
+  if (result.status === 'recorded') {
+    sendJson(response, 200, { state: 'recorded' });
+    return;
+  }
+  if (result.status === 'refused') {
+    throw requestError(
+      `the pool's newest weight version is ${result.newest}; publish a larger one`,
+      { outcome: 'not-run', statusCode: 409, code: 'version-not-newer' },
+    );
+  }
+  throw requestError('the platform has not confirmed the publication; publish it again', {
+    outcome: 'unknown',
+    statusCode: 503,
+    code: 'publication-not-recorded',
+    retryAfterMs: 1000,
+  });
+};
+
+const ownerChanged = () =>
+  requestError('the job changed its owner meanwhile; publish the version again', {
+    outcome: 'unknown',
+    statusCode: 503,
+    code: 'owner-changed',
+    retryAfterMs: 1000,
+  });
+
+/** The trainers' interface, on the caller port and, for forwarded requests, on the peer port. */
+export class TrainerApi {
+  readonly #options: TrainerApiOptions;
+
+  constructor(options: TrainerApiOptions) {
+    this.#options = options;
+  }
+
+  /** Serves the caller port: answers as the owner or forwards to it. */
+  readonly callerHandler: RequestHandler = (request, response) => {
+    const path = pathOf(request);
+    if (!path.startsWith(JOBS_PREFIX)) return false;
+    return this.#guard(request, response, path, headerOf(request, HOP_HEADER) === '');
+  };
+
+  /** Serves the peer port. Never forwards, so that nodes with different views cannot send a request in circles. */
+  readonly peerHandler: RequestHandler = (request, response) => {
+    const path = pathOf(request);
+    if (!path.startsWith(FORWARD_PREFIX + JOBS_PREFIX)) return false;
+    return this.#guard(request, response, path.slice(FORWARD_PREFIX.length), false);
+  };
+
+  async #guard(
+    request: IncomingMessage,
+    response: ServerResponse,
+    path: string,
+    mayForward: boolean,
+  ): Promise<boolean> {
+    try {
+      await this.#serve(request, response, path, mayForward);
+    } catch (error) {
+      if (!(error instanceof RequestError)) throw error;
+      const cursor = cursorOf(error);
+      if (cursor === undefined) {
+        sendProblem(response, error.message, error);
+      } else {
+        response.writeHead(error.statusCode, { 'content-type': 'application/problem+json' });
+        response.end(JSON.stringify({ ...problemBody(error.message, error), cursor }));
+      }
+    }
+    return true;
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    path: string,
+    mayForward: boolean,
+  ): Promise<void> {
+    const [name = '', action = '', rest] = path.slice(JOBS_PREFIX.length).split('/');
+    const job = this.#options.findJob(name);
+    if (job === undefined || rest !== undefined) {
+      throw requestError(`no route names the job ${JSON.stringify(name)}`, {
+        outcome: 'not-run',
+        statusCode: 404,
+        code: 'no-job',
+      });
+    }
+    if (job.owner && job.lease.isHeld()) {
+      await this.#act(job, job.owner, action, request, response);
+      return;
+    }
+    const holder = job.lease.holder();
+    if (!mayForward || !holder || holder.address === this.#options.ownAddress()) throw notOwner();
+    await this.#options.forwarder.forward(holder.address, request, response);
+  }
+
+  async #act(
+    job: ServedJob,
+    owner: JobOwner,
+    action: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = (limit: number) => readBody(request, limit);
+    switch (`${request.method} ${action}`) {
+      case 'GET ':
+        sendJson(response, 200, { job: job.name, ...owner.state() });
+        break;
+      case 'POST steps': {
+        const step = parseStepSubmission(await body(this.#options.maxStepBytes));
+        sendJson(response, 200, await owner.submit(step));
+        break;
+      }
+      case 'POST pull':
+        sendLines(response, await owner.pull(parsePullRequest(await body(MAX_SMALL_BODY_BYTES))));
+        break;
+      case 'POST weights': {
+        const publication = parseWeightPublication(await body(MAX_SMALL_BODY_BYTES));
+        const result = await job.publish(publication);
+        // The hand-over of this owner has taken the version into account only if it is still the owner.
+        if (!job.lease.isHeld()) throw ownerChanged();
+        owner.notify();
+        publishAnswer(response, result);
+        break;
+      }
+      default:
+        throw requestError(`${request.method} is not offered at ${pathOf(request)}`, {
+          outcome: 'not-run',
+          statusCode: 404,
+          code: 'no-endpoint',
+        });
+    }
+  }
+}
--- /dev/null
+++ b/src/node/training/trainingContext.ts
@@ -0,0 +1,54 @@
+import type { Clock } from '../../shared/clock.ts';
+import type { Random } from '../../shared/random.ts';
+import type { EngineApi } from '../dataPath/engineApi.ts';
+import type { LeaseState, LeaseTiming } from '../decisions/lease.ts';
+import { preferredNode } from '../decisions/rendezvous.ts';
+import type { MembershipView, TablesView } from '../membership/membershipView.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformClient } from '../platform/platformClient.ts';
+import type { ByteBudget } from './byteBudget.ts';
+import { LeaseKeeper, type LeaseKeeperOptions } from './leaseKeeper.ts';
+import type { TrainingMetrics } from './trainingMetrics.ts';
+import type { WeightRecords } from './weightRecords.ts';
+
+/** What all jobs and pools of a node share. */
+export interface TrainingContext {
+  readonly tables: TablesView;
+  readonly membership: MembershipView;
+  readonly platform: PlatformClient;
+  readonly engine: EngineApi;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: TrainingMetrics;
+  readonly newOperationId: () => string;
+  readonly timing: LeaseTiming;
+  readonly budget: ByteBudget;
+  readonly records: WeightRecords;
+}
+
+/** Makes the keeper of a lease for which one node after the other contends, so that ownership spreads. */
+export const makeLeaseKeeper = (
+  context: TrainingContext,
+  name: string,
+  listeners: Pick<LeaseKeeperOptions, 'onAcquired' | 'onLost'>,
+): LeaseKeeper => {
+  const { membership, timing } = context;
+  const { self } = membership;
+  const extraWaitMs: ConstructorParameters<typeof LeaseState>[0]['extraWaitMs'] = () => {
+    const live = membership.peers().filter(({ suspected, leaving }) => !suspected && !leaving);
+    const names = [self.name, ...live.map(({ identity }) => identity.name)];
+    return preferredNode(name, names) === self.name ? 0 : timing.ttlMs;
+  };
+  return new LeaseKeeper({
+    ...context,
+    ...listeners,
+    name,
+    self: {
+      holder: self.name,
+      incarnation: self.incarnation,
+      address: `${self.host}:${self.peerPort}`,
+    },
+    extraWaitMs,
+  });
+};
--- /dev/null
+++ b/src/node/training/workerSlots.ts
@@ -0,0 +1,76 @@
+import type { Clock } from '../../shared/clock.ts';
+import type { Random } from '../../shared/random.ts';
+import type { WorkerSelector } from '../decisions/workerSelection.ts';
+import type { WorkerEndpoint } from '../membership/membershipView.ts';
+
+export interface WorkerSlotsOptions {
+  /** Workers that may get work now. */
+  readonly workers: () => readonly WorkerEndpoint[];
+  /** Samples in progress on one worker. */
+  readonly perWorker: () => number;
+  readonly select: WorkerSelector;
+  readonly availabilityZone: string;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+/** A worker whose generation failed gets no new sample for this long, in ms. */
+const AVOID_MS = 1000;
+
+/** Bounds the samples in progress on each worker and passes over workers that have just failed. */
+export class WorkerSlots {
+  readonly #options: WorkerSlotsOptions;
+
+  readonly #inFlight = new Map<string, number>();
+
+  /** Address → monotonic time until which the worker is avoided. At most one entry for each listed worker. */
+  readonly #avoided = new Map<string, number>();
+
+  constructor(options: WorkerSlotsOptions) {
+    this.#options = options;
+  }
+
+  /** Takes a slot; undefined when no worker has a free one. */
+  take(): WorkerEndpoint | undefined {
+    const { select, availabilityZone, random } = this.#options;
+    const worker = select(this.#candidates(), { availabilityZone, random });
+    if (worker === undefined) return undefined;
+    this.#inFlight.set(worker.address, this.#inFlightOf(worker) + 1);
+    const { name, address, availabilityZone: zone } = worker;
+    return { name, address, availabilityZone: zone };
+  }
+
+  hasFree(): boolean {
+    return this.#candidates().length > 0;
+  }
+
+  giveBack(worker: WorkerEndpoint): void {
+    const next = this.#inFlightOf(worker) - 1;
+    if (next > 0) this.#inFlight.set(worker.address, next);
+    else this.#inFlight.delete(worker.address);
+  }
+
+  /** Passes the worker over for a while. */
+  avoid(worker: WorkerEndpoint): void {
+    const listed = new Set(this.#options.workers().map(({ address }) => address));
+    for (const address of this.#avoided.keys()) {
+      if (!listed.has(address)) this.#avoided.delete(address);
+    }
+    this.#avoided.set(worker.address, this.#options.clock.monotonicMs() + AVOID_MS);
+  }
+
+  #candidates() {
+    const { workers, perWorker, clock } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const limit = perWorker();
+    return workers()
+      .map((worker) => ({ ...worker, inFlight: this.#inFlightOf(worker) }))
+      .filter(
+        ({ address, inFlight }) => inFlight < limit && (this.#avoided.get(address) ?? 0) <= nowMs,
+      );
+  }
+
+  #inFlightOf(worker: WorkerEndpoint): number {
+    return this.#inFlight.get(worker.address) ?? 0;
+  }
+}
