--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import { NodeIdentitySchema, PeerService } from '../gen/hyssoppulley/v1/peer_pb.ts';
-import { OperatorService } from '../gen/hyssoppulley/v1/operator_pb.ts';
+import { GetJobsResponseSchema, OperatorService } from '../gen/hyssoppulley/v1/operator_pb.ts';
 import { type Clock, systemClock } from '../shared/clock.ts';
 import { DisposableStore } from '../shared/disposableStore.ts';
 import { messageOf } from '../shared/errors.ts';
@@ -23,6 +23,7 @@
 import { RequestTracker } from './requestTracker.ts';
 import type { ResolvedSettings } from './settings/resolveSettings.ts';
 import { Shutdown } from './shutdown.ts';
+import { assembleTraining } from './training/assembleTraining.ts';
 
 /** What a node takes from its surroundings. */
 export interface NodeDependencies {
@@ -115,6 +116,15 @@
     }),
   );
 
+  const training = store.add(
+    assembleTraining({
+      ...{ settings, clock, random, logger, metrics, platform, membership },
+      tables: configuration,
+      engine: dataPath.engines,
+    }),
+  );
+  heldLeases.push(() => training.heldLeases());
+  handOvers.push(() => training.handOver(timing.leaseTtlMs));
   const operator = createOperator({
     platform,
     clock,
@@ -126,6 +136,7 @@
     clients: peerClients,
     timing,
     ...createOperatorViews({ membership, configuration }),
+    getJobs: () => create(GetJobsResponseSchema, { jobs: training.jobs() }),
   });
 
   const servers = store.add(
@@ -139,9 +150,10 @@
           ttlMs: timing.entriesTtlMs,
           issueKeyPrefix: () => undefined,
         }),
+        training.callerHandler,
         dataPath.router.handler,
       ],
-      forwardHandlers: [],
+      forwardHandlers: [training.peerHandler],
       routes: (connect) => {
         connect.service(PeerService, {
           ...operator.peerHandlers,
@@ -172,6 +184,7 @@
   store.add(membership);
   await store.add(operator.follower).start();
   dataPath.loads.start();
+  training.start();
   const { incarnation } = self;
   logger.info('node-started', { incarnation, callerPort, peerPort });
   return {
