--- a/playground/standIns/engine.ts
+++ b/playground/standIns/engine.ts
@@ -23,6 +23,12 @@
 
 const textOf = (token: number): string => ` t${token}`;
 
+/** The whole text that the engine gives for a prompt and seed. */
+export const expectedText = (prompt: string, seed: number, maxTokens: number): string =>
+  Array.from({ length: maxTokens }, (_, position) => textOf(tokenAt(prompt, seed, position))).join(
+    '',
+  );
+
 /**
  * Stand-in of a model engine. Output is deterministic for a prompt and seed. Faults beside the common ones:
  * `tokenIntervalMs`, `crashAfterTokens` (destroys the connection), `ignoreFencing`, `failLoads`, `loadMs`.
--- a/playground/standIns/trainer.ts
+++ b/playground/standIns/trainer.ts
@@ -17,6 +17,10 @@
   maxTokens: number;
   /** Time after which a call is abandoned, in ms. */
   callTimeoutMs: number;
+  /** Time for which a whole step is trained on, in ms; then new weights are published. 0: no training. */
+  trainMs?: number;
+  /** Steps submitted ahead of the one that is waited for. Absent: all at once. */
+  stepsInFlight?: number;
 }
 
 interface Answer {
@@ -39,6 +43,7 @@
 export const startTrainer = async (port = 0) => {
   const received: Received[] = [];
   const state = { cursor: '', pullSequence: 0, turn: 0, voids: 0, stop: false, refused: 0 };
+  const training = { version: 1, idleMs: 0, stepsTrained: 0, maxStalenessVersions: 0 };
 
   const call = async (run: Run, path: string, body: unknown): Promise<Answer | undefined> => {
     state.turn += 1;
@@ -77,7 +82,13 @@
 
   const take = (line: Record<string, unknown>) => {
     if (line.void) state.voids += 1;
-    else if (line.position !== undefined) received.push(line as unknown as Received);
+    else if (line.position !== undefined) {
+      const sample = line as unknown as Received;
+      received.push(sample);
+      const oldest = Math.min(...sample.ranges.map(({ weightVersion }) => weightVersion));
+      const staleness = training.version - oldest;
+      training.maxStalenessVersions = Math.max(training.maxStalenessVersions, staleness);
+    }
   };
 
   const pull = async (run: Run) => {
@@ -98,8 +109,43 @@
     }
   };
 
+  const isWhole = (run: Run, stepId: string): boolean => {
+    const groups = run.steps.find((step) => step.stepId === stepId)?.groups.length ?? 0;
+    const ordinals = received.filter((sample) => sample.stepId === stepId);
+    return new Set(ordinals.map(({ ordinal }) => ordinal)).size === groups * run.samplesPerGroup;
+  };
+
+  const publish = async (run: Run) => {
+    const body = { version: training.version + 1, uri: `weights/${training.version + 1}` };
+    while (!state.stop) {
+      const answer = await call(run, 'weights', body);
+      if (answer?.status === 200) {
+        training.version += 1;
+        return;
+      }
+      await sleepMs(50);
+    }
+  };
+
+  /** Waits for each step in turn, trains on it, and publishes the weights that came out. */
+  const trainSteps = async (run: Run) => {
+    const ahead = run.stepsInFlight ?? run.steps.length;
+    for (const [index, { stepId }] of run.steps.entries()) {
+      const idleSinceMs = performance.now();
+      while (!state.stop && !isWhole(run, stepId)) await pull(run);
+      training.idleMs += performance.now() - idleSinceMs;
+      const next = run.steps[index + ahead];
+      if (next) await submit(run, next.stepId);
+      await sleepMs(run.trainMs ?? 0);
+      await publish(run);
+      training.stepsTrained += 1;
+    }
+  };
+
   const start = async (run: Run) => {
-    for (const { stepId } of run.steps) await submit(run, stepId);
+    const ahead = run.stepsInFlight ?? run.steps.length;
+    for (const { stepId } of run.steps.slice(0, ahead)) await submit(run, stepId);
+    if (run.trainMs) await trainSteps(run);
     while (!state.stop) await pull(run);
   };
 
@@ -112,7 +158,7 @@
       state.stop = true;
       sendJson(response, 200, {});
     } else if (pathname === '/control/received') {
-      sendJson(response, 200, { ...state, received });
+      sendJson(response, 200, { ...state, ...training, received });
     } else {
       sendJson(response, 404, {});
     }
