test(operator): prove the two-phase commit on random schedules

Ruled out: counting a revision as known while nobody alive has seen it.

Change: a model of nodes, network, platform and operators on a virtual clock around the product's own configuration classes. A repeat of a change is no longer refused before its first call is fenced, and a change whose operator is gone is not carried on. Registrations that cannot be read count as silent nodes.

--- /dev/null
+++ b/playground/configurationModel/modelNode.ts
@@ -0,0 +1,227 @@
+import { create, fromJson } from '@bufbuild/protobuf';
+import { type NodeIdentity, NodeIdentitySchema } from '../../src/gen/hyssoppulley/v1/peer_pb.ts';
+import { TablesSchema } from '../../src/gen/hyssoppulley/v1/tables_pb.ts';
+import type { PeerRevisions } from '../../src/node/decisions/configurationReplica.ts';
+import { RightToServe } from '../../src/node/decisions/rightToServe.ts';
+import { silentLogger } from '../../src/node/observability/logger.ts';
+import { Configuration, type PeerTables } from '../../src/node/operator/configuration.ts';
+import {
+  type ApplyOutcome,
+  type ApplyRequest,
+  ConfigurationCoordinator,
+  type CoordinatorOptions,
+} from '../../src/node/operator/configurationCoordinator.ts';
+import { ConfigurationFollower } from '../../src/node/operator/configurationFollower.ts';
+import type { ConfigurationPeers } from '../../src/node/operator/configurationPeers.ts';
+import type { PlatformClient } from '../../src/node/platform/platformClient.ts';
+import { type Clock, Stopwatch } from '../../src/shared/clock.ts';
+import type { Random } from '../../src/shared/random.ts';
+
+/** The product's default timing, in ms. */
+export const TIMING = {
+  isolationMs: 6000,
+  isolationMarginMs: 2000,
+  suspectAfterMs: 3000,
+  heartbeatIntervalMs: 1000,
+  headPollIntervalMs: 2000,
+};
+
+/** Calls that reach another node through the model network. Each rejects when no answer arrives in time. */
+export interface ModelNetwork {
+  readonly names: readonly string[];
+  call<T>(target: string, work: (node: ModelNode) => T | Promise<T>): Promise<T>;
+}
+
+/** Parts of the product that a test replaces by a naive variant. */
+export interface ModelVariant {
+  /** @default the product's coordinator */
+  readonly createCoordinator?: (options: CoordinatorOptions) => {
+    apply(request: ApplyRequest): Promise<ApplyOutcome>;
+  };
+  /** @default the product's rule for taking over a peer's tables */
+  readonly adoptFromPeer?: (configuration: Configuration, peer: PeerTables) => boolean;
+}
+
+export interface ModelNodeOptions {
+  readonly name: string;
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly platform: PlatformClient;
+  readonly network: ModelNetwork;
+  readonly variant: ModelVariant;
+  readonly onRevision: (revision: number) => void;
+}
+
+/** One incarnation of a node: the product's configuration code with a model of the heartbeats. */
+export class ModelNode {
+  readonly identity: NodeIdentity;
+
+  readonly configuration: Configuration;
+
+  readonly coordinator: { apply(request: ApplyRequest): Promise<ApplyOutcome> };
+
+  readonly right = new RightToServe(TIMING.isolationMs);
+
+  readonly #options: ModelNodeOptions;
+
+  readonly #heard = new Map<string, Stopwatch>();
+
+  readonly #uptime: Stopwatch;
+
+  #registered = false;
+
+  constructor(options: ModelNodeOptions) {
+    this.#options = options;
+    const { name, incarnation, clock, random, platform, variant } = options;
+    this.identity = create(NodeIdentitySchema, { name, incarnation, host: name });
+    this.#uptime = new Stopwatch(clock);
+    const logger = silentLogger;
+    this.configuration = new Configuration({
+      platform,
+      clock,
+      logger,
+      nodeName: name,
+      right: this.right,
+      onRevision: options.onRevision,
+    });
+    this.configuration.checkPeersWith(() =>
+      this.#others().every((other) => this.lastHeardMs(other) < TIMING.suspectAfterMs),
+    );
+    const { createCoordinator = (given) => new ConfigurationCoordinator(given) } = variant;
+    this.coordinator = createCoordinator({
+      platform,
+      clock,
+      random,
+      logger,
+      self: this.identity,
+      configuration: this.configuration,
+      peers: this.#peers(),
+      timing: TIMING,
+      hasEnded: (coordinator) => this.lastHeardMs(coordinator.name) >= TIMING.suspectAfterMs,
+      lastHeardMs: (other) => this.lastHeardMs(other),
+    });
+  }
+
+  /** Registers, starts to follow the head, and sends heartbeats. */
+  async start(): Promise<void> {
+    const { clock, platform } = this.#options;
+    this.#beat();
+    await this.#register();
+    const follower = new ConfigurationFollower({
+      platform,
+      clock,
+      logger: silentLogger,
+      configuration: this.configuration,
+      headPollIntervalMs: TIMING.headPollIntervalMs,
+    });
+    await follower.start();
+  }
+
+  get revision(): number {
+    return this.configuration.current()?.revision ?? 0;
+  }
+
+  mayServe(): boolean {
+    return this.right.mayServe() && this.revision > 0;
+  }
+
+  /** How long ago this node heard from another one, at most its uptime, in ms. */
+  lastHeardMs(name: string): number {
+    const uptimeMs = this.#uptime.certainlyElapsedMs();
+    return Math.min(uptimeMs, this.#heard.get(name)?.certainlyElapsedMs() ?? uptimeMs);
+  }
+
+  /** Handles a heartbeat. */
+  onHeartbeat(sender: string, acceptedRevision: number): PeerRevisions {
+    this.#hear(sender);
+    if (acceptedRevision > this.revision) void this.#fetchFrom(sender);
+    return this.configuration.revisions();
+  }
+
+  /** Handles a peer's call for the accepted tables. */
+  tablesFor(sender: string): PeerTables {
+    this.#hear(sender);
+    return {
+      ...this.configuration.revisions(),
+      operationId: this.configuration.operationId,
+      tables: this.configuration.current()?.source ?? fromJson(TablesSchema, {}),
+      serving: this.mayServe(),
+    };
+  }
+
+  async onCommit(revision: number, operationId: string): Promise<number> {
+    if (this.configuration.commit(revision, operationId) < revision) {
+      await this.configuration.refresh().catch(() => undefined);
+    }
+    return this.configuration.revisions().acceptedRevision;
+  }
+
+  #others(): string[] {
+    return this.#options.network.names.filter((name) => name !== this.identity.name);
+  }
+
+  #hear(name: string): void {
+    this.#heard.set(name, new Stopwatch(this.#options.clock));
+  }
+
+  async #register(): Promise<void> {
+    const { platform, name, incarnation } = this.#options;
+    const value = { name, incarnation, host: name };
+    const result = await platform.write(`nodes/${name}`, value);
+    this.#registered = result.status === 'written';
+  }
+
+  #beat(): void {
+    const { clock, random } = this.#options;
+    if (this.revision === 0) this.#startFromPeer();
+    for (const other of this.#others()) void this.#exchange(other);
+    clock.schedule(TIMING.heartbeatIntervalMs * (0.9 + random() * 0.2), () => this.#beat());
+  }
+
+  /** In an outage: `nodes/<name>` of an earlier incarnation stands, so the node is asked to confirm proposals. */
+  #startFromPeer(): void {
+    const others = this.#others();
+    const peer = others[Math.floor(this.#options.random() * others.length)];
+    if (peer !== undefined) void this.#fetchFrom(peer);
+    if (!this.#registered) void this.#register();
+  }
+
+  async #exchange(other: string): Promise<void> {
+    const { clock, network } = this.#options;
+    const { name } = this.identity;
+    const sentAt = new Stopwatch(clock);
+    const { revision } = this;
+    const peer = await network
+      .call(other, (node) => node.onHeartbeat(name, revision))
+      .catch(() => undefined);
+    if (peer === undefined) return;
+    this.#hear(other);
+    if (this.configuration.countsAsHeard(peer)) this.right.heardFromPeer(sentAt);
+    if (peer.acceptedRevision > this.revision) await this.#fetchFrom(other);
+  }
+
+  async #fetchFrom(other: string): Promise<void> {
+    const { network, variant } = this.#options;
+    const { name } = this.identity;
+    const { adoptFromPeer = (configuration, given) => configuration.adoptFromPeer(given) } =
+      variant;
+    const peer = await network.call(other, (node) => node.tablesFor(name)).catch(() => undefined);
+    if (peer !== undefined) adoptFromPeer(this.configuration, peer);
+  }
+
+  #peers(): ConfigurationPeers {
+    const { network } = this.#options;
+    return {
+      prepare: ({ name }, { headVersion, silentNodes, ...record }) =>
+        network.call(name, (node) => ({
+          ...node.configuration.prepare(record, headVersion),
+          lastHeardMs: Object.fromEntries(
+            silentNodes.map((silent) => [silent, node.lastHeardMs(silent)]),
+          ),
+        })),
+      commit: ({ name }, { revision, operationId }) =>
+        network.call(name, (node) => node.onCommit(revision, operationId)),
+    };
+  }
+}
--- a/src/node/decisions/configurationCommit.ts
+++ b/src/node/decisions/configurationCommit.ts
@@ -162,7 +162,7 @@
   if (proposal?.operationId === operationId) return { kind: 'taken-over' };
   const winner = proposal
     ? `node ${proposal.coordinator.name} is applying operation ${proposal.operationId} as revision ${proposal.revision}`
-    : `operation ${accepted?.operationId ?? 'unknown'} was accepted as revision ${accepted?.revision ?? 0}`;
+    : `the head changed meanwhile; revision ${accepted?.revision ?? 0} is the accepted one`;
   return { kind: 'refused', reason: `race: ${winner}` };
 };
 
--- a/src/node/operator/configurationCoordinator.ts
+++ b/src/node/operator/configurationCoordinator.ts
@@ -49,6 +49,11 @@
   readonly waitMs: number;
   /** Whether an earlier call with this operation id may have taken effect. */
   readonly repeatedCall: boolean;
+  /**
+   * Aborted when the operator no longer waits. The change is then not carried on: a node that was paused must not
+   * accept a change whose repeat was refused elsewhere.
+   */
+  readonly signal?: AbortSignal;
 }
 
 export interface CoordinatorOptions {
@@ -108,11 +113,14 @@
 
   /** Carries out a change of checked tables. A repeat while the change runs gets the same outcome. */
   async apply(request: ApplyRequest): Promise<ApplyOutcome> {
-    const running = this.#running;
-    if (running?.operationId === request.operationId) return running.outcome;
     const { logger, self } = this.#options;
-    if (running) {
-      return refused(`race: node ${self.name} is applying operation ${running.operationId}`);
+    for (let running = this.#running; running; running = this.#running) {
+      if (running.operationId === request.operationId) return running.outcome;
+      if (!request.repeatedCall) {
+        return refused(`race: node ${self.name} is applying operation ${running.operationId}`);
+      }
+      // A repeat is only refused once the head shows that its first call cannot take effect any more.
+      await running.outcome.catch(() => undefined);
     }
     const outcome = this.#apply(request, new Stopwatch(this.#options.clock));
     this.#running = { operationId: request.operationId, outcome };
@@ -144,6 +152,7 @@
     }
     const { proposal } = plan;
     invariant(proposal.revision === base + 1, 'configuration-revisions-are-consecutive');
+    if (request.signal?.aborted) return unknown('the operator no longer waits', base);
     const head = { ...seen.head, proposal };
     const sizeBytes = Buffer.byteLength(JSON.stringify(head));
     if (sizeBytes > PLATFORM_MAX_VALUE_BYTES) return refused(tooLarge(proposal, sizeBytes), base);
@@ -157,7 +166,9 @@
     // Only this call could make the proposal accepted, so giving up here is final.
     if (proposed.status !== 'written') {
       const detail = proposed.status === 'unavailable' ? `: ${proposed.reason}` : '';
-      return refused(`the proposal could not be written${detail}; nothing was changed`, base);
+      return request.repeatedCall
+        ? unknown(`the proposal could not be written${detail}`, base)
+        : refused(`the proposal could not be written${detail}; nothing was changed`, base);
     }
     return this.#decide(request, seen.head, proposal, proposed.version, started);
   }
@@ -176,6 +187,7 @@
       return refused(ruling.reason, base, ruling.nodes);
     }
     const { clock } = this.#options;
+    if (request.signal?.aborted) return unknown('the operator no longer waits', base);
     const accepted = await this.#writeHead(
       headWithAccepted(before, proposal, clock.nowMs()),
       headVersion,
--- a/src/node/operator/configurationPeers.ts
+++ b/src/node/operator/configurationPeers.ts
@@ -1,26 +1,5 @@
-import { fromJson, type JsonValue } from '@bufbuild/protobuf';
-import { type NodeIdentity, NodeIdentitySchema } from '../../gen/hyssoppulley/v1/peer_pb.ts';
-import type { PlatformObject } from '../platform/platformClient.ts';
-
-/** Prefix of the platform objects by which nodes register. */
-export const NODES_PREFIX = 'nodes/';
-
-/** A node that is registered at the platform. */
-export interface RegisteredNode {
-  readonly identity: NodeIdentity;
-  /** Whether the node left in a planned stop. */
-  readonly deregistered: boolean;
-}
-
-/** Reads a registration: the JSON of `NodeIdentity` plus `deregistered`. */
-export const parseRegistration = ({ value }: PlatformObject): RegisteredNode => {
-  const { deregistered, ...identity } = value as Record<string, JsonValue>;
-  return {
-    // A newer version may register with more fields.
-    identity: fromJson(NodeIdentitySchema, identity, { ignoreUnknownFields: true }),
-    deregistered: deregistered === true,
-  };
-};
+import type { JsonValue } from '@bufbuild/protobuf';
+import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 
 /** Calls of a coordinator to another node. Each rejects when the node does not answer in time. */
 export interface ConfigurationPeers {
--- a/src/node/operator/operatorService.ts
+++ b/src/node/operator/operatorService.ts
@@ -46,6 +46,7 @@
 const applyTables = async (
   { coordinator }: OperatorServiceOptions,
   request: ApplyTablesRequest,
+  signal: AbortSignal,
 ): Promise<ApplyTablesResponse> => {
   const { tables, operationId, ifRevision, waitMs, repeatedCall } = request;
   if (!tables || operationId === '') {
@@ -62,6 +63,7 @@
     ifRevision,
     waitMs,
     repeatedCall,
+    signal,
   });
   return create(ApplyTablesResponseSchema, {
     ...outcome,
@@ -77,7 +79,7 @@
 ): ServiceImpl<typeof OperatorService> => {
   const { configuration } = options;
   return {
-    applyTables: (request) => applyTables(options, request),
+    applyTables: (request, { signal }) => applyTables(options, request, signal),
     getTables: () => {
       const { acceptedRevision } = configuration.revisions();
       const tables = configuration.current()?.source;
--- a/src/node/operator/prepareRound.ts
+++ b/src/node/operator/prepareRound.ts
@@ -1,4 +1,5 @@
-import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import { create } from '@bufbuild/protobuf';
+import { type NodeIdentity, NodeIdentitySchema } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import {
   isVmGone,
   judgePrepare,
@@ -7,14 +8,10 @@
   type PrepareTiming,
 } from '../decisions/configurationCommit.ts';
 import type { Coordinator, Proposal } from '../decisions/configurationHead.ts';
+import { NODES_PREFIX, parseRegistration } from '../membership/registration.ts';
 import type { PlatformClient, PlatformObject } from '../platform/platformClient.ts';
 import type { Configuration } from './configuration.ts';
-import {
-  type ConfigurationPeers,
-  forEachLimited,
-  NODES_PREFIX,
-  parseRegistration,
-} from './configurationPeers.ts';
+import { type ConfigurationPeers, forEachLimited } from './configurationPeers.ts';
 import { CONFIRMATIONS_PREFIX, MAX_CALLS_AT_ONCE } from './constants.ts';
 
 export interface PrepareRoundOptions {
@@ -41,6 +38,13 @@
   readonly headVersion: number;
 }
 
+/** A registration that cannot be read stands for a node that may serve: it stays silent and is named in a refusal. */
+const readRegistration = (object: PlatformObject) =>
+  parseRegistration(object) ?? {
+    identity: create(NodeIdentitySchema, { name: object.key.slice(NODES_PREFIX.length) }),
+    deregistered: false,
+  };
+
 /** Asks the registered nodes to confirm one proposal and keeps their answers from round to round. */
 export class PrepareRound {
   readonly #options: PrepareRoundOptions;
@@ -57,7 +61,7 @@
 
   /** Registered nodes, with the word of the platform's list of VMs where it can be had. */
   static async readNodes(platform: PlatformClient): Promise<readonly NodeInService[]> {
-    const registrations = (await platform.list(NODES_PREFIX)).map(parseRegistration);
+    const registrations = (await platform.list(NODES_PREFIX)).map(readRegistration);
     const vms = await platform.listVms().catch(() => []);
     return registrations.map(({ identity, deregistered }) => ({
       name: identity.name,
