test(training): run owners under randomised faults on virtual time

Nothing showed that samples stay exact when owners, the platform, engines and the trainer's network fail together.

--- /dev/null
+++ b/playground/training/model/modelNode.ts
@@ -0,0 +1,129 @@
+import { silentLogger } from '../../../src/node/observability/logger.ts';
+import type { HoldStart, LeaseTiming } from '../../../src/node/decisions/lease.ts';
+import type { LedgerRules } from '../../../src/node/decisions/ledgerRules.ts';
+import { neverDuplicate, orderLongestFirst } from '../../../src/node/decisions/stepPlan.ts';
+import { selectLeastLoadedOfTwo } from '../../../src/node/decisions/workerSelection.ts';
+import { ByteBudget } from '../../../src/node/training/byteBudget.ts';
+import { JobOwner, type JobOwnerOptions } from '../../../src/node/training/jobOwner.ts';
+import { notOwner } from '../../../src/node/training/jobRefusals.ts';
+import { LeaseKeeper } from '../../../src/node/training/leaseKeeper.ts';
+import { LeaseObserver } from '../../../src/node/training/leaseObserver.ts';
+import { WeightRecords } from '../../../src/node/training/weightRecords.ts';
+import { WorkerSlots } from '../../../src/node/training/workerSlots.ts';
+import type { Clock } from '../../../src/shared/clock.ts';
+import type { Random } from '../../../src/shared/random.ts';
+import type { ModelPlatform } from './modelPlatform.ts';
+import { ModelProcess } from './modelProcess.ts';
+
+export interface ModelNodeOptions extends Pick<
+  JobOwnerOptions,
+  'job' | 'engine' | 'maxStaleness' | 'windowLimit' | 'onHandOver' | 'commitIntervalMs'
+> {
+  readonly name: string;
+  readonly world: Clock;
+  readonly random: Random;
+  readonly platform: ModelPlatform;
+  readonly timing: LeaseTiming;
+  readonly workers: readonly string[];
+  readonly rules?: LedgerRules;
+  readonly holdStart?: HoldStart;
+}
+
+export const MODEL_POOL = 'pool';
+
+let made = 0;
+
+const newId = (): string => {
+  made += 1;
+  return String(made);
+};
+
+/** One incarnation of a node that contends for one job, made of the product's classes. */
+export class ModelNode {
+  readonly name: string;
+
+  readonly process: ModelProcess;
+
+  readonly lease: LeaseKeeper;
+
+  readonly records: WeightRecords;
+
+  owner: JobOwner | undefined;
+
+  readonly #options: ModelNodeOptions;
+
+  constructor(options: ModelNodeOptions) {
+    const { name, world, platform, timing, job, holdStart } = options;
+    this.name = name;
+    this.#options = options;
+    this.process = new ModelProcess(world);
+    const clock = this.process;
+    const common = {
+      platform: platform.clientOf(clock),
+      clock,
+      logger: silentLogger,
+      newOperationId: newId,
+    };
+    this.records = new WeightRecords({ ...common, intervalMs: 1000 });
+    this.lease = new LeaseKeeper({
+      ...common,
+      name: `job/${job}`,
+      timing,
+      self: { holder: name, incarnation: newId(), address: name },
+      extraWaitMs: () => 0,
+      holdStart,
+      onAcquired: () => this.#own(),
+      onLost: () => this.#disown(),
+    });
+    const observer = new LeaseObserver({
+      ...common,
+      intervalMs: timing.renewIntervalMs,
+      onLease: (_, object) => this.lease.observe(object),
+    });
+    void this.lease.run();
+    void observer.run();
+    void this.records.run();
+  }
+
+  /** The owner, when this node acts as one now. */
+  acting(): JobOwner {
+    if (!this.owner || !this.lease.isHeld()) throw notOwner();
+    return this.owner;
+  }
+
+  #own(): void {
+    this.#disown();
+    const { platform, random, workers } = this.#options;
+    const clock = this.process;
+    this.owner = new JobOwner({
+      ...this.#options,
+      pool: MODEL_POOL,
+      lease: this.lease,
+      platform: platform.clientOf(clock),
+      clock,
+      logger: silentLogger,
+      newOperationId: newId,
+      budget: new ByteBudget(Infinity),
+      records: this.records,
+      slots: new WorkerSlots({
+        workers: () =>
+          workers.map((name) => ({ name, address: name, availabilityZone: 'worcester' })),
+        perWorker: () => 1,
+        select: selectLeastLoadedOfTwo,
+        availabilityZone: 'worcester',
+        clock,
+        random,
+      }),
+      score: () => Promise.resolve({}),
+      maxStepsInFlight: 2,
+      order: orderLongestFirst,
+      duplicate: neverDuplicate,
+    });
+    void this.owner.run();
+  }
+
+  #disown(): void {
+    this.owner?.stop();
+    this.owner = undefined;
+  }
+}
--- /dev/null
+++ b/playground/training/model/scheduleArbitrary.ts
@@ -0,0 +1,42 @@
+import fc from 'fast-check';
+import { onInvariantViolation } from '../../../src/shared/invariants.ts';
+import { type FaultKind, type Schedule, TrainingModel, type Variant } from './trainingModel.ts';
+
+/** Faults begin within this time and end within twice this time, in ms. A step takes about half of it. */
+const FAULT_PHASE_MS = 6000;
+
+const ALL_KINDS: readonly FaultKind[] = [
+  'crash',
+  'pause',
+  'outage',
+  'lost-answers',
+  'slow-platform',
+  'engine-failures',
+  'trainer-network',
+  'publish',
+];
+
+/** Schedules of up to eight faults of some kinds. */
+export const schedulesOf = (kinds: readonly FaultKind[] = ALL_KINDS): fc.Arbitrary<Schedule> =>
+  fc.record({
+    seed: fc.integer({ min: 0, max: 2 ** 31 }),
+    faults: fc.array(
+      fc.record({
+        kind: fc.constantFrom(...kinds),
+        atMs: fc.integer({ min: 0, max: FAULT_PHASE_MS }),
+        durationMs: fc.integer({ min: 50, max: FAULT_PHASE_MS }),
+        node: fc.integer({ min: 0, max: 2 }),
+      }),
+      { maxLength: 8 },
+    ),
+  });
+
+/** What a schedule violates. */
+export const violationsOf = async (
+  { seed, faults }: Schedule,
+  variant: Variant = {},
+): Promise<readonly string[]> => {
+  const model = new TrainingModel(seed, variant);
+  onInvariantViolation(model.onInvariant);
+  return model.run(faults);
+};
--- a/src/node/training/sampleGenerator.ts
+++ b/src/node/training/sampleGenerator.ts
@@ -18,7 +18,7 @@
 export interface SampleGeneratorOptions {
   /** Makes stream names unique among owners, such as `draft-3`. */
   readonly streamPrefix: string;
-  readonly engine: EngineApi;
+  readonly engine: Pick<EngineApi, 'generate'>;
   readonly slots: WorkerSlots;
   readonly score: Scorer;
   readonly clock: Clock;
--- a/src/node/training/wakeUp.ts
+++ b/src/node/training/wakeUp.ts
@@ -1,10 +1,11 @@
-import { type Clock, sleep } from '../../shared/clock.ts';
+import type { Clock } from '../../shared/clock.ts';
 
 /** Lets loops wait for news or for a time limit, whichever comes first. */
 export class WakeUp {
   readonly #clock: Clock;
 
-  #controller = new AbortController();
+  /** Not an AbortSignal: each abort makes an exception with a stack trace, and this is called for every sample. */
+  readonly #waiting = new Set<() => void>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -12,17 +13,20 @@
 
   /** Wakes everyone who waits now. */
   notify(): void {
-    const controller = this.#controller;
-    this.#controller = new AbortController();
-    controller.abort();
+    for (const wake of [...this.#waiting]) wake();
   }
 
   /** Waits for the next `notify`, at most `limitMs`. */
   wait(limitMs = Infinity): Promise<void> {
-    const { signal } = this.#controller;
-    if (limitMs < Infinity) return sleep(this.#clock, limitMs, signal);
     return new Promise((resolve) => {
-      signal.addEventListener('abort', () => resolve(), { once: true });
+      let timer: Disposable | undefined;
+      const wake = () => {
+        this.#waiting.delete(wake);
+        timer?.[Symbol.dispose]();
+        resolve();
+      };
+      this.#waiting.add(wake);
+      if (limitMs < Infinity) timer = this.#clock.schedule(limitMs, wake);
     });
   }
 }
