--- a/playground/training/trainingCase.ts
+++ b/playground/training/trainingCase.ts
@@ -135,6 +135,17 @@
     );
   }
 
+  /** Status codes of the job's state as each node answers it. */
+  stateStatuses(): Promise<number[]> {
+    return Promise.all(
+      this.nodes.map(async ({ callerPort }) => {
+        const response = await fetch(`http://127.0.0.1:${callerPort}/v1/jobs/${JOB}`);
+        await response.arrayBuffer();
+        return response.status;
+      }),
+    );
+  }
+
   /** The node that holds the job's lease at the platform. */
   async owner(): Promise<CaseNode> {
     const holder = await waitFor(
