--- /dev/null
+++ b/src/node/decisions/refusedKeys.ts
@@ -0,0 +1,62 @@
+import { createHash } from 'node:crypto';
+
+/** 512 KiB for each of two generations: 600,000 refusals within a key's lifetime give 3.5% false positives. */
+const BITS = 2 ** 22;
+
+const HASHES = 4;
+
+const positionsOf = (key: string): number[] => {
+  const digest = createHash('sha256').update(key).digest();
+  return Array.from({ length: HASHES }, (_, index) => digest.readUInt32LE(index * 4) % BITS);
+};
+
+/**
+ * Remembers, in bounded memory, which keys a home refused without keeping a record, so that a repeat cannot run after
+ * its caller was told `not-run`. A Bloom filter suits because its only error is on the safe side: a key that was never
+ * refused may be refused too. Two generations take turns; each key is remembered for at least one lifetime.
+ */
+export class RefusedKeys {
+  readonly #lifetimeMs: number;
+
+  #current: Uint8Array | undefined;
+
+  #previous: Uint8Array | undefined;
+
+  #startedAtMs = -Infinity;
+
+  /** @param lifetimeMs - longest remaining life of a key, in ms */
+  constructor(lifetimeMs: number) {
+    this.#lifetimeMs = lifetimeMs;
+  }
+
+  add(key: string, nowMs: number): void {
+    this.#rotate(nowMs);
+    this.#current ??= new Uint8Array(BITS / 8);
+    for (const position of positionsOf(key)) {
+      const index = Math.floor(position / 8);
+      // eslint-disable-next-line no-bitwise
+      this.#current[index] = (this.#current[index] ?? 0) | (1 << (position % 8));
+    }
+  }
+
+  has(key: string, nowMs: number): boolean {
+    this.#rotate(nowMs);
+    const generations = [this.#current, this.#previous].filter((bits) => bits !== undefined);
+    if (generations.length === 0) return false;
+    const positions = positionsOf(key);
+    return generations.some((bits) =>
+      positions.every(
+        // eslint-disable-next-line no-bitwise
+        (position) => ((bits[Math.floor(position / 8)] ?? 0) & (1 << (position % 8))) !== 0,
+      ),
+    );
+  }
+
+  #rotate(nowMs: number): void {
+    const ageMs = nowMs - this.#startedAtMs;
+    if (ageMs < this.#lifetimeMs) return;
+    this.#previous = ageMs < 2 * this.#lifetimeMs ? this.#current : undefined;
+    this.#current = undefined;
+    this.#startedAtMs = nowMs;
+  }
+}
