feat(keyed): run non-idempotent requests at most once

Cause: routes with `idempotent: false` were refused by every node.

Ruled out: a fixed timeout for a forwarded request. A slow worker and a silent home look alike until the route's timeout ends, so the home shows signs of life (interim responses 102) and counts as silent after `suspectAfterMs` without one. Ruled out: a witness for keys that the entry assigns. No other node can be asked about such a key before its home has answered, so a grant would cost a round trip and change no answer. Ruled out: `not-run` for other content under a known key, and for refusals before the key's home was asked. A caller that serialises its body anew, or repeats a key through a node that takes no work, would conclude that nothing ran.

Change: KeyedRuns (home), KeyedRequests (entry), WitnessCalls, HomeClient, forward handler, key prefixes in `/v1/entries`, metrics; the router passes keyed requests on also while the node takes no new work, because only the home of a key can tell whether it ran.

--- a/src/node/dataPath/requestRouter.ts
+++ b/src/node/dataPath/requestRouter.ts
@@ -2,7 +2,7 @@
 import { Priority, Protocol } from '../../gen/hyssoppulley/v1/tables_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
 import { newId, type Random } from '../../shared/random.ts';
-import { CALLER_HEADER, OUTCOME_HEADER } from '../constants.ts';
+import { CALLER_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER } from '../constants.ts';
 import { AdmissionError } from '../decisions/admission.ts';
 import { AttemptGate } from '../decisions/attemptGate.ts';
 import { matchRoute } from '../decisions/matchRoute.ts';
@@ -96,23 +96,28 @@
   #match(request: IncomingMessage): ResolvedRoute {
     const { tables, membership } = this.#options;
     const current = tables.current();
+    const route =
+      current &&
+      matchRoute(current, {
+        method: request.method ?? 'GET',
+        path: pathOf(request),
+        caller: headerOf(request, CALLER_HEADER),
+        headers: request.headers,
+      });
+    // Only the home of a key knows whether the key has run, so this node cannot refuse it as `not-run`.
+    if (route?.idempotent === false) return route;
+    const hasKey = headerOf(request, IDEMPOTENCY_KEY_HEADER) !== '';
     if (!membership.mayServe() || current === undefined) {
       throw requestError('this node takes no new work now; use another entry', {
-        outcome: 'not-run',
+        outcome: current === undefined && hasKey ? 'unknown' : 'not-run',
         statusCode: 503,
         code: 'not-serving',
         retryAfterMs: 1000,
       });
     }
-    const route = matchRoute(current, {
-      method: request.method ?? 'GET',
-      path: pathOf(request),
-      caller: headerOf(request, CALLER_HEADER),
-      headers: request.headers,
-    });
     if (route !== undefined) return route;
     throw requestError('no route matches the request', {
-      outcome: 'not-run',
+      outcome: hasKey ? 'unknown' : 'not-run',
       statusCode: 404,
       code: 'no-route',
     });
--- a/src/node/decisions/keyHome.ts
+++ b/src/node/decisions/keyHome.ts
@@ -102,7 +102,7 @@
     return this.#create(key, fingerprint, refusal, nowMs);
   }
 
-  /** Ends the wait of a repeat, also when its caller left. */
+  /** Ends the wait of a repeat. */
   stopWaiting(key: IdempotencyKey): void {
     const record = this.#records.get(key.text);
     if (record && record.waiting > 0) record.changeWaiting(-1);
@@ -160,6 +160,21 @@
     if (record?.state === 'pending' || record?.state === 'granted') record.close(code);
   }
 
+  /** Closes a key without its request, whose body is not known; `not-run` only when nothing was or will be run. */
+  refuse(key: IdempotencyKey, code: NotRunCode): 'not-run' | 'unknown' {
+    const arrival = this.arrive(key, '', code);
+    if (arrival.next === 'settled' && arrival.settlement.outcome === 'not-run') return 'not-run';
+    return 'unknown';
+  }
+
+  /** Ends a run that failed inside this process: closed before the dispatch, `unknown` after it. */
+  abandon(key: IdempotencyKey): Settlement {
+    const record = this.#records.get(key.text);
+    if (record?.state === 'dispatched') record.becomeUnknown('answer-lost');
+    this.close(key, 'key-closed');
+    return this.settlementOf(key) ?? unknown('answer-lost');
+  }
+
   /** What a settled key's callers are told; undefined while it is running or when it is not known. */
   settlementOf(key: IdempotencyKey): Settlement | undefined {
     const record = this.#records.get(key.text);
--- a/src/node/decisions/keyRecord.ts
+++ b/src/node/decisions/keyRecord.ts
@@ -20,6 +20,7 @@
   | 'no-route'
   | 'no-worker'
   | 'not-serving'
+  | 'overloaded'
   | 'too-many-keys'
   | 'witness-full'
   | 'witness-refused'
--- /dev/null
+++ b/src/node/keyed/admissionRequest.ts
@@ -0,0 +1,16 @@
+import { Priority } from '../../gen/hyssoppulley/v1/tables_pb.ts';
+import { MAX_QUEUE_WAIT_MS } from '../dataPath/constants.ts';
+import type { AdmissionRequest } from '../decisions/admission.ts';
+import type { ResolvedRoute } from '../tables/resolveTables.ts';
+
+/** What the home asks admission for. The limits of a caller count at each home. */
+export const admissionRequestOf = (route: ResolvedRoute, caller: string): AdmissionRequest => {
+  const { limitPerCaller: limit, timeoutMs } = route;
+  const isLimited = limit.maxConcurrent !== Infinity || limit.maxRequestsPerSecond !== Infinity;
+  return {
+    pool: route.pool,
+    priority: route.priority === Priority.TRAINING ? 'training' : 'caller',
+    maxWaitMs: Math.min(MAX_QUEUE_WAIT_MS, timeoutMs / 2),
+    caller: isLimited ? { key: `${route.name}|${caller}`, limit } : undefined,
+  };
+};
--- /dev/null
+++ b/src/node/keyed/forwardHandler.ts
@@ -0,0 +1,71 @@
+import type { ServerResponse } from 'node:http';
+import type { Clock } from '../../shared/clock.ts';
+import { FORWARD_PREFIX, IDEMPOTENCY_KEY_HEADER } from '../constants.ts';
+import { headerOf, type RequestHandler } from '../dataPath/httpServer.ts';
+import { RequestError, sendProblem } from '../dataPath/problem.ts';
+import { readBody } from '../dataPath/readBody.ts';
+import { parseIdempotencyKey } from '../decisions/idempotencyKey.ts';
+import {
+  HOME_HEADER,
+  KEYED_FORWARD_PATH,
+  MAX_KEYED_BODY_BYTES,
+  SIGNS_OF_LIFE_PER_TIMEOUT,
+} from './constants.ts';
+import { keyedProblem, sendSettlement } from './keyedProblems.ts';
+import type { KeyedRuns } from './keyedRuns.ts';
+
+const PREFIX = `${FORWARD_PREFIX}${KEYED_FORWARD_PATH}`;
+
+/** Sends interim responses (status 102) until disposed, so that the entry can tell a slow worker from a silent home. */
+const showLife = (response: ServerResponse, clock: Clock, intervalMs: number): Disposable => {
+  let timer: Disposable | undefined;
+  const show = () => {
+    if (response.headersSent || response.destroyed) return;
+    response.writeProcessing();
+    timer = clock.schedule(intervalMs, show);
+  };
+  show();
+  return { [Symbol.dispose]: () => timer?.[Symbol.dispose]() };
+};
+
+/**
+ * Answers keyed requests that entries forward to this node as their home. Keys of another home are refused and never
+ * forwarded again.
+ *
+ * @param silenceMs - time after which entries take a home for silent, in ms
+ */
+export const createForwardHandler =
+  (runs: KeyedRuns, incarnation: string, clock: Clock, silenceMs: number): RequestHandler =>
+  async (request, response) => {
+    const url = request.url ?? '';
+    if (!url.startsWith(`${PREFIX}/`)) return false;
+    const signsOfLife = showLife(response, clock, silenceMs / SIGNS_OF_LIFE_PER_TIMEOUT);
+    try {
+      const key = parseIdempotencyKey(headerOf(request, IDEMPOTENCY_KEY_HEADER));
+      if (key.homeIncarnation !== incarnation) {
+        const problem = keyedProblem('unknown', 'wrong-home');
+        sendProblem(response, problem.detail, problem);
+        return true;
+      }
+      const body = await readBody(request, MAX_KEYED_BODY_BYTES);
+      const { settlement, repeated } = await runs.handle({
+        key,
+        method: request.method ?? 'GET',
+        pathAndQuery: url.slice(PREFIX.length),
+        headers: request.headers,
+        body,
+      });
+      response.setHeader(HOME_HEADER, incarnation);
+      sendSettlement(response, settlement, repeated);
+    } catch (error) {
+      // Without the home's header the entry does not take this for a settlement, and asks the witness.
+      sendProblem(response, 'the forwarded request could not be read', {
+        outcome: 'unknown',
+        statusCode: error instanceof RequestError ? error.statusCode : 400,
+        code: 'forward-refused',
+      });
+    } finally {
+      signsOfLife[Symbol.dispose]();
+    }
+    return true;
+  };
--- /dev/null
+++ b/src/node/keyed/homeClient.ts
@@ -0,0 +1,134 @@
+import http, { type IncomingHttpHeaders } from 'node:http';
+import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import type { Clock } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import { FORWARD_PREFIX } from '../constants.ts';
+import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
+import {
+  HOME_HEADER,
+  HOP_HEADER,
+  KEYED_FORWARD_PATH,
+  MAX_DELIVERED_ANSWER_BYTES,
+  MAX_IDLE_FORWARD_SOCKETS,
+} from './constants.ts';
+import type { KeyedRequest } from './keyedRuns.ts';
+
+/** What a home answered, for the caller. `silent`: nothing that can be attributed to the key's home. */
+export type HomeAnswer =
+  | {
+      readonly status: 'answered';
+      readonly statusCode: number;
+      readonly headers: IncomingHttpHeaders;
+      readonly body: Buffer;
+    }
+  | { readonly status: 'silent'; readonly reason: string };
+
+/** Attempts for each request. The home recognises repeats, so a second attempt after a broken connection is safe. */
+const MAX_ATTEMPTS = 2;
+
+/** Forwards keyed requests to their homes over the peer port. */
+export class HomeClient implements Disposable {
+  readonly #clock: Clock;
+
+  readonly #silenceMs: number;
+
+  readonly #agent = new http.Agent({ keepAlive: true, maxFreeSockets: MAX_IDLE_FORWARD_SOCKETS });
+
+  /** @param silenceMs - a home that shows no sign of life for so long counts as silent */
+  constructor(clock: Clock, silenceMs: number) {
+    this.#clock = clock;
+    this.#silenceMs = silenceMs;
+  }
+
+  /** Sends a request to its home and reads the whole answer. Never throws. */
+  async forward(home: NodeIdentity, request: KeyedRequest): Promise<HomeAnswer> {
+    let reason = '';
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+      try {
+        return await this.#attempt(home, request);
+      } catch (error) {
+        reason = messageOf(error);
+      }
+    }
+    return { status: 'silent', reason };
+  }
+
+  [Symbol.dispose](): void {
+    this.#agent.destroy();
+  }
+
+  async #attempt(home: NodeIdentity, request: KeyedRequest): Promise<HomeAnswer> {
+    const outgoing = http.request(this.#requestOptions(home, request));
+    let silent = false;
+    const onSilence = () => {
+      silent = true;
+      outgoing.destroy(new Error('silent'));
+    };
+    let timer = this.#clock.schedule(this.#silenceMs, onSilence);
+    const onSignOfLife = () => {
+      timer[Symbol.dispose]();
+      timer = this.#clock.schedule(this.#silenceMs, onSilence);
+    };
+    try {
+      const response = await new Promise<http.IncomingMessage>((resolve, reject) => {
+        outgoing.on('information', onSignOfLife);
+        outgoing.on('error', reject);
+        outgoing.on('response', resolve);
+        outgoing.end(request.body);
+      });
+      return await HomeClient.#read(response, request.key.homeIncarnation, onSignOfLife);
+    } catch (error) {
+      if (silent) {
+        return { status: 'silent', reason: `no sign of life for ${this.#silenceMs} ms` };
+      }
+      throw error;
+    } finally {
+      timer[Symbol.dispose]();
+    }
+  }
+
+  #requestOptions(
+    home: NodeIdentity,
+    { method, pathAndQuery, headers, body }: KeyedRequest,
+  ): http.RequestOptions {
+    const passedOn = forwardHeaders(headers);
+    delete passedOn.expect;
+    return {
+      host: home.host,
+      port: home.peerPort,
+      method,
+      path: `${FORWARD_PREFIX}${KEYED_FORWARD_PATH}${pathAndQuery}`,
+      agent: this.#agent,
+      headers: {
+        ...passedOn,
+        [HOP_HEADER]: '1',
+        'content-length': body.length,
+      },
+    };
+  }
+
+  static async #read(
+    response: http.IncomingMessage,
+    incarnation: string,
+    onSignOfLife: () => void,
+  ): Promise<HomeAnswer> {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    for await (const chunk of response as AsyncIterable<Buffer>) {
+      onSignOfLife();
+      sizeBytes += chunk.length;
+      if (sizeBytes > MAX_DELIVERED_ANSWER_BYTES) throw new Error('the answer is too large');
+      chunks.push(chunk);
+    }
+    if (!response.complete) throw new Error('the answer was cut off');
+    if (response.headers[HOME_HEADER] !== incarnation) {
+      return { status: 'silent', reason: 'another process answers at the address of the home' };
+    }
+    return {
+      status: 'answered',
+      statusCode: response.statusCode ?? 502,
+      headers: response.headers,
+      body: Buffer.concat(chunks),
+    };
+  }
+}
--- /dev/null
+++ b/src/node/keyed/keyedRequests.ts
@@ -0,0 +1,287 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ServiceImpl } from '@connectrpc/connect';
+import type { Registry } from 'prom-client';
+import type { PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import type { Clock } from '../../shared/clock.ts';
+import { newId, type Random } from '../../shared/random.ts';
+import { IDEMPOTENCY_KEY_HEADER } from '../constants.ts';
+import type { AdmissionController } from '../dataPath/admissionController.ts';
+import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
+import { headerOf, type RequestHandler } from '../dataPath/httpServer.ts';
+import { RequestError, requestError, sendProblem } from '../dataPath/problem.ts';
+import { readBody } from '../dataPath/readBody.ts';
+import type { NonIdempotentHandler } from '../dataPath/requestRouter.ts';
+import {
+  formatKeyPrefix,
+  type IdempotencyKey,
+  KeyFormatError,
+  parseIdempotencyKey,
+} from '../decisions/idempotencyKey.ts';
+import { createExpiryTime } from '../decisions/keyExpiry.ts';
+import { KeyHome } from '../decisions/keyHome.ts';
+import type { NotRunCode } from '../decisions/keyRecord.ts';
+import { KeyWitness, outcomeAfterSeal } from '../decisions/keyWitness.ts';
+import type { KeyPrefix } from '../membership/entriesHandler.ts';
+import type { MembershipView, TablesView } from '../membership/membershipView.ts';
+import type { PeerClients } from '../membership/peerClients.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { ResolvedSettings } from '../settings/resolveSettings.ts';
+import type { ResolvedRoute } from '../tables/resolveTables.ts';
+import { admissionRequestOf } from './admissionRequest.ts';
+import { chooseWitness } from './chooseWitness.ts';
+import {
+  HOME_HEADER,
+  MAX_KEPT_ANSWER_BYTES,
+  MAX_KEYED_BODY_BYTES,
+  MAX_WAITING_REPEATS,
+} from './constants.ts';
+import { createForwardHandler } from './forwardHandler.ts';
+import { HomeClient } from './homeClient.ts';
+import { createKeyedMetrics, type KeyedMetrics } from './keyedMetrics.ts';
+import { keyedProblem, sendSettlement } from './keyedProblems.ts';
+import { type KeyedRequest, KeyedRuns, type KeyedRunsOptions } from './keyedRuns.ts';
+import { createWitnessHandlers, WitnessCalls } from './witnessCalls.ts';
+
+export interface KeyedRequestsOptions extends Pick<KeyedRunsOptions, 'dispatch' | 'onRefused'> {
+  readonly settings: Pick<ResolvedSettings, 'limits' | 'timing'>;
+  readonly tables: Pick<TablesView, 'current'>;
+  readonly membership: MembershipView;
+  readonly clients: PeerClients;
+  readonly admission: Pick<AdmissionController, 'admit'>;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly registry: Registry;
+  /** Told of each call to another node, for its metric. */
+  readonly onPeerCall?: (method: string, result: string) => void;
+}
+
+/** Serves non-idempotent routes: each request runs at most once, at the home that its key names. */
+export class KeyedRequests implements Disposable {
+  readonly #options: KeyedRequestsOptions;
+
+  readonly #secret = newId();
+
+  readonly #now: () => number;
+
+  readonly #home: KeyHome;
+
+  readonly #witness: KeyWitness;
+
+  readonly #witnessCalls: WitnessCalls;
+
+  readonly #homeClient: HomeClient;
+
+  readonly #runs: KeyedRuns;
+
+  readonly #metrics: KeyedMetrics;
+
+  constructor(options: KeyedRequestsOptions) {
+    this.#options = options;
+    const { settings, membership, clients, clock, logger } = options;
+    const { limits, timing } = settings;
+    const { incarnation } = membership.self;
+    this.#now = createExpiryTime(clock);
+    this.#home = new KeyHome({
+      incarnation,
+      secret: this.#secret,
+      keyTtlMs: timing.keyTtlMs,
+      maxRecords: limits.maxKeyRecords,
+      maxKeptBytes: limits.maxKeptAnswerBytes,
+      maxAnswerBytes: MAX_KEPT_ANSWER_BYTES,
+      maxWaiting: MAX_WAITING_REPEATS,
+      now: this.#now,
+    });
+    this.#witness = new KeyWitness({
+      incarnation,
+      maxGrants: limits.maxKeyRecords,
+      maxSeals: limits.maxKeyRecords,
+      now: this.#now,
+    });
+    this.#metrics = createKeyedMetrics(options.registry, () => ({
+      records: this.#home.size,
+      keptBytes: this.#home.keptBytes,
+      witnessEntries: this.#witness.size,
+    }));
+    this.#witnessCalls = new WitnessCalls({
+      local: this.#witness,
+      membership,
+      clientOf: (identity) => clients.get(identity),
+      logger,
+      onCall: options.onPeerCall,
+    });
+    this.#homeClient = new HomeClient(clock, timing.suspectAfterMs);
+    this.#runs = this.#createRuns();
+  }
+
+  /** Handles a request of a non-idempotent route on the caller port. */
+  readonly handle: NonIdempotentHandler = async (route, request, response) => {
+    try {
+      await this.#handle(route, request, response);
+    } catch (error) {
+      if (!(error instanceof RequestError)) throw error;
+      sendProblem(response, error.message, error);
+    }
+  };
+
+  /** Handles requests that other entries forward to this node, on the peer port. */
+  get forwardHandler(): RequestHandler {
+    const { membership, clock, settings } = this.#options;
+    return createForwardHandler(
+      this.#runs,
+      membership.self.incarnation,
+      clock,
+      settings.timing.suspectAfterMs,
+    );
+  }
+
+  /** Handlers of PeerService by which other nodes use this node as a witness. */
+  get peerHandlers(): Pick<ServiceImpl<typeof PeerService>, 'grantDispatch' | 'sealKey'> {
+    return createWitnessHandlers(this.#witness);
+  }
+
+  /** A prefix for the keys of one caller: this node is the home, a peer the witness. */
+  issueKeyPrefix(): KeyPrefix {
+    const { membership, random } = this.#options;
+    const { incarnation, availabilityZone } = membership.self;
+    const witness = chooseWitness(membership.peers(), availabilityZone, random);
+    return this.#issue(incarnation, witness?.identity.incarnation);
+  }
+
+  /** Resolves when the requests that run now have ended, also those whose callers left. */
+  drained(): Promise<void> {
+    return this.#runs.drained();
+  }
+
+  [Symbol.dispose](): void {
+    this.#homeClient[Symbol.dispose]();
+  }
+
+  async #handle(
+    route: ResolvedRoute,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const header = headerOf(request, IDEMPOTENCY_KEY_HEADER);
+    const key = header === '' ? this.#assignKey() : KeyedRequests.#parse(header);
+    if (header === '') response.setHeader(IDEMPOTENCY_KEY_HEADER, key.text);
+    const keyed: KeyedRequest = {
+      key,
+      method: request.method ?? 'GET',
+      pathAndQuery: request.url ?? '/',
+      headers: request.headers,
+      body: await this.#readBody(route, key, header === '', request),
+    };
+    if (key.homeIncarnation === this.#options.membership.self.incarnation) {
+      const { settlement, repeated } = await this.#runs.handle(keyed);
+      sendSettlement(response, settlement, repeated);
+    } else {
+      await this.#forward(keyed, response);
+    }
+  }
+
+  #createRuns(): KeyedRuns {
+    const { settings, membership, tables, clock, logger, dispatch, admission } = this.#options;
+    return new KeyedRuns({
+      home: this.#home,
+      tables,
+      membership,
+      clock,
+      logger,
+      dispatch,
+      onRefused: this.#options.onRefused,
+      admit: (route, caller) => admission.admit(admissionRequestOf(route, caller)),
+      connectTimeoutMs: settings.timing.peerTimeoutMs,
+      askGrant: async (key) => {
+        const endTimer = this.#metrics.grantSeconds.startTimer();
+        const decision = await this.#witnessCalls.grant(key);
+        endTimer();
+        return decision;
+      },
+      onSettled: (settlement) =>
+        this.#metrics.requests.inc({
+          outcome: settlement.outcome,
+          cause: settlement.outcome === 'answered' ? '' : settlement.code,
+        }),
+      onRepeat: () => this.#metrics.repeats.inc(),
+    });
+  }
+
+  #issue(homeIncarnation: string, witnessIncarnation: string | undefined): KeyPrefix {
+    const expiresAtMs = Math.floor(this.#now()) + this.#options.settings.timing.keyTtlMs;
+    const fields = { homeIncarnation, witnessIncarnation, expiresAtMs };
+    return { prefix: formatKeyPrefix(fields, this.#secret), expiresAtMs };
+  }
+
+  /**
+   * Makes the key of a request that came without one. It names no witness: no other node can be asked about the key
+   * before this node has answered, so a grant would cost a round trip and change no answer.
+   */
+  #assignKey(): IdempotencyKey {
+    const { incarnation } = this.#options.membership.self;
+    return parseIdempotencyKey(`${this.#issue(incarnation, undefined).prefix}${newId()}`);
+  }
+
+  static #parse(header: string): IdempotencyKey {
+    try {
+      return parseIdempotencyKey(header);
+    } catch (error) {
+      if (!(error instanceof KeyFormatError)) throw error;
+      throw requestError(error.message, {
+        outcome: 'not-run',
+        statusCode: 400,
+        code: 'key-malformed',
+      });
+    }
+  }
+
+  async #readBody(
+    route: ResolvedRoute,
+    key: IdempotencyKey,
+    assigned: boolean,
+    request: IncomingMessage,
+  ): Promise<Buffer> {
+    const pool = this.#options.tables.current()?.pools.get(route.pool);
+    const maxBytes = Math.min(MAX_KEYED_BODY_BYTES, pool?.maxBodyBytes ?? MAX_KEYED_BODY_BYTES);
+    try {
+      return await readBody(request, maxBytes);
+    } catch (error) {
+      if (!(error instanceof RequestError)) throw error;
+      const { message, statusCode, code } = error;
+      // An earlier request with the caller's key may have run, so only a closed key is `not-run`. After a broken upload
+      // the key stays open: the caller will send it again.
+      const closes = assigned || code === 'body-too-large';
+      const outcome = closes ? await this.#closeKey(key, 'body-too-large') : 'unknown';
+      throw requestError(message, { outcome, statusCode, code }, error);
+    }
+  }
+
+  /** Makes sure that a key never runs, if nothing ran yet, and tells what is known. */
+  async #closeKey(key: IdempotencyKey, code: NotRunCode): Promise<'not-run' | 'unknown'> {
+    if (key.homeIncarnation !== this.#options.membership.self.incarnation) {
+      return outcomeAfterSeal(await this.#witnessCalls.seal(key));
+    }
+    return this.#home.refuse(key, code);
+  }
+
+  async #forward(request: KeyedRequest, response: ServerResponse): Promise<void> {
+    const { key } = request;
+    const { membership, logger } = this.#options;
+    const home = membership.findIncarnation(key.homeIncarnation);
+    const answer = home
+      ? await this.#homeClient.forward(home.identity, request)
+      : { status: 'silent' as const, reason: 'no node with the incarnation of the home is known' };
+    if (answer.status === 'answered') {
+      const headers = forwardHeaders(answer.headers);
+      delete headers[HOME_HEADER];
+      response.writeHead(answer.statusCode, headers);
+      response.end(answer.body);
+      return;
+    }
+    const outcome = outcomeAfterSeal(await this.#witnessCalls.seal(key));
+    this.#metrics.silentHomes.inc({ outcome });
+    logger.warn('key-home-silent', { home: home?.identity.name, reason: answer.reason, outcome });
+    const problem = keyedProblem(outcome, 'home-silent');
+    throw requestError(problem.detail, problem);
+  }
+}
--- /dev/null
+++ b/src/node/keyed/keyedRuns.ts
@@ -0,0 +1,230 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import { type Clock, Stopwatch } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import { CALLER_HEADER, IDEMPOTENCY_KEY_HEADER } from '../constants.ts';
+import type { OnceOptions, OnceRequest, OnceResult } from '../dataPath/dispatchOnce.ts';
+import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
+import { AdmissionError } from '../decisions/admission.ts';
+import { fingerprintOf, type IdempotencyKey } from '../decisions/idempotencyKey.ts';
+import type { KeyHome } from '../decisions/keyHome.ts';
+import type { NotRunCode, Settlement } from '../decisions/keyRecord.ts';
+import type { GrantDecision } from '../decisions/keyWitness.ts';
+import { matchRoute } from '../decisions/matchRoute.ts';
+import type { MembershipView, TablesView, WorkerEndpoint } from '../membership/membershipView.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { ResolvedRoute } from '../tables/resolveTables.ts';
+import { HOP_HEADER, MAX_DELIVERED_ANSWER_BYTES } from './constants.ts';
+
+/** A keyed request that was read whole. */
+export interface KeyedRequest {
+  readonly key: IdempotencyKey;
+  readonly method: string;
+  readonly pathAndQuery: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+/** How a request was settled, and whether by an earlier request with its key. */
+export interface SettledRequest {
+  readonly settlement: Settlement;
+  readonly repeated: boolean;
+}
+
+/** Sends a request to a worker at most once; see `dispatchOnce`. */
+export type Dispatch = (request: OnceRequest, options: OnceOptions) => Promise<OnceResult>;
+
+/** The decisions that a run needs. */
+export type HomeDecisions = Pick<
+  KeyHome,
+  | 'abandon'
+  | 'answered'
+  | 'answerLost'
+  | 'arrive'
+  | 'beginDispatch'
+  | 'close'
+  | 'grantAnswered'
+  | 'settlementOf'
+  | 'stopWaiting'
+>;
+
+export interface KeyedRunsOptions {
+  readonly home: HomeDecisions;
+  readonly tables: Pick<TablesView, 'current'>;
+  readonly membership: Pick<MembershipView, 'mayServe'>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Asks the key's witness; undefined: no answer in time. */
+  readonly askGrant: (key: IdempotencyKey) => Promise<GrantDecision | undefined>;
+  readonly dispatch: Dispatch;
+  /** Waits for a place at the pool's workers. Rejects when the request is refused. */
+  readonly admit: (route: ResolvedRoute, caller: string) => Promise<Placement>;
+  /** Time to open a connection to a worker, in ms. */
+  readonly connectTimeoutMs: number;
+  /** Told of a worker to which no connection could be opened. */
+  readonly onRefused?: (worker: WorkerEndpoint) => void;
+  /** Told of each settled request, for its metric. */
+  readonly onSettled?: (settlement: Settlement) => void;
+  /** Told of each repeat that got an earlier answer. */
+  readonly onRepeat?: () => void;
+}
+
+/** A place at the workers of a pool, given up on disposal. */
+export interface Placement extends Disposable {
+  /** Chooses a worker, preferably none of `exclude` (addresses). Undefined: no worker takes requests now. */
+  choose(choice: { readonly exclude: ReadonlySet<string> }): WorkerEndpoint | undefined;
+}
+
+/** Headers for the worker. The body is sent whole, so the caller's `expect` does not apply. */
+const workerHeaders = ({ headers, key }: KeyedRequest) =>
+  Object.fromEntries(
+    Object.entries({ ...forwardHeaders(headers), [IDEMPOTENCY_KEY_HEADER]: key.text }).filter(
+      ([name]) => name !== HOP_HEADER && name !== 'expect',
+    ),
+  );
+
+/** Runs the requests whose home is this node. A run goes on when its caller leaves, so that a repeat finds the answer. */
+export class KeyedRuns {
+  readonly #options: KeyedRunsOptions;
+
+  /** Running requests by key. Bounded by the home's records. */
+  readonly #running = new Map<string, Promise<Settlement>>();
+
+  constructor(options: KeyedRunsOptions) {
+    this.#options = options;
+  }
+
+  /** Resolves when every request that is running now has ended. */
+  async drained(): Promise<void> {
+    await Promise.all(this.#running.values());
+  }
+
+  /** Settles a request: runs it, waits for the same key's run, or repeats its answer. */
+  async handle(request: KeyedRequest): Promise<SettledRequest> {
+    const { home } = this.#options;
+    const { key } = request;
+    const route = this.#routeOf(request);
+    const refusal = typeof route === 'string' ? route : undefined;
+    const fingerprint = fingerprintOf(request.method, request.pathAndQuery, request.body);
+    const arrival = home.arrive(key, fingerprint, refusal);
+    if (arrival.next === 'settled') {
+      const { settlement } = arrival;
+      const repeated = settlement.outcome === 'answered';
+      if (repeated) this.#options.onRepeat?.();
+      else this.#options.onSettled?.(settlement);
+      return { settlement, repeated };
+    }
+    if (arrival.next === 'wait') {
+      const settlement = (await this.#running.get(key.text)) ?? home.abandon(key);
+      home.stopWaiting(key);
+      this.#options.onRepeat?.();
+      return { settlement, repeated: settlement.outcome === 'answered' };
+    }
+    const run = this.#run(request, route as ResolvedRoute, arrival.next === 'ask-witness');
+    this.#running.set(key.text, run);
+    const settlement = await run;
+    this.#running.delete(key.text);
+    this.#options.onSettled?.(settlement);
+    return { settlement, repeated: false };
+  }
+
+  /** The route that this node's tables name, or why it cannot run the request. */
+  #routeOf(request: KeyedRequest): ResolvedRoute | NotRunCode {
+    const { tables, membership } = this.#options;
+    const current = tables.current();
+    if (current === undefined || !membership.mayServe()) return 'not-serving';
+    const route = matchRoute(current, {
+      method: request.method,
+      path: request.pathAndQuery.split('?', 1)[0] ?? '/',
+      caller: String(request.headers[CALLER_HEADER] ?? ''),
+      headers: request.headers,
+    });
+    const pool = current.pools.get(route?.pool ?? '');
+    if (route === undefined || route.idempotent || pool === undefined) return 'no-route';
+    return request.body.length > pool.maxBodyBytes ? 'body-too-large' : route;
+  }
+
+  async #run(
+    request: KeyedRequest,
+    route: ResolvedRoute,
+    asksWitness: boolean,
+  ): Promise<Settlement> {
+    const { home, logger } = this.#options;
+    const { key } = request;
+    try {
+      using placement = await this.#admit(request, route);
+      if (placement === undefined) return this.#settlement(key);
+      if (asksWitness && !home.grantAnswered(key, await this.#options.askGrant(key))) {
+        return this.#settlement(key);
+      }
+      return await this.#dispatch(request, route, placement);
+    } catch (error) {
+      logger.error('keyed-run-error', { message: messageOf(error) });
+      return home.abandon(key);
+    }
+  }
+
+  /** The settlement of a run that ended without an answer. */
+  #settlement(key: IdempotencyKey): Settlement {
+    const { home } = this.#options;
+    return home.settlementOf(key) ?? home.abandon(key);
+  }
+
+  async #admit({ key, headers }: KeyedRequest, route: ResolvedRoute) {
+    try {
+      return await this.#options.admit(route, String(headers[CALLER_HEADER] ?? ''));
+    } catch (error) {
+      if (!(error instanceof AdmissionError)) throw error;
+      this.#options.home.close(key, 'overloaded');
+      return undefined;
+    }
+  }
+
+  async #dispatch(
+    request: KeyedRequest,
+    route: ResolvedRoute,
+    placement: Placement,
+  ): Promise<Settlement> {
+    const { home, clock } = this.#options;
+    const { key } = request;
+    const elapsed = new Stopwatch(clock);
+    const tried = new Set<string>();
+    for (;;) {
+      const worker = placement.choose({ exclude: tried });
+      const timeoutMs = route.timeoutMs - elapsed.elapsedMs();
+      if (worker === undefined || tried.has(worker.address) || timeoutMs <= 0) {
+        home.close(key, 'no-worker');
+        return this.#settlement(key);
+      }
+      tried.add(worker.address);
+      const result = await this.#send(request, worker, timeoutMs);
+      if (result.status === 'answered') {
+        home.answered(key, result);
+        return { outcome: 'answered', answer: result };
+      }
+      if (result.status === 'unknown') home.answerLost(key);
+      const settlement = home.settlementOf(key);
+      if (settlement) return settlement;
+      this.#options.onRefused?.(worker);
+    }
+  }
+
+  #send(request: KeyedRequest, worker: WorkerEndpoint, timeoutMs: number): Promise<OnceResult> {
+    const { home, membership, dispatch, clock, connectTimeoutMs } = this.#options;
+    return dispatch(
+      {
+        address: worker.address,
+        method: request.method,
+        path: request.pathAndQuery,
+        headers: workerHeaders(request),
+        body: request.body,
+      },
+      {
+        clock,
+        connectTimeoutMs,
+        timeoutMs,
+        maxAnswerBytes: MAX_DELIVERED_ANSWER_BYTES,
+        mayDispatch: () => home.beginDispatch(request.key, membership.mayServe()),
+      },
+    );
+  }
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -6,8 +6,10 @@
 import { messageOf } from '../shared/errors.ts';
 import { onInvariantViolation } from '../shared/invariants.ts';
 import { newId, type Random, systemRandom } from '../shared/random.ts';
-import { createDataPath } from './dataPath/dataPath.ts';
+import { createDataPath, type DataPath } from './dataPath/dataPath.ts';
+import { dispatchOnce } from './dataPath/dispatchOnce.ts';
 import { RightToServe } from './decisions/rightToServe.ts';
+import { KeyedRequests } from './keyed/keyedRequests.ts';
 import { createEntriesHandler } from './membership/entriesHandler.ts';
 import { Membership } from './membership/membership.ts';
 import { PeerClients } from './membership/peerClients.ts';
@@ -107,14 +109,28 @@
     },
   });
   const tracing = store.add(await createTracing({ serviceName: settings.name, ...settings.trace }));
-  const dataPath = store.add(
+  const dataPath: DataPath = store.add(
     createDataPath({
       ...{ clock, random, logger, metrics, tracing, membership, tables: configuration },
       maxConcurrent: settings.limits.maxConcurrent,
       streamIdleMs: timing.streamIdleMs,
       onWorkerLeaving: ({ address }) => membership.reportWorkerState(address, 'leaving'),
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
+      handleNonIdempotent: (...request) => keyed.handle(...request),
     }),
   );
+  const keyed = store.add(
+    new KeyedRequests({
+      ...{ settings, clock, random, logger, membership, clients: peerClients },
+      tables: configuration,
+      admission: dataPath.admission,
+      registry: metrics.registry,
+      dispatch: dispatchOnce,
+      onRefused: ({ address }) => dataPath.loads.recordRefused(address),
+      onPeerCall: (method, result) => metrics.peerCalls.inc({ method, result }),
+    }),
+  );
+  handOvers.push(() => keyed.drained());
 
   const training = store.add(
     assembleTraining({
@@ -148,15 +164,16 @@
         createEntriesHandler({
           entries: () => membership.entries(),
           ttlMs: timing.entriesTtlMs,
-          issueKeyPrefix: () => undefined,
+          issueKeyPrefix: () => (membership.leaving ? undefined : keyed.issueKeyPrefix()),
         }),
         training.callerHandler,
         dataPath.router.handler,
       ],
-      forwardHandlers: [training.peerHandler],
+      forwardHandlers: [keyed.forwardHandler, training.peerHandler],
       routes: (connect) => {
         connect.service(PeerService, {
           ...operator.peerHandlers,
+          ...keyed.peerHandlers,
           heartbeat: (request) => membership.heartbeat(request),
         });
         connect.service(OperatorService, operator.operatorHandlers);
