--- a/src/node/tables/checkTables.ts
+++ b/src/node/tables/checkTables.ts
@@ -1,12 +1,16 @@
 import type { Tables } from '../../gen/hyssoppulley/v1/tables_pb.ts';
 import type { DocumentFault } from '../settings/documentError.ts';
 
-const duplicates = (names: readonly string[], path: (index: number) => string): DocumentFault[] =>
-  names.flatMap((name, index) =>
-    names.indexOf(name) < index
-      ? [{ path: path(index), found: `"${name}" a second time`, allowed: 'a name used once' }]
-      : [],
-  );
+const duplicates = (names: readonly string[], path: (index: number) => string): DocumentFault[] => {
+  const seen = new Set<string>();
+  return names.flatMap((name, index) => {
+    if (!seen.has(name)) {
+      seen.add(name);
+      return [];
+    }
+    return [{ path: path(index), found: `"${name}" a second time`, allowed: 'a name used once' }];
+  });
+};
 
 /** Checks what the schema's rules cannot express: names that join the tables, and names that must differ. */
 export const checkTables = (tables: Tables): DocumentFault[] => {
