--- /dev/null
+++ b/playground/keyedRequests/__tests__/keyedRequests.test.ts
@@ -0,0 +1,155 @@
+import { after, before, test } from 'node:test';
+import { expect } from 'earl';
+import type { ClusterNode } from '../../membership/cluster.ts';
+import { waitUntil } from '../../membership/cluster.ts';
+import { type KeyedCase, startKeyedCase } from '../keyedCase.ts';
+
+const REQUESTS = 'hyssoppulley_keyed_requests_total';
+const TIMEOUT = { timeout: 60_000 };
+
+let deployment: KeyedCase;
+/** Two nodes are killed by one test each; the others live on. */
+let [home, witness, entry, killedBefore, killedAfter] = [] as unknown as ClusterNode[] &
+  [ClusterNode, ClusterNode, ClusterNode, ClusterNode, ClusterNode];
+
+before(async () => {
+  deployment = await startKeyedCase(['entry-a', 'entry-b', 'entry-c', 'entry-d', 'entry-e']);
+  [home, witness, entry, killedBefore, killedAfter] = deployment.nodes as [
+    ClusterNode,
+    ClusterNode,
+    ClusterNode,
+    ClusterNode,
+    ClusterNode,
+  ];
+}, TIMEOUT);
+
+after(() => deployment[Symbol.asyncDispose]());
+
+// Guards against a second run when a caller repeats its key through another entry, or while the first still runs.
+test('a repeat through another entry returns the first answer', TIMEOUT, async () => {
+  const key = await deployment.keyOf(home, witness, 'repeat');
+  await deployment.setAnswerLatencyMs(300);
+  const [first, meanwhile] = await Promise.all([
+    deployment.send(entry, key, 'repeat'),
+    deployment.send(witness, key, 'repeat'),
+  ]);
+  await deployment.setAnswerLatencyMs(0);
+  const later = await Promise.all(
+    [home, witness, entry].map((node) => deployment.send(node, key, 'repeat')),
+  );
+  const answers = [first, meanwhile, ...later];
+  expect(answers.map(({ outcome }) => outcome)).toEqual(Array(5).fill('answered'));
+  expect(new Set(answers.map(({ text }) => text)).size).toEqual(1);
+  expect(first.repeated !== meanwhile.repeated).toEqual(true);
+  expect(later.map(({ repeated }) => repeated)).toEqual([true, true, true]);
+  expect(await deployment.runs('repeat')).toEqual(1);
+});
+
+test(
+  'a request without a key is assigned one by which its answer is found again',
+  TIMEOUT,
+  async () => {
+    const first = await deployment.send(home, undefined, 'assigned');
+    expect(first.outcome).toEqual('answered');
+    const repeat = await deployment.send(entry, first.key ?? '', 'assigned');
+    expect([repeat.repeated, repeat.text]).toEqual([true, first.text]);
+    expect(await deployment.runs('assigned')).toEqual(1);
+  },
+);
+
+test('a foreign key is refused, and other content under a key does not run', TIMEOUT, async () => {
+  const foreign = await deployment.send(entry, 'order-7', 'foreign');
+  expect([foreign.status, foreign.outcome]).toEqual([400, 'not-run']);
+  const key = await deployment.keyOf(home, witness, 'content');
+  await deployment.send(entry, key, 'content');
+  const other = await deployment.send(entry, key, 'content-2');
+  expect([other.status, other.outcome, other.code]).toEqual([422, 'unknown', 'key-mismatch']);
+  expect(await deployment.runs('content-2')).toEqual(0);
+});
+
+// Guards against a run that nobody can ask for again because its caller hung up.
+test('a run whose caller leaves goes on, and a repeat finds its answer', TIMEOUT, async () => {
+  const key = await deployment.keyOf(home, witness, 'left');
+  await deployment.setAnswerLatencyMs(500);
+  const leaving = fetch(`http://${entry.address}/dispatch`, {
+    method: 'POST',
+    headers: { 'x-run-id': 'left', 'idempotency-key': key },
+    body: 'crew for left',
+    signal: AbortSignal.timeout(100),
+  });
+  await leaving.catch(() => {});
+  const repeat = await deployment.send(witness, key, 'left');
+  await deployment.setAnswerLatencyMs(0);
+  expect(repeat.outcome).toEqual('answered');
+  expect(await deployment.runs('left')).toEqual(1);
+});
+
+// Guards against a paused home that wakes and runs a request whose caller was told `not-run`.
+test('a home paused past the seal does not run the sealed key', TIMEOUT, async () => {
+  const key = await deployment.keyOf(home, witness, 'paused');
+  const refusals = () => deployment.metric(home, REQUESTS, 'cause="witness-refused"');
+  const refusedBefore = await refusals();
+  home.process.child.kill('SIGSTOP');
+  const answer = await deployment.send(entry, key, 'paused');
+  expect([answer.outcome, answer.code]).toEqual(['not-run', 'home-silent']);
+  home.process.child.kill('SIGCONT');
+  // The request still lies in the home's socket; the home handles it and asks the witness.
+  await waitUntil('the home handled the request', async () => (await refusals()) > refusedBefore);
+  const repeat = await deployment.send(entry, key, 'paused');
+  expect([repeat.outcome, repeat.code]).toEqual(['not-run', 'witness-refused']);
+  expect(await deployment.runs('paused')).toEqual(0);
+});
+
+// Guards against a grant that is answered after its caller was told `not-run`.
+test('with a paused witness the request does not run, then or later', TIMEOUT, async () => {
+  const key = await deployment.keyOf(home, witness, 'witness');
+  witness.process.child.kill('SIGSTOP');
+  const answer = await deployment.send(entry, key, 'witness');
+  witness.process.child.kill('SIGCONT');
+  expect([answer.outcome, answer.code]).toEqual(['not-run', 'witness-silent']);
+  await waitUntil('the witness answers', async () => {
+    const fresh = await deployment.keyOf(home, witness, `after-${Math.random()}`.replace('.', ''));
+    return (await deployment.send(entry, fresh, 'fresh')).outcome === 'answered';
+  });
+  const repeat = await deployment.send(entry, key, 'witness');
+  expect(repeat.outcome).toEqual('not-run');
+  expect(await deployment.runs('witness')).toEqual(0);
+});
+
+test('a home killed before the dispatch: not-run, and it stays so', TIMEOUT, async () => {
+  const key = await deployment.keyOf(killedBefore, witness, 'before');
+  killedBefore.process.child.kill('SIGSTOP');
+  const answer = deployment.send(entry, key, 'before');
+  killedBefore.process.child.kill('SIGKILL');
+  expect((await answer).outcome).toEqual('not-run');
+  const repeat = await deployment.send(home, key, 'before');
+  expect([repeat.outcome, repeat.code]).toEqual(['not-run', 'home-silent']);
+  expect(await deployment.runs('before')).toEqual(0);
+});
+
+// Guards against `not-run`, or a retry, for a request that a worker has received.
+test('a home killed after the dispatch: unknown, and one run', TIMEOUT, async () => {
+  const key = await deployment.keyOf(killedAfter, witness, 'after');
+  await deployment.setAnswerLatencyMs(5000);
+  const answer = deployment.send(entry, key, 'after');
+  await waitUntil('the request runs', async () => (await deployment.runs('after')) === 1);
+  killedAfter.process.child.kill('SIGKILL');
+  expect((await answer).outcome).toEqual('unknown');
+  await deployment.setAnswerLatencyMs(0);
+  const repeat = await deployment.send(home, key, 'after');
+  expect([repeat.outcome, repeat.code]).toEqual(['unknown', 'home-silent']);
+  expect(await deployment.runs('after')).toEqual(1);
+});
+
+// Guards against a dependency on the platform in the path of a request.
+test('a platform outage has no influence', TIMEOUT, async () => {
+  deployment.platform.process.child.kill('SIGKILL');
+  const key = await deployment.keyOf(home, witness, 'outage');
+  const first = await deployment.send(entry, key, 'outage');
+  const repeat = await deployment.send(witness, key, 'outage');
+  expect([first.outcome, repeat.outcome, repeat.repeated]).toEqual(['answered', 'answered', true]);
+  expect(await deployment.runs('outage')).toEqual(1);
+  for (const node of [home, witness, entry]) {
+    expect(await deployment.metric(node, 'hyssoppulley_invariant_violations_total{')).toEqual(0);
+  }
+});
--- a/playground/membership/cluster.ts
+++ b/playground/membership/cluster.ts
@@ -47,15 +47,19 @@
   return { name, address: `127.0.0.1:${node.callerPort}`, ...node };
 };
 
-/** Applies tables that send every request to one pool of plain services. */
+/** Applies tables that send every request to one pool of plain services, after the routes given. */
 export const applyServiceTables = async (
   group: ProcessGroup,
   node: ClusterNode,
   workers: readonly { name: string; address: string }[],
+  firstRoutes: readonly Record<string, unknown>[] = [],
 ): Promise<void> => {
   const pool = { name: 'intake', protocol: 'plain-service', workers };
   const tables = {
-    routes: [{ name: 'all', match: { pathPrefix: '/' }, pool: 'intake', timeoutMs: 20_000 }],
+    routes: [
+      ...firstRoutes,
+      { name: 'all', match: { pathPrefix: '/' }, pool: 'intake', timeoutMs: 20_000 },
+    ],
     pools: [pool],
   };
   const file = path.join(await group.folder(), 'tables.yaml');
--- a/playground/standIns/service.ts
+++ b/playground/standIns/service.ts
@@ -1,13 +1,21 @@
 import { pathToFileURL } from 'node:url';
-import { runStandInProcess, sendJson, startStandIn, type StandInHandler } from './standInServer.ts';
+import {
+  type Faults,
+  runStandInProcess,
+  sendJson,
+  sleepMs,
+  startStandIn,
+  type StandInHandler,
+} from './standInServer.ts';
 
 /**
  * Stand-in of a plain service. Every request is counted by its header `x-run-id`, so that a test sees what ran twice.
- * `GET /control/runs` answers the counts.
+ * `GET /control/runs` answers the counts. Further fault: `answerLatencyMs`, added after the run is counted.
  */
 export const startService = async (port = 0) => {
   const runs: Record<string, number> = {};
-  const handler: StandInHandler = (request, response) => {
+  const faults: Faults = {};
+  const handler: StandInHandler = async (request, response) => {
     const { pathname } = request.url;
     if (pathname === '/control/runs') {
       sendJson(response, 200, runs);
@@ -19,9 +27,10 @@
     }
     const runId = String(request.headers['x-run-id'] ?? '');
     if (runId) runs[runId] = (runs[runId] ?? 0) + 1;
+    if (faults.answerLatencyMs) await sleepMs(Number(faults.answerLatencyMs));
     sendJson(response, 200, { runId, path: pathname, bytes: request.body.length });
   };
-  return startStandIn(handler, {}, port);
+  return startStandIn(handler, faults, port);
 };
 
 if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) {
--- a/src/node/keyed/homeClient.ts
+++ b/src/node/keyed/homeClient.ts
@@ -91,8 +91,6 @@
     home: NodeIdentity,
     { method, pathAndQuery, headers, body }: KeyedRequest,
   ): http.RequestOptions {
-    const passedOn = forwardHeaders(headers);
-    delete passedOn.expect;
     return {
       host: home.host,
       port: home.peerPort,
@@ -100,7 +98,7 @@
       path: `${FORWARD_PREFIX}${KEYED_FORWARD_PATH}${pathAndQuery}`,
       agent: this.#agent,
       headers: {
-        ...passedOn,
+        ...forwardHeaders(headers),
         [HOP_HEADER]: '1',
         'content-length': body.length,
       },
--- a/src/node/keyed/keyedRequests.ts
+++ b/src/node/keyed/keyedRequests.ts
@@ -4,7 +4,7 @@
 import type { PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
 import { newId, type Random } from '../../shared/random.ts';
-import { IDEMPOTENCY_KEY_HEADER } from '../constants.ts';
+import { IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER } from '../constants.ts';
 import type { AdmissionController } from '../dataPath/admissionController.ts';
 import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
 import { headerOf, type RequestHandler } from '../dataPath/httpServer.ts';
@@ -274,7 +274,11 @@
     if (answer.status === 'answered') {
       const headers = forwardHeaders(answer.headers);
       delete headers[HOME_HEADER];
-      response.writeHead(answer.statusCode, headers);
+      const outcome = answer.headers[OUTCOME_HEADER];
+      // Not passed on in general; here the home, and no worker, said it.
+      if (outcome !== undefined) headers[OUTCOME_HEADER] = outcome;
+      response.statusCode = answer.statusCode;
+      response.setHeaders(new Map(Object.entries(headers) as [string, string | string[]][]));
       response.end(answer.body);
       return;
     }
--- a/src/node/keyed/keyedRuns.ts
+++ b/src/node/keyed/keyedRuns.ts
@@ -74,11 +74,10 @@
   choose(choice: { readonly exclude: ReadonlySet<string> }): WorkerEndpoint | undefined;
 }
 
-/** Headers for the worker. The body is sent whole, so the caller's `expect` does not apply. */
 const workerHeaders = ({ headers, key }: KeyedRequest) =>
   Object.fromEntries(
     Object.entries({ ...forwardHeaders(headers), [IDEMPOTENCY_KEY_HEADER]: key.text }).filter(
-      ([name]) => name !== HOP_HEADER && name !== 'expect',
+      ([name]) => name !== HOP_HEADER,
     ),
   );
 
