test(data-path): prove the caller path against failing workers

Found by the tests and fixed: modern-errors merges a cause into the message, so that a refused upload was reported as 502 and inner messages reached callers; the error of an aborted upload was not handled by anyone after the request had failed.

Proved: late attempts, truncated answers and uploads, oversized bodies, malformed requests, amplification (300 requests on failing workers, at most 300 * 1.1 + 10 arrivals), overload, slow readers, exact resumption with the naive variant shown to fail, silent connections, route timeouts.

--- /dev/null
+++ b/src/node/dataPath/__tests__/generationPath.test.ts
@@ -0,0 +1,221 @@
+import http from 'node:http';
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { startEngine } from '../../../../playground/standIns/engine.ts';
+import type { JoinStreams } from '../generationHandler.ts';
+import { Closer, tablesOf } from './pathHarness.ts';
+
+interface Chunk {
+  token_ids?: number[];
+  position: number;
+  choices: { text: string; finish_reason: string | null }[];
+  error?: { code: string };
+}
+
+const engines = async (closer: Closer, count: number) => {
+  const started = await Promise.all(Array.from({ length: count }, () => startEngine()));
+  for (const { server } of started) closer.add(server);
+  return started;
+};
+
+const post = (base: string, body: unknown) =>
+  fetch(`${base}/v1/completions`, { method: 'POST', body: JSON.stringify(body) });
+
+const readEvents = (text: string): Chunk[] =>
+  text
+    .split('\n')
+    .filter((line) => line.startsWith('data: {'))
+    .map((line) => JSON.parse(line.slice(6)) as Chunk);
+
+const tokensOf = (events: readonly Chunk[]) => events.flatMap((event) => event.token_ids ?? []);
+
+const request = { prompt: 'smell of gas', max_tokens: 24, stream: true };
+
+const addressesOf = (started: readonly { address: string }[]) =>
+  started.map(({ address }) => address);
+
+/** Tokens of the request from an engine that does not fail. */
+const expectedTokens = async (closer: Closer): Promise<number[]> => {
+  const [engine] = await engines(closer, 1);
+  const { base } = await closer.path(tablesOf('model-engine', [engine?.address ?? '']));
+  return tokensOf(readEvents(await (await post(base, request)).text()));
+};
+
+/** Passes requests on to an engine without their `resume` field. */
+const startOver = (closer: Closer, address: string): Promise<string> =>
+  closer.worker(async (incoming, response) => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of incoming as AsyncIterable<Buffer>) chunks.push(chunk);
+    const outgoing = http.request(
+      `http://${address}${incoming.url}`,
+      { method: incoming.method },
+      (answer) => {
+        response.writeHead(answer.statusCode ?? 500);
+        answer.pipe(response);
+      },
+    );
+    const body = Buffer.concat(chunks).toString();
+    if (body === '') outgoing.end();
+    else outgoing.end(JSON.stringify({ ...(JSON.parse(body) as object), resume: undefined }));
+  });
+
+/** Streams through engines that crash after 5 tokens of each stream. */
+const streamThroughCrashes = async (
+  closer: Closer,
+  { ignoreResume = false, joinStreams }: { ignoreResume?: boolean; joinStreams?: JoinStreams },
+) => {
+  const started = await engines(closer, 3);
+  for (const { faults } of started) faults.crashAfterTokens = ignoreResume ? 15 : 5;
+  let addresses = addressesOf(started);
+  if (ignoreResume) {
+    // The second and third engine start over at position 0, as an engine that does not know `resume` does.
+    addresses = await Promise.all(
+      addresses.map((address, index) => (index === 0 ? address : startOver(closer, address))),
+    );
+    for (const { faults } of started.slice(1)) delete faults.crashAfterTokens;
+  }
+  const { base, metrics } = await closer.path(
+    tablesOf('model-engine', addresses, { route: ', retryBudgetFraction: 1' }),
+    { joinStreams, selectWorker: (candidates) => candidates[0] },
+  );
+  const text = await (await post(base, request)).text();
+  return { text, events: readEvents(text), metrics };
+};
+
+// Guards against lost or doubled tokens when engines crash in the middle of a stream.
+test('a stream goes on exactly after crashes of engines', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  const expected = await expectedTokens(closer);
+  const { events, text, metrics } = await streamThroughCrashes(closer, {});
+  expect(tokensOf(events)).toEqual(expected);
+  expect(events.map((event) => event.position)).toEqual(expected.map((_, index) => index));
+  expect(events.at(-1)?.choices[0]?.finish_reason).toEqual('length');
+  expect(text.endsWith('data: [DONE]\n\n')).toEqual(true);
+  const attempts = await metrics.attempts.get();
+  expect(attempts.values.map(({ labels, value }) => [labels.kind, value])).toEqual([
+    ['first', 1],
+    ['resume', 4],
+  ]);
+});
+
+// Guards against doubled tokens from an engine that starts over. Without the check they reach the caller, which shows
+// that the test above sees the difference.
+test('an engine that starts over doubles no token', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  const expected = await expectedTokens(closer);
+  const checked = await streamThroughCrashes(closer, { ignoreResume: true });
+  expect(tokensOf(checked.events)).toEqual(expected);
+  const naive: JoinStreams = () => {
+    const delivered: number[] = [];
+    return {
+      delivered,
+      isComplete: false,
+      accept: ({ tokenIds }) => delivered.push(...tokenIds) > 0,
+    };
+  };
+  const unchecked = await streamThroughCrashes(closer, { ignoreResume: true, joinStreams: naive });
+  expect(tokensOf(unchecked.events)).not.toEqual(expected);
+});
+
+// Guards against a stream that cannot go on and looks as if it had ended.
+test('a stream that cannot go on ends with an error event', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  const started = await engines(closer, 2);
+  for (const { faults } of started) faults.crashAfterTokens = 5;
+  const { base } = await closer.path(
+    tablesOf('model-engine', addressesOf(started), { route: ', retryBudgetFraction: 0' }),
+  );
+  const text = await (await post(base, request)).text();
+  const events = readEvents(text);
+  expect(tokensOf(events).length).toEqual(5);
+  expect(events.at(-1)?.error?.code).toEqual('worker-failed');
+  expect(text.includes('[DONE]')).toEqual(false);
+});
+
+// Guards against an unstreamed answer that fails although another engine could finish it.
+test('an unstreamed generation survives crashes too', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  const expected = await expectedTokens(closer);
+  const started = await engines(closer, 2);
+  for (const { faults } of started) faults.crashAfterTokens = 10;
+  const { base } = await closer.path(tablesOf('model-engine', addressesOf(started)));
+  const response = await post(base, { ...request, stream: false });
+  const answer = (await response.json()) as Chunk & {
+    token_versions: number[];
+    usage: { completion_tokens: number };
+  };
+  expect(answer.token_ids).toEqual(expected);
+  expect(answer.token_versions).toEqual(expected.map(() => 1));
+  expect(answer.usage.completion_tokens).toEqual(24);
+  expect(answer.choices[0]?.finish_reason).toEqual('length');
+});
+
+// Guards against a silent engine that holds a stream until the route's timeout.
+test('a stream on a silent connection goes on elsewhere', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  const expected = await expectedTokens(closer);
+  const [good] = await engines(closer, 1);
+  let first = true;
+  const silent = await closer.worker((incoming, response) => {
+    if (incoming.url === '/v1/streams') response.end('{"streams":[]}');
+    else if (incoming.url === '/v1/completions' && first) {
+      first = false;
+      const chunk = {
+        choices: [{ text: ` t${expected[0]}` }],
+        token_ids: [expected[0]],
+        weight_version: 1,
+        position: 0,
+      };
+      response.write(`data: ${JSON.stringify(chunk)}\n\n`);
+    }
+  });
+  const { base } = await closer.path(tablesOf('model-engine', [silent, good?.address ?? '']), {
+    streamIdleMs: 50,
+    selectWorker: (candidates) => candidates[0],
+  });
+  const events = readEvents(await (await post(base, request)).text());
+  expect(tokensOf(events)).toEqual(expected);
+});
+
+// Guards against generations that go on after their caller has gone.
+test('a caller that goes away ends its generation', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  const [engine] = await engines(closer, 1);
+  if (engine) engine.faults.tokenIntervalMs = 5;
+  const { base, dataPath } = await closer.path(tablesOf('model-engine', [engine?.address ?? '']));
+  const abort = new AbortController();
+  const response = await fetch(`${base}/v1/completions`, {
+    method: 'POST',
+    body: JSON.stringify({ ...request, max_tokens: 500 }),
+    signal: abort.signal,
+  });
+  await response.body?.getReader().read();
+  abort.abort();
+  const worker = { name: 'e', address: engine?.address ?? '', availabilityZone: '' };
+  while ((await dataPath.engines.streams(worker)).length > 0);
+  while (dataPath.admission.total > 0) await new Promise(setImmediate);
+});
+
+// Guards against a route timeout that leaves a stream open or ends it as if it were whole.
+test('the route timeout ends a stream with an error event', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  const [engine] = await engines(closer, 1);
+  if (engine) engine.faults.tokenIntervalMs = 5;
+  const { base } = await closer.path(
+    tablesOf('model-engine', [engine?.address ?? ''], { route: ', timeoutMs: 200' }),
+  );
+  const text = await (await post(base, { ...request, max_tokens: 500 })).text();
+  expect(readEvents(text).at(-1)?.error?.code).toEqual('route-timeout');
+});
+
+// Guards against invalid input that reaches an engine.
+test('invalid completion requests are refused', async () => {
+  await using closer = new Closer();
+  const [engine] = await engines(closer, 1);
+  const { base } = await closer.path(tablesOf('model-engine', [engine?.address ?? '']));
+  for (const body of [[], {}, { prompt: 'x', max_tokens: -1 }, { prompt: 'x', stream: 'yes' }]) {
+    const response = await post(base, body);
+    expect(response.status).toEqual(400);
+    expect(response.headers.get('x-hyssoppulley-outcome')).toEqual('not-run');
+  }
+});
--- /dev/null
+++ b/src/node/dataPath/__tests__/servicePath.test.ts
@@ -0,0 +1,322 @@
+import { createHash, randomBytes } from 'node:crypto';
+import { once } from 'node:events';
+import http from 'node:http';
+import net from 'node:net';
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { Closer, refusingAddress, sendRaw, tablesOf } from './pathHarness.ts';
+
+const digest = (bytes: Buffer) => createHash('sha256').update(bytes).digest('hex');
+
+const readAll = async (stream: AsyncIterable<Buffer>): Promise<Buffer> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of stream) chunks.push(chunk);
+  return Buffer.concat(chunks);
+};
+
+// Guards against changed, lost or added bytes, headers and statuses on the way through.
+test('any method, body and header passes through both ways', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  const address = await closer.worker((request, response) => {
+    response.writeHead(request.method === 'PUT' ? 201 : 200, {
+      'x-seen': `${request.method} ${request.url} ${String(request.headers['x-from'])}`,
+      'set-cookie': ['a=1', 'b=2'],
+      'x-hyssoppulley-outcome': 'unknown',
+    });
+    request.pipe(response);
+  });
+  const { base } = await closer.path(
+    tablesOf('plain-service', [address], { pool: 'maxBodyBytes: 8000000' }),
+  );
+  for (const size of [0, 10, 65_536, 65_537, 3_000_000]) {
+    const body = randomBytes(size);
+    const response = await fetch(`${base}/x/y?q=1`, {
+      method: 'PUT',
+      body,
+      headers: { 'x-from': 'intake' },
+    });
+    expect(response.status).toEqual(201);
+    expect(response.headers.get('x-seen')).toEqual('PUT /x/y?q=1 intake');
+    expect(response.headers.getSetCookie()).toEqual(['a=1', 'b=2']);
+    expect(response.headers.has('x-hyssoppulley-outcome')).toEqual(false);
+    expect(digest(Buffer.from(await response.arrayBuffer()))).toEqual(digest(body));
+  }
+  const head = await fetch(`${base}/`, { method: 'HEAD' });
+  expect(head.status).toEqual(200);
+});
+
+// Guards against a part of an answer that the caller takes for the whole one.
+test('a truncated answer is visible to the caller', { timeout: 20_000 }, async () => {
+  for (const head of [
+    'content-length: 9\r\n\r\nshort',
+    'transfer-encoding: chunked\r\n\r\n5\r\nshort\r\n',
+  ]) {
+    await using closer = new Closer();
+    const server = closer.add(
+      net.createServer((socket) => {
+        socket.on('error', () => {});
+        socket.once('data', () => socket.end(`HTTP/1.1 200 OK\r\n${head}`));
+      }),
+    );
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as net.AddressInfo;
+    const { base } = await closer.path(tablesOf('plain-service', [`127.0.0.1:${port}`]));
+    const response = await fetch(`${base}/`);
+    expect(response.status).toEqual(200);
+    await expect(response.text()).toBeRejected();
+  }
+});
+
+// Guards against bodies over the limit that are passed on or fill the memory.
+test('an oversized body is refused, declared or not', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  let whole = 0;
+  const address = await closer.worker((request, response) => {
+    request.on('error', () => {});
+    request.resume().on('end', () => {
+      whole += 1;
+      response.end();
+    });
+  });
+  const { base, port } = await closer.path(
+    tablesOf('plain-service', [address], { pool: 'maxBodyBytes: 200000' }),
+  );
+  const declared = await fetch(`${base}/`, { method: 'POST', body: randomBytes(200_001) });
+  expect(declared.status).toEqual(413);
+  expect(declared.headers.get('x-hyssoppulley-outcome')).toEqual('not-run');
+  const chunk = `8000\r\n${'x'.repeat(0x8000)}\r\n`;
+  const undeclared = await sendRaw(
+    port,
+    `POST / HTTP/1.1\r\nhost: n\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n${chunk.repeat(7)}0\r\n\r\n`,
+  );
+  expect(undeclared.startsWith('HTTP/1.1 413')).toEqual(true);
+  expect(whole).toEqual(0);
+});
+
+// Guards against malformed input that reaches a worker or ends the node.
+test('malformed requests are answered as problems', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  let seen = 0;
+  const address = await closer.worker((_, response) => {
+    seen += 1;
+    response.end();
+  });
+  const { port } = await closer.path(tablesOf('plain-service', [address]));
+  const cases = {
+    'GET / HTTP/1.1\r\nhost: n\r\nbad header: x\r\n\r\n': 400,
+    'nonsense\r\n\r\n': 400,
+    'POST / HTTP/1.1\r\nhost: n\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n': 400,
+    'POST / HTTP/1.1\r\nhost: n\r\ncontent-length: x\r\n\r\n': 400,
+    [`GET / HTTP/1.1\r\nhost: n\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`]: 431,
+  };
+  for (const [bytes, status] of Object.entries(cases)) {
+    const received = await sendRaw(port, bytes);
+    expect(received.startsWith(`HTTP/1.1 ${status} `)).toEqual(true);
+    expect(received.includes('x-hyssoppulley-outcome: not-run')).toEqual(true);
+  }
+  expect(seen).toEqual(0);
+});
+
+// Guards against a part of an upload that a worker takes for the whole one.
+test('a truncated upload is never a whole one for the worker', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  let whole = 0;
+  let cutOff: () => void = () => {};
+  const wasCutOff = new Promise<void>((resolve) => {
+    cutOff = resolve;
+  });
+  const address = await closer.worker((request, response) => {
+    request.on('error', () => cutOff());
+    request.resume().on('end', () => {
+      whole += 1;
+      response.end();
+    });
+  });
+  const { port } = await closer.path(tablesOf('plain-service', [address]));
+  const upload = async (declared: number, sent: number) => {
+    const socket = net.connect(port, '127.0.0.1');
+    socket.on('error', () => {});
+    socket.end(
+      `POST / HTTP/1.1\r\nhost: n\r\ncontent-length: ${declared}\r\n\r\n${'x'.repeat(sent)}`,
+    );
+    socket.resume();
+    await once(socket, 'close');
+  };
+  await upload(100, 50);
+  await upload(500_000, 200_000);
+  await wasCutOff;
+  expect(whole).toEqual(0);
+});
+
+// Guards against two attempts whose bytes mix, and against a refused connection that fails a request.
+test('bytes of an abandoned attempt never reach the caller', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  const late: http.ServerResponse[] = [];
+  const silent = closer.add(
+    http.createServer((request, response) => {
+      // Probes fail too, at once so that the test is quick.
+      if (request.url === '/load') request.socket.destroy();
+      else late.push(response);
+    }),
+  );
+  silent.listen(0, '127.0.0.1');
+  await once(silent, 'listening');
+  const { port } = silent.address() as net.AddressInfo;
+  const good = await closer.worker((_, response) => {
+    for (const abandoned of late) abandoned.end('late');
+    response.write('go');
+    setImmediate(() => response.end('od'));
+  });
+  const { base } = await closer.path(
+    tablesOf('plain-service', [`127.0.0.1:${port}`, good, await refusingAddress()], {
+      route: ', retryBudgetFraction: 1',
+    }),
+    { streamIdleMs: 50 },
+  );
+  for (let run = 0; run < 8; run += 1) {
+    const response = await fetch(`${base}/`);
+    expect(await response.text()).toEqual('good');
+  }
+  expect(late.length > 0).toEqual(true);
+});
+
+// Guards against retries that multiply the load on a pool whose workers all fail.
+test('retry amplification stays within 1 + fraction + burst', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  let arrived = 0;
+  const fail: http.RequestListener = (request) => {
+    arrived += 1;
+    request.socket.destroy();
+  };
+  const addresses = [await closer.worker(fail), await closer.worker(fail)];
+  const { base } = await closer.path(tablesOf('plain-service', addresses));
+  const count = 300;
+  for (let run = 0; run < count; run += 10) {
+    const batch = await Promise.all(
+      Array.from({ length: 10 }, () => fetch(`${base}/`, { method: 'POST', body: 'x' })),
+    );
+    for (const response of batch) {
+      expect(response.status).toEqual(502);
+      expect(response.headers.get('x-hyssoppulley-outcome')).toEqual('failed');
+    }
+  }
+  expect(arrived >= count).toEqual(true);
+  expect(arrived <= count * 1.1 + 10).toEqual(true);
+});
+
+// Guards against "failed" where nothing can have run, which callers of other systems may not repeat.
+test('unreachable workers are reported as not-run', async () => {
+  await using closer = new Closer();
+  const { base } = await closer.path(tablesOf('plain-service', [await refusingAddress()]));
+  const response = await fetch(`${base}/`);
+  const problem = (await response.json()) as Record<string, unknown>;
+  expect(response.headers.get('content-type')).toEqual('application/problem+json');
+  expect(problem).toLooseEqual({
+    type: 'urn:hyssoppulley:problem:no-worker',
+    title: 'no-worker',
+    status: 503,
+    detail: 'pool p has no worker that takes requests',
+    outcome: 'not-run',
+    retryAfterMs: 1000,
+    error: {
+      message: 'pool p has no worker that takes requests',
+      type: 'not-run',
+      code: 'no-worker',
+    },
+  });
+});
+
+// Guards against requests that wait until they time out, and against more work on a worker than it may get.
+test('overload is refused early and bounded at the worker', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  const running: http.ServerResponse[] = [];
+  let most = 0;
+  const address = await closer.worker((_, response) => {
+    running.push(response);
+    most = Math.max(most, running.length);
+  });
+  const { base, dataPath } = await closer.path(
+    tablesOf('plain-service', [address], { pool: 'maxConcurrentPerWorker: 4\n    maxQueued: 4' }),
+  );
+  const statuses: Record<number, number> = {};
+  const all = Array.from({ length: 24 }, async () => {
+    const response = await fetch(`${base}/`);
+    statuses[response.status] = (statuses[response.status] ?? 0) + 1;
+    if (response.status === 503) {
+      expect(response.headers.get('x-hyssoppulley-outcome')).toEqual('not-run');
+      expect(Number(response.headers.get('retry-after')) >= 1).toEqual(true);
+    }
+  });
+  while ((statuses[503] ?? 0) < 16) await new Promise(setImmediate);
+  expect(dataPath.admission.total).toEqual(8);
+  while ((statuses[200] ?? 0) < 8) {
+    running.pop()?.end();
+    await new Promise(setImmediate);
+  }
+  await Promise.all(all);
+  expect(statuses).toEqual({ 200: 8, 503: 16 });
+  expect(most).toEqual(4);
+});
+
+// Guards against an answer that piles up in the node while its caller does not read.
+test(
+  'a slow reader stops the worker instead of filling the memory',
+  { timeout: 30_000 },
+  async () => {
+    await using closer = new Closer();
+    const total = 64 * 1024 * 1024;
+    let written = 0;
+    const address = await closer.worker(async (_, response) => {
+      const chunk = Buffer.alloc(64 * 1024, 'x');
+      while (written < total) {
+        written += chunk.length;
+        if (!response.write(chunk)) await once(response, 'drain');
+      }
+      response.end();
+    });
+    const { port } = await closer.path(tablesOf('plain-service', [address]));
+    const request = http.get({ port, host: '127.0.0.1' });
+    const [response] = (await once(request, 'response')) as [http.IncomingMessage];
+    // Long enough for a fast machine to send everything; a slow one can only make the check easier.
+    await new Promise((resolve) => {
+      setTimeout(resolve, 300);
+    });
+    // Buffers of two loopback connections take a few MiB each.
+    expect(written < total / 2).toEqual(true);
+    expect((await readAll(response)).length).toEqual(total);
+  },
+);
+
+// Guards against a trace that ends at the node.
+test('trace context is passed on', async () => {
+  await using closer = new Closer();
+  const address = await closer.worker((request, response) => {
+    response.end(request.headers.traceparent);
+  });
+  const { base } = await closer.path(tablesOf('plain-service', [address]));
+  const traceparent = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01';
+  const response = await fetch(`${base}/`, { headers: { traceparent } });
+  expect(await response.text()).toEqual(traceparent);
+});
+
+// Guards against requests that only a lease holder may send reaching an engine through a broad route.
+test('callers cannot reach the control paths of engines', async () => {
+  await using closer = new Closer();
+  let seen = 0;
+  const address = await closer.worker((_, response) => {
+    seen += 1;
+    response.end();
+  });
+  const { base } = await closer.path(tablesOf('model-engine', [address]));
+  for (const path of [
+    '/v1/orders',
+    '/v1/kv/import',
+    '/v1/streams/x',
+    '/v1//orders',
+    '/v1/%6frders',
+  ]) {
+    expect((await fetch(`${base}${path}`, { method: 'POST' })).status).toEqual(404);
+  }
+  expect(seen).toEqual(0);
+});
--- a/src/node/dataPath/failureOf.ts
+++ b/src/node/dataPath/failureOf.ts
@@ -1,4 +1,3 @@
-import { messageOf } from '../../shared/errors.ts';
 import { RequestError, requestError, type RequestFailure } from './problem.ts';
 import type { RequestContext } from './requestContext.ts';
 
@@ -9,29 +8,32 @@
 ): RequestFailure => {
   const outcome = mayHaveRun ? 'failed' : 'not-run';
   if (scope.endedBy === 'timeout') {
-    return requestError(
-      `the request took longer than the route's ${route.timeoutMs} ms`,
-      { outcome, statusCode: 504, code: 'route-timeout', retryAfterMs: 1000 },
-      error,
-    );
+    return requestError(`the request took longer than the route's ${route.timeoutMs} ms`, {
+      outcome,
+      statusCode: 504,
+      code: 'route-timeout',
+      retryAfterMs: 1000,
+    });
   }
   if (!(error instanceof RequestError)) {
-    return requestError(
-      messageOf(error),
-      { outcome, statusCode: 500, code: 'internal', retryAfterMs: 1000 },
-      error,
-    );
+    return requestError('internal error', {
+      outcome,
+      statusCode: 500,
+      code: 'internal',
+      retryAfterMs: 1000,
+    });
   }
   if (error.code === 'worker-failed' && !mayHaveRun) {
-    return requestError(
-      `no worker of pool ${route.pool} could be reached`,
-      { outcome, statusCode: 503, code: 'worker-unreachable', retryAfterMs: 1000 },
-      error,
-    );
+    return requestError(`no worker of pool ${route.pool} could be reached`, {
+      outcome,
+      statusCode: 503,
+      code: 'worker-unreachable',
+      retryAfterMs: 1000,
+    });
   }
   if (error.outcome === 'not-run' && mayHaveRun) {
     const { statusCode, code, retryAfterMs } = error;
-    return requestError(error.message, { outcome, statusCode, code, retryAfterMs }, error);
+    return requestError(error.message, { outcome, statusCode, code, retryAfterMs });
   }
   return error;
 };
--- a/src/node/dataPath/generationHandler.ts
+++ b/src/node/dataPath/generationHandler.ts
@@ -66,14 +66,14 @@
         code: statusCode < 500 ? 'engine-rejected' : 'worker-failed',
         retryAfterMs: statusCode < 500 ? undefined : 1000,
       },
-      error,
     );
   }
-  return requestError(
-    `an engine of pool ${pool} failed and the generation was not continued`,
-    { outcome: 'failed', statusCode: 502, code: 'worker-failed', retryAfterMs: 1000 },
-    error,
-  );
+  return requestError(`an engine of pool ${pool} failed and the generation was not continued`, {
+    outcome: 'failed',
+    statusCode: 502,
+    code: 'worker-failed',
+    retryAfterMs: 1000,
+  });
 };
 
 /** Passes on what a chunk adds. */
--- a/src/node/dataPath/requestBody.ts
+++ b/src/node/dataPath/requestBody.ts
@@ -46,12 +46,12 @@
   }
 }
 
-const truncated = (error: unknown) =>
-  requestError(
-    'the upload broke off',
-    { outcome: 'not-run', statusCode: 400, code: 'truncated-request' },
-    error,
-  );
+const truncated = () =>
+  requestError('the upload broke off', {
+    outcome: 'not-run',
+    statusCode: 400,
+    code: 'truncated-request',
+  });
 
 async function* withHead(
   head: readonly Buffer[],
@@ -82,7 +82,7 @@
   let sizeBytes = 0;
   while (sizeBytes <= bufferBytes) {
     const next = await chunks.next().catch((error: unknown) => {
-      throw request.errored ? truncated(error) : error;
+      throw request.errored ? truncated() : error;
     });
     if (next.done) return { kind: 'buffered', bytes: Buffer.concat(head) };
     head.push(next.value);
--- a/src/node/dataPath/requestRouter.ts
+++ b/src/node/dataPath/requestRouter.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Priority, Protocol } from '../../gen/hyssoppulley/v1/tables_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
 import { newId, type Random } from '../../shared/random.ts';
 import { CALLER_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER } from '../constants.ts';
 import { AdmissionError } from '../decisions/admission.ts';
@@ -54,11 +55,12 @@
   if (!(error instanceof AdmissionError)) return error;
   const { code, retryAfterMs } = error;
   const isCallerLimit = code.startsWith('caller-') && code !== 'caller-gone';
-  return requestError(
-    error.message,
-    { outcome: 'not-run', statusCode: isCallerLimit ? 429 : 503, code, retryAfterMs },
-    error,
-  );
+  return requestError(error.message, {
+    outcome: 'not-run',
+    statusCode: isCallerLimit ? 429 : 503,
+    code,
+    retryAfterMs,
+  });
 };
 
 /** Sends callers' requests to workers of the pool that their route names. */
@@ -172,6 +174,9 @@
       return 'answered';
     } catch (error) {
       const failed = context ?? { scope, mayHaveRun: false, route };
+      if (!(error instanceof RequestError) && scope.endedBy === undefined) {
+        this.#options.logger.error('request-error', { requestId: id, message: messageOf(error) });
+      }
       return this.#answerFailure(id, route, response, failureOf(error, failed), scope);
     }
   }
--- a/src/node/dataPath/serviceHandler.ts
+++ b/src/node/dataPath/serviceHandler.ts
@@ -5,7 +5,7 @@
 import type { WorkerEndpoint } from '../membership/membershipView.ts';
 import { type StartedAttempt, beginAttempt, mayTryAgain, recordFailedAttempt } from './attempts.ts';
 import { forwardHeaders } from './forwardHeaders.ts';
-import { RequestError, requestError } from './problem.ts';
+import { RequestError, requestError, type RequestFailure } from './problem.ts';
 import type { RequestBody } from './requestBody.ts';
 import type { HandlerServices, RequestContext } from './requestContext.ts';
 import { watchedChunks } from './watchedChunks.ts';
@@ -32,20 +32,19 @@
 /** Answers by which a worker says that it did not take the request. */
 const UNAVAILABLE_STATUS = new Set([429, 502, 503]);
 
-const failed = (message: string, cause?: unknown) =>
-  requestError(
-    message,
-    { outcome: 'failed', statusCode: 502, code: 'worker-failed', retryAfterMs: 1000 },
-    cause,
-  );
+const failed = (message: string) =>
+  requestError(message, {
+    outcome: 'failed',
+    statusCode: 502,
+    code: 'worker-failed',
+    retryAfterMs: 1000,
+  });
 
 /** The refusal that ended the upload and with it the attempt, if that was the cause. */
-const refusalIn = (error: unknown): InstanceType<typeof RequestError> | undefined => {
-  for (let cause = error; cause instanceof Error; cause = cause.cause) {
-    if (cause instanceof RequestError) return cause;
-  }
-  return undefined;
-};
+const refusalIn = (body: RequestBody): RequestFailure | undefined =>
+  body.kind === 'streamed' && body.stream.errored instanceof RequestError
+    ? body.stream.errored
+    : undefined;
 
 /** The answer's head goes out with its first bytes, so that a worker that fails before them can be replaced. */
 const relay = async (
@@ -140,7 +139,7 @@
       abort.abort();
       this.#failed(context, started, error, silent);
       if (context.scope.endedBy === undefined && mayRetry()) return false;
-      throw refusalIn(error) ?? failed(`a worker of pool ${context.pool.name} failed`, error);
+      throw refusalIn(body) ?? failed(`a worker of pool ${context.pool.name} failed`);
     } finally {
       context.scope.signal.removeEventListener('abort', forwardAbort);
     }
--- a/src/node/dataPath/workerHttp.ts
+++ b/src/node/dataPath/workerHttp.ts
@@ -24,7 +24,7 @@
   /** Path with query. */
   readonly path: string;
   readonly headers?: OutgoingHttpHeaders;
-  /** A stream is piped with back-pressure; the caller of `send` watches it for errors. */
+  /** A stream is piped with back-pressure; its failure fails the request. */
   readonly body?: Buffer | string | Readable;
   /**
    * Opens a new connection instead of using a kept one.
@@ -122,6 +122,7 @@
       if (body === undefined || typeof body === 'string' || Buffer.isBuffer(body)) {
         request.end(body);
       } else {
+        body.on('error', (error) => request.destroy(error));
         body.pipe(request);
       }
     });
