feat(data-path): poll workers that left and report their states to membership

A worker that reported that it is leaving or failed was taken out of the membership's list and so was never polled again; its return would not have been seen. Workers in the tables are polled in any case, and changed states and refused connections are reported to the membership.

--- a/src/node/dataPath/dataPath.ts
+++ b/src/node/dataPath/dataPath.ts
@@ -3,7 +3,12 @@
 import type { Random } from '../../shared/random.ts';
 import { InFlightCounts } from '../decisions/inFlightCounts.ts';
 import { selectWorkerByDefault, type WorkerSelector } from '../decisions/workerSelection.ts';
-import type { MembershipView, TablesView, WorkerEndpoint } from '../membership/membershipView.ts';
+import type {
+  MembershipView,
+  TablesView,
+  WorkerEndpoint,
+  WorkerReports,
+} from '../membership/membershipView.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
 import { noTracing, type Tracing } from '../observability/tracing.ts';
@@ -38,8 +43,8 @@
   readonly handleNonIdempotent?: NonIdempotentHandler;
   /** See `GenerationHandlerOptions`. */
   readonly joinStreams?: JoinStreams;
-  /** Told when a worker reports that it is leaving. */
-  readonly onWorkerLeaving?: (worker: WorkerEndpoint) => void;
+  /** See `WorkerLoadsOptions`. */
+  readonly workerReports?: WorkerReports;
 }
 
 /** Everything between callers and workers on one node. */
@@ -65,7 +70,6 @@
     inFlight,
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
     onReport: (pool) => admission.poolChanged(pool),
-    onLeaving: options.onWorkerLeaving,
   });
   const admission = new AdmissionController({
     ...options,
--- a/src/node/dataPath/workerLoads.ts
+++ b/src/node/dataPath/workerLoads.ts
@@ -2,7 +2,12 @@
 import type { Clock } from '../../shared/clock.ts';
 import type { Random } from '../../shared/random.ts';
 import type { InFlightCounts } from '../decisions/inFlightCounts.ts';
-import type { MembershipView, TablesView, WorkerEndpoint } from '../membership/membershipView.ts';
+import type {
+  MembershipView,
+  TablesView,
+  WorkerEndpoint,
+  WorkerReports,
+} from '../membership/membershipView.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { ResolvedPool } from '../tables/resolveTables.ts';
 import type { EngineApi } from './engineApi.ts';
@@ -36,11 +41,11 @@
   /** Told after each report that may change how many requests a pool can take. */
   readonly onReport: (poolName: string) => void;
   /**
-   * Told when a worker reports that it is leaving.
+   * Told of changed worker states and of refused connections.
    *
-   * @default nothing
+   * @default nobody
    */
-  readonly onLeaving?: (worker: WorkerEndpoint) => void;
+  readonly workerReports?: WorkerReports;
 }
 
 interface Report {
@@ -63,6 +68,13 @@
   report.failedPolls < MAX_FAILED_POLLS &&
   report.refusedUntilMs <= nowMs;
 
+/** Workers that get no work now are polled too, because only their report shows that they are back. */
+const workersToPoll = (pool: ResolvedPool, membership: MembershipView): WorkerEndpoint[] => {
+  const usable = membership.workersOf(pool.name);
+  const addresses = new Set(usable.map(({ address }) => address));
+  return [...usable, ...pool.workers.filter(({ address }) => !addresses.has(address))];
+};
+
 /** Load reports of all workers, read in a jittered loop. Reports lag; the node's own counts fill the gap. */
 export class WorkerLoads implements Disposable {
   readonly #options: WorkerLoadsOptions;
@@ -99,6 +111,7 @@
     const report = this.#reports.get(address) ?? newReport();
     report.refusedUntilMs = this.#options.clock.monotonicMs() + REFUSED_MS;
     this.#reports.set(address, report);
+    this.#options.workerReports?.reportWorkerFailure(address, 'refused');
   }
 
   /** Reads the load of one worker now. */
@@ -113,7 +126,9 @@
     try {
       const { state, busy } = await this.#read(pool, worker);
       const peak = this.#options.inFlight.takePeak(worker.address);
-      if (state === 'leaving' && report.state !== state) this.#options.onLeaving?.(worker);
+      if (known === undefined || report.state !== state) {
+        this.#options.workerReports?.reportWorkerState(worker.address, state);
+      }
       report.others = busy === undefined ? undefined : Math.max(0, busy - peak);
       report.state = state;
       report.failedPolls = 0;
@@ -152,7 +167,7 @@
     const { tables, membership } = this.#options;
     const pools = [...(tables.current()?.pools.values() ?? [])];
     const work = pools.flatMap((pool) =>
-      membership.workersOf(pool.name).map((worker) => ({ pool, worker })),
+      workersToPoll(pool, membership).map((worker) => ({ pool, worker })),
     );
     const listed = new Set(work.map(({ worker }) => worker.address));
     this.#reports = new Map([...this.#reports].filter(([address]) => listed.has(address)));
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -114,7 +114,7 @@
       ...{ clock, random, logger, metrics, tracing, membership, tables: configuration },
       maxConcurrent: settings.limits.maxConcurrent,
       streamIdleMs: timing.streamIdleMs,
-      onWorkerLeaving: ({ address }) => membership.reportWorkerState(address, 'leaving'),
+      workerReports: membership,
       // eslint-disable-next-line @typescript-eslint/no-use-before-define
       handleNonIdempotent: (...request) => keyed.handle(...request),
     }),
