--- a/src/node/decisions/__tests__/weightRollout.test.ts
+++ b/src/node/decisions/__tests__/weightRollout.test.ts
@@ -32,7 +32,8 @@
   let mostLoading = 0;
   let nowMs = 0;
   for (; nowMs < 600_000 && (nowMs === 0 || !rollout.settled); nowMs += STEP_MS) {
-    const workers = names.map((name) => report(name, nowMs));
+    const atMs = nowMs;
+    const workers = names.map((name) => report(name, atMs));
     mostLoading = Math.max(mostLoading, workers.filter(({ state }) => state === 'loading').length);
     for (const { name } of rollout.next(2, workers, nowMs)) readyAtMs.set(name, nowMs + LOAD_MS);
   }
