--- a/playground/demo/demo.ts
+++ b/playground/demo/demo.ts
@@ -115,6 +115,7 @@
   reports: readonly CallReport[],
 ) => {
   const runs = await deployment.serviceRuns();
+  const loadStartMs = Math.min(...reports.map(({ startMs }) => startMs));
   const once = new Set(kinds.filter((kind) => !kind.idempotent).map(({ name }) => name));
   const keyed = reports.filter(({ kind }) => once.has(kind));
   const twice = keyed.filter(({ runId }) => (runs.get(runId) ?? 0) > 1).length;
@@ -128,8 +129,10 @@
     ({ runId, result }) => result === 'answered' && (runs.get(runId) ?? 0) === 0,
   ).length;
   say(`${deployment.name}: ${JSON.stringify(summarise(reports))}`);
-  for (const report of reports.filter(({ result }) => result !== 'answered').slice(0, 5)) {
-    say(`${deployment.name}: ${report.kind} ${report.result}: ${report.detail?.slice(0, 200)}`);
+  for (const report of reports.filter(({ result }) => result !== 'answered').slice(0, 20)) {
+    say(
+      `${deployment.name}: ${report.kind} ${report.result} after ${Math.round(report.startMs - loadStartMs)} ms: ${report.detail?.slice(0, 200)}`,
+    );
   }
   check(
     wrong.length === 0,
@@ -163,7 +166,8 @@
   return { delivered: report.received.length, duplicated, lost };
 };
 
-const runDeployment = async (name: string, group: ProcessGroup, totals: Totals): Promise<void> => {
+const runDeployment = async (name: string, totals: Totals): Promise<void> => {
+  await using group = new ProcessGroup();
   const deployment = new Deployment(name, group);
   const applied = await deployment.start();
   say(`${name}: ${deployment.nodes.length} nodes; apply: ${applied}`);
@@ -202,15 +206,10 @@
   trainerIdleSeconds: 0,
   maxStalenessVersions: 0,
 };
-const group = new ProcessGroup();
 try {
-  await Promise.all(
-    Object.keys(DEPLOYMENT_REQUESTS).map((name) => runDeployment(name, group, totals)),
-  );
+  await Promise.all(Object.keys(DEPLOYMENT_REQUESTS).map((name) => runDeployment(name, totals)));
 } catch (error) {
   check(false, `the demo ran to its end: ${String(error)}`);
-} finally {
-  await group[Symbol.asyncDispose]();
 }
 process.exitCode = failures.length > 0 ? 1 : 0;
 console.log(JSON.stringify({ ...totals, checksFailed: failures.length }));
--- a/playground/load/caller.ts
+++ b/playground/load/caller.ts
@@ -22,6 +22,8 @@
   readonly kind: string;
   readonly runId: string;
   readonly result: CallResult;
+  /** By the monotonic clock of the load process. */
+  readonly startMs: number;
   readonly latencyMs: number;
   readonly detail?: string;
 }
@@ -79,7 +81,8 @@
       mayRepeat = !final && (kind.idempotent || result === 'not-run');
       if (mayRepeat) await sleepMs(RETRY_PAUSE_MS);
     }
-    return { kind: kind.name, runId, result, detail, latencyMs: performance.now() - startMs };
+    const latencyMs = performance.now() - startMs;
+    return { kind: kind.name, runId, result, detail, startMs, latencyMs };
   }
 
   async #attempt(
