fix(membership): register before listing, ask workers that are out of service whether they are back

Cause: two nodes that started together each listed the registrations before the other had registered, and met 30 s later. A worker whose load report said `leaving` was not polled again, so it could never come back; a refused connection reached only the data path.

Ruled out: a TCP connection as the positive sign of an unreachable worker, because a worker that hangs accepts connections too.

Conclusion: SIGTERM under load of 8 callers cuts off no request and exits with 0; with a deadline of 1 ms the same run loses requests and exits with 1.

--- /dev/null
+++ b/playground/membership/__tests__/plannedStop.test.ts
@@ -0,0 +1,142 @@
+import { once } from 'node:events';
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { ProcessGroup } from '../../processes.ts';
+import {
+  applyServiceTables,
+  type ClusterNode,
+  entriesOf,
+  entryAddresses,
+  SHORT_TIMING,
+  startClusterNode,
+  statusOf,
+  waitForEntries,
+  waitUntil,
+} from '../cluster.ts';
+
+/** Two nodes in front of one service that takes `latencyMs` for each request. */
+const startServing = async (group: ProcessGroup, latencyMs: number, drainDeadlineMs: number) => {
+  const [platform, service] = await Promise.all([
+    group.standIn('platform'),
+    group.standIn('service'),
+  ]);
+  const timing = { ...SHORT_TIMING, drainDeadlineMs };
+  const nodes = await Promise.all(
+    ['entry-a', 'entry-b'].map((name) =>
+      startClusterNode(group, platform.address, name, { timing }),
+    ),
+  );
+  const [stopped, other] = nodes as [ClusterNode, ClusterNode];
+  await applyServiceTables(group, stopped, [{ name: 'intake-1', address: service.address }]);
+  await waitForEntries(nodes, nodes);
+  await waitUntil('both nodes serve', async () => {
+    const codes = await Promise.all(nodes.map((node) => statusOf(`http://${node.address}/x`)));
+    return codes.every((code) => code === 200);
+  });
+  const body = JSON.stringify({ latencyMs });
+  await fetch(`http://${service.address}/control/faults`, { method: 'PUT', body });
+  return { stopped, other };
+};
+
+/** Callers that keep an entries answer for its ttl, as the interface allows, and send one request after another. */
+class Callers {
+  answered = 0;
+
+  readonly failures: string[] = [];
+
+  #ended = false;
+
+  readonly #runs: Promise<void>[];
+
+  constructor(first: ClusterNode, other: ClusterNode, count: number) {
+    this.#runs = Array.from({ length: count }, () => this.#run(first, other));
+  }
+
+  async end(): Promise<void> {
+    this.#ended = true;
+    await Promise.all(this.#runs);
+  }
+
+  async #run(first: ClusterNode, other: ClusterNode): Promise<void> {
+    let { address } = first;
+    let keptUntilMs = performance.now() + SHORT_TIMING.entriesTtlMs;
+    while (!this.#ended) {
+      if (performance.now() > keptUntilMs) {
+        const answer = (await entriesOf(other)) ?? (await entriesOf(first));
+        keptUntilMs = performance.now() + (answer?.ttlMs ?? 0);
+        address =
+          answer?.entries.find((entry) => entry.address === first.address)?.address ??
+          other.address;
+      }
+      const code = await statusOf(`http://${address}/reports`);
+      if (code === 200) this.answered += 1;
+      else this.failures.push(`${address}: ${code}`);
+    }
+  }
+}
+
+/** Sends SIGTERM to one of two nodes under load. Returns its exit code and the requests that failed. */
+const stopUnderLoad = async (drainDeadlineMs: number) => {
+  await using group = new ProcessGroup();
+  const { stopped, other } = await startServing(group, 150, drainDeadlineMs);
+  const callers = new Callers(stopped, other, 8);
+  await waitUntil('callers are answered', () => callers.answered >= 16);
+  const { child, errorLines } = stopped.process;
+  const exited = once(child, 'exit') as Promise<[number | null]>;
+  child.kill('SIGTERM');
+  const [exitCode] = await exited;
+  const before = callers.answered;
+  await waitUntil('the other node answers', () => callers.answered >= before + 16);
+  await callers.end();
+  await waitUntil('the last log line', () =>
+    errorLines.some((line) => line.includes('event=node-stopped')),
+  );
+  const lastLine = errorLines.find((line) => line.includes('event=node-stopped')) ?? '';
+  return { exitCode, failures: callers.failures, lastLine };
+};
+
+// Guards against a planned stop that cuts requests off.
+test('SIGTERM under load cuts off no request', { timeout: 60_000 }, async () => {
+  const { exitCode, failures, lastLine } = await stopUnderLoad(20_000);
+  expect(failures).toEqual([]);
+  expect(exitCode).toEqual(0);
+  expect(lastLine).toInclude('cutOffRequests=0');
+});
+
+// Shows that the run above notices a node that ends at once, and guards the exit code and count of the deadline.
+test(
+  'a stop whose deadline has passed at once cuts requests off and says so',
+  { timeout: 60_000 },
+  async () => {
+    const { exitCode, failures, lastLine } = await stopUnderLoad(1);
+    expect(failures.length).toBeGreaterThan(0);
+    expect(exitCode).toEqual(1);
+    expect(lastLine).toInclude('reason=deadline');
+    expect(Number(/cutOffRequests=(\d+)/.exec(lastLine)?.[1])).toBeGreaterThan(0);
+  },
+);
+
+// Guards the steps between the first and the second signal: not ready, named by nobody, still serving, then cut off.
+test(
+  'a stopping node leaves the entries, still serves, and ends at a second signal',
+  { timeout: 60_000 },
+  async () => {
+    await using group = new ProcessGroup();
+    const { stopped, other } = await startServing(group, 0, 60_000);
+    const { child, errorLines } = stopped.process;
+    child.kill('SIGTERM');
+    await waitUntil(
+      'not ready',
+      async () => (await statusOf(`http://${stopped.address}/readyz`)) === 503,
+    );
+    expect(await entryAddresses(stopped)).toEqual([other.address]);
+    await waitForEntries([other], [other]);
+    expect(await statusOf(`http://${stopped.address}/reports`)).toEqual(200);
+    const exited = once(child, 'exit') as Promise<[number | null]>;
+    child.kill('SIGINT');
+    expect((await exited)[0]).toEqual(1);
+    await waitUntil('the last log line', () =>
+      errorLines.some((line) => /event=node-stopped .*reason=second-signal/.test(line)),
+    );
+  },
+);
--- a/playground/membership/cluster.ts
+++ b/playground/membership/cluster.ts
@@ -122,3 +122,17 @@
     timeoutMs,
   );
 };
+
+/** Status of a request on a new connection; 0 when the answer is missing or incomplete. */
+export const statusOf = async (url: string): Promise<number> => {
+  try {
+    const response = await fetch(url, {
+      headers: { connection: 'close' },
+      signal: AbortSignal.timeout(10_000),
+    });
+    await response.arrayBuffer();
+    return response.status;
+  } catch {
+    return 0;
+  }
+};
--- a/playground/membership/simulation.ts
+++ b/playground/membership/simulation.ts
@@ -143,7 +143,6 @@
       heldLeases: () => [],
       preparedRevision: () => 0,
       onHigherRevision() {},
-      probeWorker: async () => false,
     });
     const node: SimulatedNode = { name, port, clock, membership };
     this.nodes.set(port, node);
--- a/src/node/decisions/workerHealth.ts
+++ b/src/node/decisions/workerHealth.ts
@@ -19,8 +19,10 @@
 
 interface WorkerRecord {
   readonly observations: Map<SignSource, WorkerObservation>;
-  failedMs?: number;
-  failureKind?: WorkerFailureKind;
+  /** Kind of the last failed connection; undefined after an answer. */
+  failure?: WorkerFailureKind;
+  /** When the worker was last chosen for a trial. */
+  probedMs: number;
 }
 
 export interface WorkerHealthOptions {
@@ -34,13 +36,10 @@
 /** How long a positive word stands against older negative word that arrives late. */
 const POSITIVE_MEMORY_MS = 15_000;
 
-/** A worker that accepted a connection and stayed silent is not trusted for accepting another one sooner than this. */
-export const TIMEOUT_HOLD_MS = 3000;
-
 /**
  * Worker state from several signs. Each source's latest word stands until the same source says otherwise, so a VM list
  * that lags behind never overrules a load report. Failed connections are this node's own sign, undone only by an
- * answered connection or load report. Workers without any negative sign have no record.
+ * answer or a load report. Workers without any negative sign have no record.
  */
 export class WorkerHealth {
   readonly #maxWorkers: number;
@@ -72,40 +71,36 @@
   answered(address: string): void {
     const record = this.#records.get(address);
     if (record === undefined) return;
-    record.failedMs = undefined;
-    record.failureKind = undefined;
+    record.failure = undefined;
     this.#forgetIfPlain(address, record);
   }
 
-  connectionFailed(address: string, kind: WorkerFailureKind, nowMs: number): void {
+  connectionFailed(address: string, kind: WorkerFailureKind): void {
     const record = this.#record(address);
-    if (record === undefined) return;
-    record.failedMs = nowMs;
-    record.failureKind = kind;
-  }
-
-  /** A trial connection was accepted. Undoes a refusal at once, a silent connection after `TIMEOUT_HOLD_MS`. */
-  connected(address: string, nowMs: number): void {
-    const record = this.#records.get(address);
-    if (record?.failedMs === undefined) return;
-    if (record.failureKind === 'timeout' && nowMs - record.failedMs < TIMEOUT_HOLD_MS) return;
-    this.answered(address);
+    if (record !== undefined) record.failure = kind;
   }
 
   stateOf(address: string): WorkerState {
     const record = this.#records.get(address);
     if (record === undefined) return 'live';
     if ([...record.observations.values()].some(({ leaving }) => leaving)) return 'leaving';
-    return record.failedMs === undefined ? 'live' : 'unreachable';
+    return record.failure === undefined ? 'live' : 'unreachable';
   }
 
-  /** Workers to try a connection to, the longest unreachable first. */
-  toProbe(maxEntries: number): string[] {
-    return [...this.#records]
-      .filter(([, record]) => record.failedMs !== undefined)
-      .sort(([, left], [, right]) => (left.failedMs ?? 0) - (right.failedMs ?? 0))
-      .slice(0, maxEntries)
-      .map(([address]) => address);
+  /**
+   * Workers to ask for their state, the longest not asked first: those whose connections failed, and those that only a
+   * load report can bring back.
+   */
+  toProbe(nowMs: number, maxEntries: number): string[] {
+    const waiting = [...this.#records].filter(
+      ([, { failure, observations }]) =>
+        failure !== undefined || observations.get('load-report')?.leaving,
+    );
+    const chosen = waiting
+      .sort(([, left], [, right]) => left.probedMs - right.probedMs)
+      .slice(0, maxEntries);
+    for (const [, record] of chosen) record.probedMs = nowMs;
+    return chosen.map(([address]) => address);
   }
 
   /** Words to pass to other nodes, the newest first. */
@@ -129,7 +124,7 @@
   }
 
   #forgetIfPlain(address: string, record: WorkerRecord): void {
-    if (record.observations.size === 0 && record.failedMs === undefined) {
+    if (record.observations.size === 0 && record.failure === undefined) {
       this.#records.delete(address);
     }
   }
@@ -138,7 +133,7 @@
   #record(address: string): WorkerRecord | undefined {
     const known = this.#records.get(address);
     if (known || this.#records.size >= this.#maxWorkers) return known;
-    const record: WorkerRecord = { observations: new Map() };
+    const record: WorkerRecord = { observations: new Map(), probedMs: -Infinity };
     this.#records.set(address, record);
     invariant(this.size <= this.#maxWorkers, 'worker-health-bounded', { size: this.size });
     return record;
--- a/src/node/membership/membership.ts
+++ b/src/node/membership/membership.ts
@@ -16,7 +16,7 @@
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { ResolvedTiming } from '../settings/resolveSettings.ts';
-import { acceptsConnection, splitAddress } from './connectionProbe.ts';
+import { splitAddress } from './splitAddress.ts';
 import { type DrainKind, Drains } from './drains.ts';
 import { Heartbeats, type SelfState, type SendHeartbeat } from './heartbeats.ts';
 import type {
@@ -28,7 +28,7 @@
   WorkerStatusView,
 } from './membershipView.ts';
 import { Registration } from './registration.ts';
-import { WorkerDirectory } from './workerDirectory.ts';
+import { type ReportedState, WorkerDirectory, type WorkerStateReader } from './workerDirectory.ts';
 
 /** Least time between reads of all registrations, in ms. Peers tell of new nodes meanwhile. */
 const MIN_LIST_INTERVAL_MS = 30_000;
@@ -66,8 +66,6 @@
   readonly onHigherRevision: (peer: Peer) => void;
   /** Whether an answered heartbeat counts for the right to serve. @default every answer does */
   readonly countsAsHeard?: (response: HeartbeatResponse) => boolean;
-  /** @default a TCP connection within `peerTimeoutMs` */
-  readonly probeWorker?: (address: string) => Promise<boolean>;
 }
 
 /** Which nodes and workers are live: registration, heartbeats, VM list, drains, and the own right to serve. */
@@ -106,10 +104,7 @@
     this.#table = new PeerTable({ selfName: self.name, ...timing });
     this.#registration = new Registration(platform, clock, self);
     this.#drains = new Drains(platform, () => this.#workers.changed());
-    const probe =
-      options.probeWorker ??
-      ((address: string) => acceptsConnection(address, timing.peerTimeoutMs));
-    this.#workers = new WorkerDirectory({ platform, tables, clock, logger, probe }, this.#drains);
+    this.#workers = new WorkerDirectory({ platform, tables, clock, logger }, this.#drains);
     this.#heartbeats = new Heartbeats({
       self,
       state: this.#selfState(),
@@ -136,7 +131,7 @@
     await this.#join();
     if (this.#store.disposed) return;
     const beats = repeatEvery(clock, heartbeatIntervalMs, () => this.#beat(), 0);
-    const probes = repeatEvery(clock, heartbeatIntervalMs, () => this.#workers.probeUnreachable());
+    const probes = repeatEvery(clock, heartbeatIntervalMs, () => this.#workers.probe());
     // A random first delay spreads the reads of nodes that started together.
     const vms = repeatEvery(
       clock,
@@ -195,7 +190,12 @@
     this.#workers.reportFailure(address, kind);
   }
 
-  reportWorkerState(address: string, state: 'ready' | 'loading' | 'leaving' | 'failed'): void {
+  /** Sets how workers that are out of service are asked whether they are back. */
+  setWorkerStateReader(reader: WorkerStateReader): void {
+    this.#workers.stateReader = reader;
+  }
+
+  reportWorkerState(address: string, state: ReportedState): void {
     this.#workers.reportState(address, state);
   }
 
@@ -279,11 +279,11 @@
   }
 
   async #join(): Promise<void> {
-    // The list comes first: it is also how the node learns of an earlier incarnation of its name.
-    const listed = await this.#refreshNodes();
+    // Of two nodes that start together, the one that lists last then sees the other.
     const registered = await this.#registration.register(!this.#known);
     if (registered === 'registered') this.#known = true;
     if (registered === 'replaced') this.#markReplaced();
+    const listed = await this.#refreshNodes();
     if (listed || this.#table.size > 0) return;
     this.#options.logger.warn('platform-unreachable-at-join', {
       seedPeers: this.#options.seedPeers.length,
--- a/src/node/membership/workerDirectory.ts
+++ b/src/node/membership/workerDirectory.ts
@@ -18,11 +18,11 @@
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient, VmEntry } from '../platform/platformClient.ts';
 import type { ResolvedPool } from '../tables/resolveTables.ts';
-import { splitAddress } from './connectionProbe.ts';
+import { splitAddress } from './splitAddress.ts';
 import type { Drains } from './drains.ts';
 import type { TablesView, WorkerEndpoint } from './membershipView.ts';
 
-/** Trial connections to unreachable workers in one period. */
+/** Workers out of service that are asked for their state in one period. */
 const MAX_PROBES = 8;
 
 /** Worker signs in one heartbeat. About 30 bytes each. */
@@ -45,10 +45,17 @@
   readonly tables: TablesView;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Whether an address accepts a connection. */
-  readonly probe: (address: string) => Promise<boolean>;
 }
 
+/** State of a worker by its own report. */
+export type ReportedState = 'ready' | 'loading' | 'leaving' | 'failed';
+
+/** Asks a worker for its state; rejects when it does not answer. */
+export type WorkerStateReader = (
+  pool: ResolvedPool,
+  worker: WorkerEndpoint,
+) => Promise<ReportedState>;
+
 /** Workers of each pool and what every source says of them. */
 export class WorkerDirectory {
   readonly #options: WorkerDirectoryOptions;
@@ -57,6 +64,9 @@
 
   readonly #health = new WorkerHealth();
 
+  /** Set once the data path is there; until then no worker is asked. */
+  stateReader: WorkerStateReader | undefined;
+
   #vms: readonly VmEntry[] = [];
 
   /** Usable workers by pool; valid for `#cacheRevision` and emptied at every change of state. */
@@ -96,12 +106,12 @@
   }
 
   reportFailure(address: string, kind: WorkerFailureKind): void {
-    this.#health.connectionFailed(address, kind, this.#options.clock.monotonicMs());
+    this.#health.connectionFailed(address, kind);
     this.changed();
   }
 
   /** Takes in the state of a load report. `failed` engines answer and hence can be reached, but get no work. */
-  reportState(address: string, state: 'ready' | 'loading' | 'leaving' | 'failed'): void {
+  reportState(address: string, state: ReportedState): void {
     this.#health.answered(address);
     this.#observe({
       address,
@@ -130,18 +140,24 @@
     }
   }
 
-  /** Tries connections to unreachable workers, and drops records that no longer matter. */
-  async probeUnreachable(): Promise<void> {
-    const { clock, probe } = this.#options;
-    const probes = this.#health.toProbe(MAX_PROBES).map(async (address) => {
-      if (!(await probe(address))) return;
-      this.#health.connected(address, clock.monotonicMs());
-      this.changed();
+  /** Asks workers that are out of service for their state, and drops records that no longer matter. */
+  async probe(): Promise<void> {
+    if (this.#health.size === 0) return;
+    const nowMs = this.#options.clock.monotonicMs();
+    const workers = this.#byAddress();
+    this.#health.sweep(nowMs, (address) => workers.has(address));
+    const { stateReader } = this;
+    if (stateReader === undefined) return;
+    const probes = this.#health.toProbe(nowMs, MAX_PROBES).map(async (address) => {
+      const found = workers.get(address);
+      if (!found) return;
+      try {
+        this.reportState(address, await stateReader(found.pool, found.worker));
+      } catch {
+        // Still out of service.
+      }
     });
     await Promise.all(probes);
-    if (this.#health.size === 0) return;
-    const known = this.#addresses();
-    this.#health.sweep(clock.monotonicMs(), (address) => known.has(address));
   }
 
   signsToSend(): WorkerSign[] {
@@ -161,7 +177,7 @@
   learnSigns(signs: readonly WorkerSign[]): void {
     if (signs.length === 0) return;
     const nowMs = this.#options.clock.monotonicMs();
-    const known = this.#addresses();
+    const known = this.#byAddress();
     for (const { address, source: wireSource, leaving, ageMs } of signs.slice(0, MAX_SIGNS)) {
       const source = SOURCE_FROM_WIRE.get(wireSource);
       if (source === undefined || ageMs >= SIGN_SPREAD_MS || !known.has(address)) continue;
@@ -196,9 +212,13 @@
       }));
   }
 
-  #addresses(): Set<string> {
+  #byAddress(): Map<string, { pool: ResolvedPool; worker: WorkerEndpoint }> {
     const pools = [...(this.#options.tables.current()?.pools.values() ?? [])];
-    return new Set(pools.flatMap((pool) => this.#endpoints(pool).map((worker) => worker.address)));
+    return new Map(
+      pools.flatMap((pool) =>
+        this.#endpoints(pool).map((worker) => [worker.address, { pool, worker }] as const),
+      ),
+    );
   }
 
   /** Turns the VM list into one word on each worker. A worker whose VM is not listed gets none. */
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -25,6 +25,7 @@
 import { RequestTracker } from './requestTracker.ts';
 import type { ResolvedSettings } from './settings/resolveSettings.ts';
 import { Shutdown } from './shutdown.ts';
+import { createWorkerStateReader } from './workerStateReader.ts';
 import { assembleTraining } from './training/assembleTraining.ts';
 
 /** What a node takes from its surroundings. */
@@ -119,6 +120,7 @@
       handleNonIdempotent: (...request) => keyed.handle(...request),
     }),
   );
+  membership.setWorkerStateReader(createWorkerStateReader(dataPath));
   const keyed = store.add(
     new KeyedRequests({
       ...{ settings, clock, random, logger, membership, clients: peerClients },
--- /dev/null
+++ b/src/node/workerStateReader.ts
@@ -0,0 +1,12 @@
+import { Protocol } from '../gen/hyssoppulley/v1/tables_pb.ts';
+import type { DataPath } from './dataPath/dataPath.ts';
+import { readServiceLoad } from './dataPath/serviceLoad.ts';
+import type { WorkerStateReader } from './membership/workerDirectory.ts';
+
+/** Asks workers for their state with the data path's clients. */
+export const createWorkerStateReader =
+  ({ engines, http }: Pick<DataPath, 'engines' | 'http'>): WorkerStateReader =>
+  async (pool, worker) => {
+    if (pool.protocol === Protocol.MODEL_ENGINE) return (await engines.load(worker)).state;
+    return (await readServiceLoad(http, worker, true)).state;
+  };
