--- a/playground/keyedRequests/__tests__/keyedRequests.test.ts
+++ b/playground/keyedRequests/__tests__/keyedRequests.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl';
 import type { ClusterNode } from '../../membership/cluster.ts';
 import { waitUntil } from '../../membership/cluster.ts';
-import { type KeyedCase, startKeyedCase } from '../keyedCase.ts';
+import { KEYED_TIMING, type KeyedCase, startKeyedCase } from '../keyedCase.ts';
 
 const REQUESTS = 'hyssoppulley_keyed_requests_total';
 const TIMEOUT = { timeout: 60_000 };
@@ -67,6 +67,20 @@
   expect(await deployment.runs('content-2')).toEqual(0);
 });
 
+// Guards against `not-run` for a refused body whose key runs later with another body.
+test('a body over the bound is not-run, and so is its key from then on', TIMEOUT, async () => {
+  for (const [node, unique] of [
+    [home, 'large-home'],
+    [entry, 'large-entry'],
+  ] as const) {
+    const key = await deployment.keyOf(home, witness, unique);
+    const large = await deployment.send(node, key, unique, 'x'.repeat(1024 * 1024 + 1));
+    expect([large.status, large.outcome]).toEqual([413, 'not-run']);
+    expect((await deployment.send(node, key, unique)).outcome).toEqual('not-run');
+    expect(await deployment.runs(unique)).toEqual(0);
+  }
+});
+
 // Guards against a run that nobody can ask for again because its caller hung up.
 test('a run whose caller leaves goes on, and a repeat finds its answer', TIMEOUT, async () => {
   const key = await deployment.keyOf(home, witness, 'left');
@@ -84,6 +98,15 @@
   expect(await deployment.runs('left')).toEqual(1);
 });
 
+// Guards against sealing, or telling `unknown`, only because a worker takes longer than a silent home may.
+test('a slow worker is not taken for a silent home', TIMEOUT, async () => {
+  const key = await deployment.keyOf(home, witness, 'slow');
+  await deployment.setAnswerLatencyMs(2 * KEYED_TIMING.suspectAfterMs);
+  const answer = await deployment.send(entry, key, 'slow');
+  await deployment.setAnswerLatencyMs(0);
+  expect([answer.outcome, answer.repeated]).toEqual(['answered', false]);
+});
+
 // Guards against a paused home that wakes and runs a request whose caller was told `not-run`.
 test('a home paused past the seal does not run the sealed key', TIMEOUT, async () => {
   const key = await deployment.keyOf(home, witness, 'paused');
--- a/playground/keyedRequests/keyedCase.ts
+++ b/playground/keyedRequests/keyedCase.ts
@@ -27,7 +27,12 @@
   /** A key with this home and witness. */
   keyOf(home: ClusterNode, witness: ClusterNode, unique: string): Promise<string>;
   /** Sends a request whose run is counted under `runId`. */
-  send(entry: ClusterNode, key: string | undefined, runId: string): Promise<KeyedAnswer>;
+  send(
+    entry: ClusterNode,
+    key: string | undefined,
+    runId: string,
+    body?: string,
+  ): Promise<KeyedAnswer>;
   runs(runId: string): Promise<number>;
   /** Time from the run to its answer, in ms. */
   setAnswerLatencyMs(answerLatencyMs: number): Promise<void>;
@@ -35,8 +40,13 @@
   metric(node: ClusterNode, name: string, labels?: string): Promise<number>;
 }
 
-// Room for a slow machine: a grant within 1 s, a sign of life within 1.5 s, no isolation in a pause of a few seconds.
-const TIMING = { ...SHORT_TIMING, peerTimeoutMs: 1000, suspectAfterMs: 1500, isolationMs: 10_000 };
+/** Room for a slow machine: a grant within 1 s, a sign of life within 1.5 s, no isolation in a pause of a few seconds. */
+export const KEYED_TIMING = {
+  ...SHORT_TIMING,
+  peerTimeoutMs: 1000,
+  suspectAfterMs: 1500,
+  isolationMs: 10_000,
+};
 
 const DISPATCH = {
   name: 'dispatch',
@@ -59,11 +69,16 @@
   return prefix + unique;
 };
 
-const send = async (entry: ClusterNode, key: string | undefined, runId: string) => {
+const send = async (
+  entry: ClusterNode,
+  key: string | undefined,
+  runId: string,
+  body = `crew for ${runId}`,
+) => {
   const response = await fetch(`http://${entry.address}/dispatch`, {
     method: 'POST',
     headers: { 'x-run-id': runId, ...(key ? { 'idempotency-key': key } : {}) },
-    body: `crew for ${runId}`,
+    body,
   });
   const text = await response.text();
   const outcome = response.headers.get('x-hyssoppulley-outcome') ?? 'answered';
@@ -93,7 +108,9 @@
     group.standIn('service'),
   ]);
   const nodes = await Promise.all(
-    nodeNames.map((name) => startClusterNode(group, platform.address, name, { timing: TIMING })),
+    nodeNames.map((name) =>
+      startClusterNode(group, platform.address, name, { timing: KEYED_TIMING }),
+    ),
   );
   const worker = { name: 'intake-1', address: service.address };
   await applyServiceTables(group, nodes[0] as ClusterNode, [worker], [DISPATCH]);
--- a/src/node/keyed/forwardHandler.ts
+++ b/src/node/keyed/forwardHandler.ts
@@ -3,8 +3,7 @@
 import { FORWARD_PREFIX, IDEMPOTENCY_KEY_HEADER } from '../constants.ts';
 import { headerOf, type RequestHandler } from '../dataPath/httpServer.ts';
 import { RequestError, sendProblem } from '../dataPath/problem.ts';
-import { readBody } from '../dataPath/readBody.ts';
-import { parseIdempotencyKey } from '../decisions/idempotencyKey.ts';
+import { KeyFormatError, parseIdempotencyKey } from '../decisions/idempotencyKey.ts';
 import {
   HOME_HEADER,
   KEYED_FORWARD_PATH,
@@ -13,6 +12,7 @@
 } from './constants.ts';
 import { keyedProblem, sendSettlement } from './keyedProblems.ts';
 import type { KeyedRuns } from './keyedRuns.ts';
+import { readKeyedBody } from './readKeyedBody.ts';
 
 const PREFIX = `${FORWARD_PREFIX}${KEYED_FORWARD_PATH}`;
 
@@ -47,7 +47,7 @@
         sendProblem(response, problem.detail, problem);
         return true;
       }
-      const body = await readBody(request, MAX_KEYED_BODY_BYTES);
+      const body = await readKeyedBody(request, MAX_KEYED_BODY_BYTES, clock, silenceMs);
       const { settlement, repeated } = await runs.handle({
         key,
         method: request.method ?? 'GET',
@@ -58,6 +58,8 @@
       response.setHeader(HOME_HEADER, incarnation);
       sendSettlement(response, settlement, repeated);
     } catch (error) {
+      const isRefusal = error instanceof RequestError || error instanceof KeyFormatError;
+      if (!isRefusal) throw error;
       // Without the home's header the entry does not take this for a settlement, and asks the witness.
       sendProblem(response, 'the forwarded request could not be read', {
         outcome: 'unknown',
--- a/src/node/keyed/keyedProblems.ts
+++ b/src/node/keyed/keyedProblems.ts
@@ -100,9 +100,10 @@
     return;
   }
   const { answer } = settlement;
-  response.writeHead(answer.statusCode, {
-    ...answerHeaders(answer),
-    'content-length': answer.body.byteLength,
-  });
+  const headers = answerHeaders(answer);
+  // Answers of these kinds have no body, and RFC 9110 forbids the length in the first.
+  const hasBody = answer.statusCode !== 204 && answer.statusCode !== 304;
+  if (hasBody) headers['content-length'] = answer.body.byteLength;
+  response.writeHead(answer.statusCode, headers);
   response.end(answer.body);
 };
--- a/src/node/keyed/keyedRequests.ts
+++ b/src/node/keyed/keyedRequests.ts
@@ -9,7 +9,6 @@
 import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
 import { headerOf, type RequestHandler } from '../dataPath/httpServer.ts';
 import { RequestError, requestError, sendProblem } from '../dataPath/problem.ts';
-import { readBody } from '../dataPath/readBody.ts';
 import type { NonIdempotentHandler } from '../dataPath/requestRouter.ts';
 import {
   formatKeyPrefix,
@@ -40,6 +39,7 @@
 import { createKeyedMetrics, type KeyedMetrics } from './keyedMetrics.ts';
 import { keyedProblem, sendSettlement } from './keyedProblems.ts';
 import { type KeyedRequest, KeyedRuns, type KeyedRunsOptions } from './keyedRuns.ts';
+import { readKeyedBody } from './readKeyedBody.ts';
 import { createWitnessHandlers, WitnessCalls } from './witnessCalls.ts';
 
 export interface KeyedRequestsOptions extends Pick<KeyedRunsOptions, 'dispatch' | 'onRefused'> {
@@ -244,7 +244,7 @@
     const pool = this.#options.tables.current()?.pools.get(route.pool);
     const maxBytes = Math.min(MAX_KEYED_BODY_BYTES, pool?.maxBodyBytes ?? MAX_KEYED_BODY_BYTES);
     try {
-      return await readBody(request, maxBytes);
+      return await readKeyedBody(request, maxBytes, this.#options.clock, route.timeoutMs);
     } catch (error) {
       if (!(error instanceof RequestError)) throw error;
       const { message, statusCode, code } = error;
--- /dev/null
+++ b/src/node/keyed/readKeyedBody.ts
@@ -0,0 +1,24 @@
+import type { IncomingMessage } from 'node:http';
+import type { Clock } from '../../shared/clock.ts';
+import { readWholeBody } from '../dataPath/requestBody.ts';
+
+/**
+ * Reads the whole body of a keyed request.
+ *
+ * @param timeoutMs - bounds callers that send their body byte by byte, in ms
+ * @throws RequestError when the body is too large, breaks off or is late
+ */
+export const readKeyedBody = async (
+  request: IncomingMessage,
+  maxBytes: number,
+  clock: Clock,
+  timeoutMs: number,
+): Promise<Buffer> => {
+  const abort = new AbortController();
+  const timer = clock.schedule(timeoutMs, () => abort.abort());
+  try {
+    return await readWholeBody(request, maxBytes, abort.signal);
+  } finally {
+    timer[Symbol.dispose]();
+  }
+};
