test(platform): cover the call budget, lost answers and broken watches

Cause: the platform client came with the two-phase commit and had no tests of its own.

Change: five tests on virtual time and against the stand-in.

Conclusion: all pass; no fault was found in the product.

--- /dev/null
+++ b/src/node/platform/__tests__/platformClients.test.ts
@@ -0,0 +1,170 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { startPlatform } from '../../../../playground/standIns/platform.ts';
+import { Stopwatch, systemClock } from '../../../shared/clock.ts';
+import { seededRandom } from '../../../shared/random.ts';
+import { VirtualClock } from '../../../shared/virtualClock.ts';
+import { BudgetedPlatformClient } from '../budgetedPlatformClient.ts';
+import { CallBudget } from '../callBudget.ts';
+import { HttpPlatformClient } from '../httpPlatformClient.ts';
+import { type PlatformClient, PlatformError, type WriteResult } from '../platformClient.ts';
+import { writeResolved } from '../resolveUnknown.ts';
+
+const random = seededRandom(1);
+
+const fakePlatform = (parts: Partial<PlatformClient>): PlatformClient => ({
+  read: () => Promise.resolve(undefined),
+  list: () => Promise.resolve([]),
+  listVms: () => Promise.resolve([]),
+  write: () => Promise.resolve({ status: 'written', version: 1 }),
+  remove: () => Promise.resolve({ status: 'written', version: 1 }),
+  watch: () => ({ [Symbol.dispose]() {} }),
+  ...parts,
+});
+
+// Guards against a node that takes more than its share of the platform's calls.
+test('the call budget lets calls of one second through, then spaces them, then refuses', () => {
+  const clock = new VirtualClock();
+  const budget = new CallBudget(clock, { callsPerSecond: 2, maxWaitMs: 1000 });
+  expect([budget.take(), budget.take(), budget.take(), budget.take()]).toEqual([0, 0, 500, 1000]);
+  expect(budget.take()).toEqual(undefined);
+  clock.advance(1000);
+  expect(budget.take()).toEqual(500);
+});
+
+// Guards against a refused call that looks as if it may have taken effect, and against reads that fail at once.
+test('at the budget a write is unavailable; a failed read is repeated, a write never', async () => {
+  let reads = 0;
+  let writes = 0;
+  const platform = fakePlatform({
+    read: () => {
+      reads += 1;
+      return reads === 1 ? Promise.reject(new PlatformError('lost')) : Promise.resolve(undefined);
+    },
+    write: () => {
+      writes += 1;
+      return Promise.resolve({ status: 'unknown', operationId: 'op' });
+    },
+  });
+  const clock = new VirtualClock();
+  const refused: string[] = [];
+  const client = new BudgetedPlatformClient({
+    platform,
+    clock,
+    random,
+    callsPerSecond: 3,
+    onRefused: (operation) => refused.push(operation),
+  });
+  const read = client.read('a');
+  await clock.advanceAsync(60);
+  await read;
+  expect(reads).toEqual(2);
+  expect(await client.write('a', 1)).toEqual({ status: 'unknown', operationId: 'op' });
+  const waiting = [1, 2, 3].map(() => client.write('a', 1));
+  const last = await client.write('a', 1);
+  expect(last.status).toEqual('unavailable');
+  expect(refused).toEqual(['write']);
+  await clock.advanceAsync(1000);
+  await Promise.all(waiting);
+  expect(writes).toEqual(4);
+});
+
+const runWrite = async (platform: PlatformClient): Promise<WriteResult> => {
+  const clock = new VirtualClock();
+  const result = writeResolved({
+    platform,
+    clock,
+    random,
+    key: 'head',
+    value: {},
+    ifVersion: 1,
+    operationId: 'mine',
+    started: new Stopwatch(clock),
+    limitMs: 3000,
+  });
+  await clock.advanceAsync(10_000);
+  return result;
+};
+const objectOf = (operationId: string, version: number) => () =>
+  Promise.resolve({ key: 'head', version, operationId, value: {} });
+const answers = (...results: WriteResult[]) => {
+  let index = 0;
+  return () => {
+    const result = results[Math.min(index, results.length - 1)];
+    index += 1;
+    return Promise.resolve(result ?? { status: 'unavailable' as const, reason: 'none' });
+  };
+};
+const unknown: WriteResult = { status: 'unknown', operationId: 'mine' };
+const conflict: WriteResult = { status: 'conflict', version: 2 };
+const unavailable: WriteResult = { status: 'unavailable', reason: 'down' };
+
+// Guards against a lost answer that is reported as a conflict, a failure or a success that it was not.
+test('a write with a lost answer is read back until its result is certain', async () => {
+  const write = answers(unknown);
+  const taken = fakePlatform({ write, read: objectOf('mine', 2) });
+  expect(await runWrite(taken)).toEqual({ status: 'written', version: 2 });
+  const replaced = fakePlatform({ write: answers(unknown), read: objectOf('other', 3) });
+  expect(await runWrite(replaced)).toEqual({ status: 'conflict', version: 3 });
+  const repeated = fakePlatform({
+    write: answers(unknown, { status: 'written', version: 5 }),
+    read: objectOf('before', 1),
+  });
+  expect(await runWrite(repeated)).toEqual({ status: 'written', version: 5 });
+  // The first copy arrived late and made the second one conflict.
+  const late = fakePlatform({ write: answers(unknown, conflict), read: objectOf('mine', 2) });
+  expect((await runWrite(late)).status).toEqual('written');
+});
+
+// Guards against an unknown result that is hidden, and a certain failure that is reported as unknown.
+test('at the time limit a write is unknown only when an attempt may have taken effect', async () => {
+  const read = () => Promise.reject(new PlatformError('down'));
+  const lost = fakePlatform({ write: answers(unknown, unavailable), read });
+  expect((await runWrite(lost)).status).toEqual('unknown');
+  const down = fakePlatform({ write: answers(unavailable), read });
+  expect(await runWrite(down)).toEqual(unavailable);
+});
+
+// Guards against a watch that stays silent after its connection broke, and values that the platform cannot hold.
+test('a broken watch is opened anew and a value over 1 MB is refused with its size', async () => {
+  const standIn = await startPlatform();
+  let reopened = 0;
+  const client = new HttpPlatformClient({
+    url: `http://${standIn.address}`,
+    timeoutMs: 2000,
+    clock: systemClock,
+    random,
+    onWatchReopened: () => {
+      reopened += 1;
+    },
+  });
+  let next: (key: string) => void = () => {};
+  const watch = client.watch('a/', ({ object }) => next(object.key));
+  try {
+    // The watch is open once a write is reported; writes before that go unreported.
+    const writeUntilReported = async (key: string) => {
+      let reported = false;
+      next = (seen) => {
+        reported ||= seen === key;
+      };
+      for (let writes = 0; !reported && writes < 20_000; writes += 1) {
+        await client.write(key, {});
+        await new Promise(setImmediate);
+      }
+      expect(reported).toEqual(true);
+    };
+    await writeUntilReported('a/first');
+    standIn.server.closeAllConnections();
+    await writeUntilReported('a/second');
+    expect(reopened).toEqual(1);
+    const large = await client.write('a/large', 'x'.repeat(1_000_000));
+    expect(large).toEqual({
+      status: 'unavailable',
+      reason: 'a/large has 1000002 bytes; the platform holds 1000000',
+    });
+  } finally {
+    watch[Symbol.dispose]();
+    standIn.server.closeAllConnections();
+    standIn.server.close();
+  }
+});
