feat(cli): add every operator command with its exit codes

Cause: only check and apply existed, and apply reported an unknown result as refused.

Ruled out: trying the next node after a node that may have seen an apply (it could refuse what the first one still carries out); a text diff of the tables (quadratic at 11,000 workers; names identify the items instead).

The platform stand-in can begin an outage at the accepting write.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -64,7 +64,7 @@
       'playground/**',
       'bench/**',
       'scripts/**',
-      'src/node/cli.ts',
+      'src/node/cli*.ts',
       'src/node/operator/cli*.ts',
     ],
     rules: {
--- a/playground/standIns/platform.ts
+++ b/playground/standIns/platform.ts
@@ -21,7 +21,8 @@
 
 /**
  * Stand-in of the platform's object API: versions, conditional updates, watches, the list of VMs, and call counts.
- * Further faults: `loseNextAnswers` (number of writes that take effect but are not answered), `maxCallsPerSecond`.
+ * Further faults: `loseNextAnswers` (number of writes that take effect but are not answered), `maxCallsPerSecond`,
+ * `outageAfterHeadWrites` (number of writes of `config/head` after which, unanswered, an outage begins).
  */
 export const startPlatform = async (port = 0) => {
   const objects = new Map<string, StoredObject>();
@@ -117,6 +118,15 @@
         String(request.headers['x-operation-id'] ?? ''),
         request.body,
       );
+      if (key === 'config/head' && result.statusCode === 200) {
+        const left = Number(faults.outageAfterHeadWrites ?? 0);
+        if (left > 0) faults.outageAfterHeadWrites = left - 1;
+        if (left === 1) {
+          faults.outage = true;
+          response.destroy();
+          return;
+        }
+      }
       const toLose = Number(faults.loseNextAnswers ?? 0);
       if (toLose > 0) {
         faults.loseNextAnswers = toLose - 1;
--- /dev/null
+++ b/src/node/operator/cliViews.ts
@@ -0,0 +1,110 @@
+import { readFile } from 'node:fs/promises';
+import { toJson } from '@bufbuild/protobuf';
+import { timestampDate } from '@bufbuild/protobuf/wkt';
+import {
+  GetHistoryResponseSchema,
+  GetJobsResponseSchema,
+  GetNodesResponseSchema,
+  GetWorkersResponseSchema,
+} from '../../gen/hyssoppulley/v1/operator_pb.ts';
+import { parseTables } from '../tables/parseTables.ts';
+import { callFirstReachable, type OperatorClient } from './cliConnection.ts';
+import type { NodeOptions, OutputFormat } from './cliOptions.ts';
+import { formatOutput, tablesAsWritten } from './cliOutput.ts';
+import { diffTables } from './tablesDiff.ts';
+
+export interface ViewOptions extends NodeOptions {
+  readonly output: OutputFormat;
+}
+
+const read = <T>({ node }: NodeOptions, call: (client: OperatorClient) => Promise<T>): Promise<T> =>
+  callFirstReachable(node, call, true);
+
+/** Prints the accepted tables, as a document that can be applied. */
+export const showTables = async (options: ViewOptions): Promise<void> => {
+  const { tables, revision } = await read(options, (client) => client.getTables({}));
+  const routes = (tables?.routes ?? []).map(({ name, pool }) => ({ table: 'route', name, pool }));
+  const pools = (tables?.pools ?? []).map(({ name }) => ({ table: 'pool', name, pool: '' }));
+  const format = options.output;
+  if (format !== 'json') console.log(`# revision ${revision}`);
+  console.log(formatOutput(format, tables ? tablesAsWritten(tables) : {}, [...routes, ...pools]));
+};
+
+/** Prints the nodes that a node knows. */
+export const showNodes = async (options: ViewOptions): Promise<void> => {
+  const answer = await read(options, (client) => client.getNodes({}));
+  const rows = answer.nodes.map(({ digest, suspected, lastHeardMs }) => ({
+    name: digest?.identity?.name ?? '',
+    zone: digest?.identity?.availabilityZone ?? '',
+    address: `${digest?.identity?.host}:${digest?.identity?.peerPort}`,
+    revision: digest?.acceptedRevision ?? 0,
+    state: [digest?.leaving && 'leaving', suspected && 'suspected'].find(Boolean) || 'live',
+    'heard ms ago': lastHeardMs,
+  }));
+  console.log(formatOutput(options.output, toJson(GetNodesResponseSchema, answer), rows));
+};
+
+/** Prints the workers of one pool or of all. */
+export const showWorkers = async (options: ViewOptions & { pool?: string }): Promise<void> => {
+  const answer = await read(options, (client) => client.getWorkers({ pool: options.pool ?? '' }));
+  const rows = answer.workers.map((worker) => ({
+    pool: worker.pool,
+    name: worker.name,
+    address: worker.address,
+    zone: worker.availabilityZone,
+    state: worker.state,
+    'in flight': worker.inFlight,
+    weights: worker.weightVersion,
+  }));
+  console.log(formatOutput(options.output, toJson(GetWorkersResponseSchema, answer), rows));
+};
+
+/** Prints the jobs that a node knows. */
+export const showJobs = async (options: ViewOptions): Promise<void> => {
+  const answer = await read(options, (client) => client.getJobs({}));
+  const rows = answer.jobs.map((job) => ({
+    name: job.name,
+    pool: job.pool,
+    owner: job.owner,
+    weights: job.weightVersion,
+    next: job.nextPosition,
+    acknowledged: job.acknowledgedPosition,
+    steps: job.stepsInFlight,
+  }));
+  console.log(formatOutput(options.output, toJson(GetJobsResponseSchema, answer), rows));
+};
+
+/** Prints the accepted revisions, the newest first. */
+export const showHistory = async (options: ViewOptions): Promise<void> => {
+  const answer = await read(options, (client) => client.getHistory({}));
+  const rows = answer.entries.map(({ acceptedAt, ...entry }) => ({
+    revision: entry.revision,
+    operation: entry.operationId,
+    coordinator: entry.coordinator,
+    accepted: acceptedAt ? timestampDate(acceptedAt).toISOString() : '',
+    digest: entry.digest.slice(0, 12),
+  }));
+  console.log(formatOutput(options.output, toJson(GetHistoryResponseSchema, answer), rows));
+};
+
+/** Prints how a file differs from the accepted tables. */
+export const showDiff = async (options: NodeOptions & { file: string }): Promise<void> => {
+  const after = parseTables(await readFile(options.file, 'utf8'), options.file);
+  const { tables, revision } = await read(options, (client) => client.getTables({}));
+  const lines = diffTables(tables ? tablesAsWritten(tables) : {}, tablesAsWritten(after));
+  console.log(lines.length > 0 ? lines.join('\n') : `no difference to revision ${revision}`);
+};
+
+/** Takes a worker or node out of service, or back. */
+export const setDrain = async (
+  options: NodeOptions,
+  kind: string,
+  name: string,
+  drained: boolean,
+): Promise<void> => {
+  const answer = await read(options, (client) => client.setDrain({ kind, name, drained }));
+  const done = `${kind} ${name} is ${drained ? 'drained' : 'back in service'}`;
+  console.log(
+    answer.kept ? done : `${done}, until the node restarts: the platform did not keep it`,
+  );
+};
--- a/src/node/settings/parseDocument.ts
+++ b/src/node/settings/parseDocument.ts
@@ -13,7 +13,7 @@
 import { describeValue, validateMessage, valueAt } from './validateMessage.ts';
 
 /** `PROTOCOL_MODEL_ENGINE` of enum `Protocol` is written `model-engine` in documents. */
-const documentNames = (desc: DescEnum): Map<string, string> =>
+export const documentNames = (desc: DescEnum): Map<string, string> =>
   new Map(
     desc.values
       .filter((value) => value.number !== 0)
