fix(keyed): say not-run for a key only after its home or witness was asked

Cause: a node that takes no new work, or has no route for a request, answered `not-run` to a request with a key that may be running at its home. A key of another version's format was refused `not-run` although a node of that version may have run it. A worker's own `Idempotency-Key` header replaced the key that the entry assigned.

--- a/src/node/dataPath/requestRouter.ts
+++ b/src/node/dataPath/requestRouter.ts
@@ -108,10 +108,11 @@
       });
     // Only the home of a key knows whether the key has run, so this node cannot refuse it as `not-run`.
     if (route?.idempotent === false) return route;
-    const hasKey = headerOf(request, IDEMPOTENCY_KEY_HEADER) !== '';
+    const mayHaveRun = route === undefined && headerOf(request, IDEMPOTENCY_KEY_HEADER) !== '';
+    const outcome = mayHaveRun ? 'unknown' : 'not-run';
     if (!membership.mayServe() || current === undefined) {
       throw requestError('this node takes no new work now; use another entry', {
-        outcome: current === undefined && hasKey ? 'unknown' : 'not-run',
+        outcome,
         statusCode: 503,
         code: 'not-serving',
         retryAfterMs: 1000,
@@ -119,7 +120,7 @@
     }
     if (route !== undefined) return route;
     throw requestError('no route matches the request', {
-      outcome: hasKey ? 'unknown' : 'not-run',
+      outcome,
       statusCode: 404,
       code: 'no-route',
     });
--- a/src/node/decisions/__tests__/idempotencyKey.test.ts
+++ b/src/node/decisions/__tests__/idempotencyKey.test.ts
@@ -5,6 +5,7 @@
   fingerprintOf,
   formatKeyPrefix,
   isIssuedWith,
+  isOfOtherVersion,
   KeyFormatError,
   MAX_KEY_LENGTH,
   MAX_UNIQUE_LENGTH,
@@ -60,6 +61,14 @@
   for (const [text, message] of cases) expect(() => parseIdempotencyKey(text)).toThrow(message);
 });
 
+// Guards against `not-run` for a key that a node of a later version issued and ran.
+test('keys of other versions are told from foreign keys', () => {
+  const other = prefix.replace('hk1.', 'hk2.');
+  expect(
+    [other, `"${other}x"`, `${prefix}x`, `"${prefix}x"`, 'order-7'].map(isOfOtherVersion),
+  ).toEqual([true, true, false, false, false]);
+});
+
 // Guards against headers that end the process or pass as keys in another spelling.
 test('any text is either refused as malformed or reads back as itself', () => {
   fc.assert(
--- a/src/node/decisions/idempotencyKey.ts
+++ b/src/node/decisions/idempotencyKey.ts
@@ -24,6 +24,10 @@
 /** The text is not a key of this system. No node ever runs a request under it. */
 export const KeyFormatError = BaseError.subclass('KeyFormatError');
 
+/** Whether a key has the form of another version of this system, whose nodes may have run it. */
+export const isOfOtherVersion = (header: string): boolean =>
+  /^"?hk[0-9]+\./.test(header) && !header.replace('"', '').startsWith(`${VERSION_TAG}.`);
+
 /** What a key prefix says. */
 export interface KeyPrefixFields {
   /** Incarnation of the only node that may dispatch requests under the key. */
--- /dev/null
+++ b/src/node/keyed/__tests__/earlyRefusals.test.ts
@@ -0,0 +1,39 @@
+import { test } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import { expect } from 'earl';
+import { NodeIdentitySchema } from '../../../gen/hyssoppulley/v1/peer_pb.ts';
+import { Closer } from '../../dataPath/__tests__/pathHarness.ts';
+
+const TABLES = `
+routes:
+  - { name: r, match: { pathPrefix: /dispatch }, pool: p, idempotent: false }
+pools:
+  - { name: p, protocol: plain-service }
+`;
+
+// Guards against `not-run` by a node that was not asked as the key's home: the key may be running elsewhere.
+test('before the home of a key was asked, nobody says not-run', { timeout: 20_000 }, async () => {
+  await using closer = new Closer();
+  const { base } = await closer.path(TABLES, {
+    membership: {
+      self: create(NodeIdentitySchema, { name: 'n' }),
+      peers: () => [],
+      findIncarnation: () => undefined,
+      leaseHolder: () => undefined,
+      mayServe: () => false,
+      workersOf: () => [],
+    },
+    handleNonIdempotent: (_route, _request, response) => {
+      response.end('asked the home');
+      return Promise.resolve();
+    },
+  });
+  const withKey = { method: 'POST', headers: { 'idempotency-key': 'k' } };
+  expect(await (await fetch(`${base}/dispatch`, withKey)).text()).toEqual('asked the home');
+  const outcomes = await Promise.all(
+    [withKey, { method: 'POST' }].map(async (init) =>
+      (await fetch(`${base}/elsewhere`, init)).headers.get('x-hyssoppulley-outcome'),
+    ),
+  );
+  expect(outcomes).toEqual(['unknown', 'not-run']);
+});
--- a/src/node/keyed/keyedProblems.ts
+++ b/src/node/keyed/keyedProblems.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import { IDEMPOTENCY_KEY_HEADER } from '../constants.ts';
 import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
 import { type ProblemFields, sendProblem } from '../dataPath/problem.ts';
 import type { NotRunCode, Settlement, UnknownCode, WorkerAnswer } from '../decisions/keyRecord.ts';
@@ -79,12 +80,16 @@
   return { ...text, outcome, code };
 };
 
-/** Headers of a worker's answer that are passed on. A worker cannot set the system's own headers. */
+/** Whether a worker may set a header. The others are the system's own. */
+const isWorkersOwn = (name: string): boolean =>
+  !name.startsWith('x-hyssoppulley-') &&
+  name !== IDEMPOTENCY_KEY_HEADER &&
+  name !== 'content-length';
+
+/** Headers of a worker's answer that are passed on. */
 const answerHeaders = (answer: WorkerAnswer) =>
   Object.fromEntries(
-    Object.entries(forwardHeaders(answer.headers)).filter(
-      ([name]) => !name.startsWith('x-hyssoppulley-') && name !== 'content-length',
-    ),
+    Object.entries(forwardHeaders(answer.headers)).filter(([name]) => isWorkersOwn(name)),
   );
 
 /** Tells a caller how its request was settled. */
--- a/src/node/keyed/keyedRequests.ts
+++ b/src/node/keyed/keyedRequests.ts
@@ -13,6 +13,7 @@
 import {
   formatKeyPrefix,
   type IdempotencyKey,
+  isOfOtherVersion,
   KeyFormatError,
   parseIdempotencyKey,
 } from '../decisions/idempotencyKey.ts';
@@ -227,11 +228,9 @@
       return parseIdempotencyKey(header);
     } catch (error) {
       if (!(error instanceof KeyFormatError)) throw error;
-      throw requestError(error.message, {
-        outcome: 'not-run',
-        statusCode: 400,
-        code: 'key-malformed',
-      });
+      // While nodes of two versions run side by side, a node of the other one may have run the key.
+      const outcome = isOfOtherVersion(header) ? 'unknown' : 'not-run';
+      throw requestError(error.message, { outcome, statusCode: 400, code: 'key-malformed' });
     }
   }
 
