--- a/src/node/keyed/__tests__/keyedSchedules.test.ts
+++ b/src/node/keyed/__tests__/keyedSchedules.test.ts
@@ -3,19 +3,11 @@
 import fc from 'fast-check';
 import { onInvariantViolation } from '../../../shared/invariants.ts';
 import { seededRandom } from '../../../shared/random.ts';
-import { createExpiryTime } from '../../decisions/keyExpiry.ts';
 import { KeyHome, type KeyHomeOptions } from '../../decisions/keyHome.ts';
-import { KeyWitness, outcomeAfterSeal } from '../../decisions/keyWitness.ts';
+import { KeyWitness } from '../../decisions/keyWitness.ts';
 import type { IdempotencyKey } from '../../decisions/idempotencyKey.ts';
-import { type Design, KeyedModel, type Step } from './keyedModel.ts';
-
-const DESIGN: Design = {
-  createHome: (options) => new KeyHome(options),
-  createWitness: (options) => new KeyWitness(options),
-  createNow: createExpiryTime,
-  outcomeAfterSeal,
-  witnesses: true,
-};
+import { type Design, KeyedModel } from './keyedModel.ts';
+import { DESIGN, keyedSchedule } from './keyedSchedule.ts';
 
 /** Forgets its records at the bound instead of refusing new keys. */
 const createForgetfulHome = (options: KeyHomeOptions): ReturnType<Design['createHome']> => {
@@ -78,38 +70,6 @@
   ['expiry by the wall clock alone', { createNow: (clock) => () => clock.nowMs() }, 'ran twice'],
 ];
 
-const atMs = fc.integer({ min: 0, max: 4000 });
-const node = fc.integer({ min: 0, max: 2 });
-const send = fc.record({
-  kind: fc.constant('send' as const),
-  atMs,
-  key: fc.integer({ min: 0, max: 8 }),
-  entry: node,
-  body: fc.integer({ min: 0, max: 19 }).map((value) => (value === 0 ? 1 : 0)),
-});
-const fault: fc.Arbitrary<Step> = fc.oneof(
-  fc.record({
-    kind: fc.constant('pause' as const),
-    atMs,
-    node,
-    forMs: fc.integer({ min: 50, max: 3000 }),
-  }),
-  fc.record({ kind: fc.constant('crash' as const), atMs, node }),
-  fc.record({
-    kind: fc.constant('jump' as const),
-    atMs,
-    node,
-    byMs: fc.integer({ min: -4000, max: 4000 }),
-    // A correction of the clock that is taken back later.
-    backAfterMs: fc.option(fc.integer({ min: 100, max: 1000 })),
-  }),
-);
-const schedule = fc.record({
-  seed: fc.nat(),
-  sends: fc.array(send, { minLength: 4, maxLength: 30 }),
-  faults: fc.array(fault, { maxLength: 6 }),
-});
-
 interface Failure {
   readonly seed: number;
   readonly run: number;
@@ -121,7 +81,7 @@
   const outcomes: Record<string, number> = {};
   let failure: Failure | undefined;
   let run = 0;
-  for (const { seed: messageSeed, sends, faults } of fc.sample(schedule, {
+  for (const { seed: messageSeed, sends, faults } of fc.sample(keyedSchedule, {
     seed,
     numRuns: schedules,
   })) {
