test(data-path): wait for the worker to stall in the test of slow readers

With back-pressure removed the test still passed on a busy machine, because 300 ms were too short to send half of the answer. It now waits until the worker has stalled or has sent everything; with back-pressure removed it fails. The bound is unchanged.

--- a/src/node/dataPath/__tests__/servicePath.test.ts
+++ b/src/node/dataPath/__tests__/servicePath.test.ts
@@ -278,10 +278,14 @@
     const { port } = await closer.path(tablesOf('plain-service', [address]));
     const request = http.get({ port, host: '127.0.0.1' });
     const [response] = (await once(request, 'response')) as [http.IncomingMessage];
-    // Long enough for a fast machine to send everything; a slow one can only make the check easier.
-    await new Promise((resolve) => {
-      setTimeout(resolve, 300);
-    });
+    // The worker either stalls, which is what must happen, or gets everything sent.
+    for (let seen = -1, unchanged = 0; unchanged < 10 && written < total;) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 50);
+      });
+      unchanged = written === seen ? unchanged + 1 : 0;
+      seen = written;
+    }
     // Buffers of two loopback connections take a few MiB each.
     expect(written < total / 2).toEqual(true);
     expect((await readAll(response)).length).toEqual(total);
