--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -156,6 +156,8 @@
   `headers: ${round(http1.requestHeaderBytes)} bytes a request, ${round(http1.responseHeaderBytes)} bytes an answer; ` +
     `HTTP and codec: ${round(http1.cpuMsOfOneSide)} ms of CPU time a message and side\n`,
 );
+// The first run compiles the code, which would count as state and time of the smallest deployment.
+await measure(NODE_COUNTS[0] as number, http1);
 const rows: Row[] = [];
 for (const nodeCount of NODE_COUNTS) rows.push(await measure(nodeCount, http1));
 console.log(
--- /dev/null
+++ b/src/node/decisions/__tests__/membershipDecisions.test.ts
@@ -0,0 +1,121 @@
+import { test } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import { expect } from 'earl';
+import { PeerDigestSchema } from '../../../gen/hyssoppulley/v1/peer_pb.ts';
+import { seededRandom } from '../../../shared/random.ts';
+import { chooseEntries } from '../entriesAnswer.ts';
+import { PeerTable } from '../peerTable.ts';
+import { PlannedStop } from '../plannedStop.ts';
+import { usableWorkers, WorkerHealth } from '../workerHealth.ts';
+
+const timing = { heartbeatIntervalMs: 1000, suspectAfterMs: 3000, peerTimeoutMs: 1000 };
+
+const digest = (name: string, incarnation: string, generation: number, heartbeatCount: number) =>
+  create(PeerDigestSchema, { identity: { name, incarnation, generation }, heartbeatCount });
+
+// Guards against a replaced process that delayed messages bring back, whichever order they arrive in.
+test('a peer table keeps the later incarnation in either order of arrival', () => {
+  const older = digest('b', 'ffff', 7, 900);
+  const later = digest('b', '0000', 8, 1);
+  for (const order of [
+    [older, later],
+    [later, older],
+  ]) {
+    const table = new PeerTable({ selfName: 'a', ...timing });
+    for (const next of order) table.learn(next, 0, 'gossip');
+    expect([...table.records()].map((record) => record.digest.identity?.incarnation)).toEqual([
+      '0000',
+    ]);
+    expect(table.findIncarnation('ffff')).toEqual(undefined);
+  }
+});
+
+// Guards against a table that grows without bound, or that drops a live peer to make room.
+test('a full peer table replaces the longest suspected peer and no other', () => {
+  const table = new PeerTable({ selfName: 'a', ...timing, maxPeers: 2 });
+  table.learn(digest('b', 'b1', 1, 1), 0, 'direct');
+  table.learn(digest('c', 'c1', 1, 1), 0, 'direct');
+  expect(table.learn(digest('d', 'd1', 1, 1), 100, 'direct')).toEqual('full');
+  table.exchangeFailed('b1', 100, 150);
+  expect(table.learn(digest('d', 'd1', 1, 1), 3100, 'direct')).toEqual('new');
+  expect([...table.records()].map((record) => record.digest.identity?.name)).toEqual(['c', 'd']);
+});
+
+// Guards against a pause of the own process that makes every peer look dead.
+test('an exchange that failed because this process was paused raises no suspicion at once', () => {
+  const table = new PeerTable({ selfName: 'a', ...timing });
+  table.learn(digest('b', 'b1', 1, 1), 0, 'direct');
+  table.exchangeFailed('b1', 500, 60_000);
+  const [record] = table.records();
+  expect(record && table.isSuspected(record, 60_000)).toEqual(false);
+  expect(record && table.isSuspected(record, 63_000)).toEqual(true);
+});
+
+// Guards against a lagging VM list that brings back a worker which says itself that it leaves.
+test('one source never undoes the sign of another, and old words never undo new ones', () => {
+  const health = new WorkerHealth();
+  const address = '10.0.0.7:8000';
+  health.observe({ address, source: 'load-report', leaving: true, observedMs: 10 });
+  health.observe({ address, source: 'vm-list', leaving: false, observedMs: 20 });
+  expect(health.stateOf(address)).toEqual('leaving');
+  health.observe({ address, source: 'load-report', leaving: false, observedMs: 5 });
+  expect(health.stateOf(address)).toEqual('leaving');
+  health.observe({ address, source: 'load-report', leaving: false, observedMs: 30 });
+  expect(health.stateOf(address)).toEqual('live');
+  health.observe({ address, source: 'load-report', leaving: true, observedMs: 25 });
+  expect(health.stateOf(address)).toEqual('live');
+});
+
+// Guards against a fault of this node's network that takes a whole pool out, and against using leaving workers for it.
+test('a pool that only failed connections speak against is still offered', () => {
+  const choice = (worker: string, state: 'live' | 'leaving' | 'unreachable', drained = false) => ({
+    worker,
+    state,
+    drained,
+  });
+  const out = [choice('a', 'unreachable'), choice('b', 'leaving'), choice('c', 'live', true)];
+  expect(usableWorkers(out)).toEqual(['a']);
+  expect(usableWorkers([...out, choice('d', 'live')])).toEqual(['d']);
+});
+
+// Guards against callers sent to one zone only, or to a node that is leaving, suspected or drained.
+test('entries name this node, its zone, then the other zones in turn', () => {
+  const entry = (address: string, availabilityZone: string, state = {}) => ({
+    ...{ address, availabilityZone, leaving: false, suspected: false, drained: false },
+    ...state,
+  });
+  const peers = [
+    ...[1, 2, 3].map((index) => entry(`a${index}`, 'a')),
+    ...[1, 2, 3].map((index) => entry(`b${index}`, 'b')),
+    ...[1, 2, 3].map((index) => entry(`c${index}`, 'c')),
+    entry('x', 'a', { leaving: true }),
+    entry('y', 'b', { suspected: true }),
+    entry('z', 'c', { drained: true }),
+  ];
+  const zones = chooseEntries(entry('self', 'a'), peers, 'a', seededRandom(7)).map(
+    ({ availabilityZone }) => availabilityZone,
+  );
+  expect(zones.slice(0, 2)).toEqual(['a', 'a']);
+  expect([...new Set(zones.slice(2, 5))].sort()).toEqual(['a', 'b', 'c']);
+  expect(zones.length).toEqual(8);
+});
+
+// Guards against steps of a planned stop out of order, and against an end that cuts requests off without saying so.
+test('a planned stop waits for kept entries, hand-over, requests and deregistration in turn', () => {
+  const stop = new PlannedStop({ keepServingMs: 100, deadlineMs: 1000 });
+  const types = (actions: readonly { type: string }[]) => actions.map(({ type }) => type);
+  expect(types(stop.signal(0, 2))).toEqual(['announce']);
+  expect(types(stop.tick(99, 0))).toEqual([]);
+  expect(types(stop.tick(100, 2))).toEqual(['close-listener', 'hand-over']);
+  expect(types(stop.handedOver(150, 2))).toEqual([]);
+  expect(types(stop.tick(200, 1))).toEqual([]);
+  expect(types(stop.tick(300, 0))).toEqual(['deregister']);
+  expect(stop.deregistered(0)).toEqual([
+    { type: 'exit', exitCode: 0, cutOffCount: 0, reason: 'finished' },
+  ]);
+  const late = new PlannedStop({ keepServingMs: 100, deadlineMs: 1000 });
+  late.signal(0, 3);
+  expect(late.tick(1000, 3)).toEqual([
+    { type: 'exit', exitCode: 1, cutOffCount: 3, reason: 'deadline' },
+  ]);
+});
