--- /dev/null
+++ b/playground/standIns/weightStore.ts
@@ -0,0 +1,41 @@
+import { pathToFileURL } from 'node:url';
+import { runStandInProcess, sendJson, startStandIn, type StandInHandler } from './standInServer.ts';
+
+/**
+ * Stand-in of the weight store: `GET /weights/{pool}/{version}` answers some bytes. Further fault: `maxLoadsPerSecond`;
+ * beyond it the answer is 429. `GET /control/counts` answers the loads that were served and refused.
+ */
+export const startWeightStore = async (port = 0) => {
+  const faults: Record<string, unknown> = {};
+  const counts = { served: 0, refused: 0 };
+  let windowStartMs = 0;
+  let loadsInWindow = 0;
+  const overRate = (): boolean => {
+    const nowMs = performance.now();
+    if (nowMs - windowStartMs >= 1000) {
+      windowStartMs = nowMs;
+      loadsInWindow = 0;
+    }
+    loadsInWindow += 1;
+    return loadsInWindow > Number(faults.maxLoadsPerSecond ?? Infinity);
+  };
+  const handler: StandInHandler = (request, response) => {
+    const { pathname } = request.url;
+    if (pathname === '/control/counts') {
+      sendJson(response, 200, counts);
+    } else if (!/^\/weights\/[^/]+\/\d+$/.test(pathname)) {
+      sendJson(response, 404, {});
+    } else if (overRate()) {
+      counts.refused += 1;
+      sendJson(response, 429, { error: 'rate' });
+    } else {
+      counts.served += 1;
+      response.end(Buffer.alloc(1024));
+    }
+  };
+  return startStandIn(handler, faults, port);
+};
+
+if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) {
+  await runStandInProcess(startWeightStore);
+}
