--- a/playground/training/trainingCase.ts
+++ b/playground/training/trainingCase.ts
@@ -68,6 +68,8 @@
 
   #platform = '';
 
+  #engines: readonly string[] = [];
+
   #trainer = '';
 
   #folder = '';
@@ -146,6 +148,27 @@
     );
   }
 
+  /** Publishes a weight version through the first node. Returns the status code. */
+  async publish(version: number): Promise<number> {
+    const { callerPort } = this.nodes[0] ?? {};
+    const response = await fetch(`http://127.0.0.1:${callerPort}/v1/jobs/${JOB}/weights`, {
+      method: 'POST',
+      body: JSON.stringify({ version, uri: `weights/draft-model/${version}` }),
+    });
+    await response.arrayBuffer();
+    return response.status;
+  }
+
+  /** Weight version that each engine reports. */
+  engineVersions(): Promise<number[]> {
+    return Promise.all(
+      this.#engines.map(async (address) => {
+        const response = await fetch(`http://${address}/v1/load`);
+        return ((await response.json()) as { weight_version: number }).weight_version;
+      }),
+    );
+  }
+
   /** The node that holds the job's lease at the platform. */
   async owner(): Promise<CaseNode> {
     const holder = await waitFor(
@@ -175,6 +198,7 @@
     );
     this.#platform = platform;
     this.#trainer = trainer;
+    this.#engines = engines;
     const { engineFaults = {}, nodes, timing } = this.#options;
     for (const engine of engines) {
       await fetch(`http://${engine}/control/faults`, {
