feat(tables): report every contradiction in tables and settings

Cause: rows that contradict themselves were accepted (a job on a plain service, retries on a route that runs at most once, routes that nothing reaches, addresses that cannot exist), and settings under which leases or the right to serve cannot hold.

Ruled out: checking accepted tables again with a later version's rules (a restarted node could not serve what is in force; only proposals are checked); comparing every pair of more than 500 routes (blocks the event loop).

--- a/src/node/operator/configuration.ts
+++ b/src/node/operator/configuration.ts
@@ -150,7 +150,7 @@
       tables =
         known?.digest === record.digest && known.tables.revision === record.revision
           ? known.tables
-          : resolveRecord(record);
+          : resolveRecord(record, false);
     } catch (error) {
       // Only when the nodes run different versions: the node keeps its revision and its right to serve lapses.
       this.#options.logger.error('configuration-not-usable', {
--- a/src/node/operator/tablesDocument.ts
+++ b/src/node/operator/tablesDocument.ts
@@ -31,11 +31,13 @@
 };
 
 /**
- * Parses, checks and resolves the tables of a record.
+ * Parses and resolves the tables of a record.
  *
+ * @param check - whether to check them as well: for a proposal. Accepted tables were checked by the version that
+ *   accepted them and stay in force when a later version checks more.
  * @throws TablesError when this version of the program cannot serve them
  */
-export const resolveRecord = (record: RevisionRecord): ResolvedTables => {
+export const resolveRecord = (record: RevisionRecord, check = true): ResolvedTables => {
   let tables: Tables;
   try {
     tables = fromJson(TablesSchema, record.tables);
@@ -44,6 +46,6 @@
       cause: error,
     });
   }
-  checkMessage(tables);
+  if (check) checkMessage(tables);
   return resolveTables(tables, record.revision);
 };
--- a/src/node/settings/resolveSettings.ts
+++ b/src/node/settings/resolveSettings.ts
@@ -1,5 +1,7 @@
 import { readFile } from 'node:fs/promises';
 import { type NodeSettings, NodeSettingsSchema } from '../../gen/hyssoppulley/v1/settings_pb.ts';
+import { checkSettings } from './checkSettings.ts';
+import { documentError } from './documentError.ts';
 import { parseDocument } from './parseDocument.ts';
 
 /** Settings of a node with every default filled in. */
@@ -49,6 +51,23 @@
 /** Timing part of the resolved settings. */
 export type ResolvedTiming = ResolvedSettings['timing'];
 
+/**
+ * Parses and checks the settings of a node.
+ *
+ * @param file - name shown in errors
+ * @throws DocumentError with every fault that was found
+ */
+export const parseSettings = (text: string, file: string): ResolvedSettings => {
+  const { message, lineOf } = parseDocument(NodeSettingsSchema, text, file);
+  const settings = resolveSettings(message);
+  const faults = checkSettings(settings);
+  if (faults.length === 0) return settings;
+  throw documentError(
+    file,
+    faults.map((fault) => ({ ...fault, line: lineOf(fault.path) })),
+  );
+};
+
 /**
  * Reads and checks the settings file of a node.
  *
@@ -56,5 +75,5 @@
  */
 export const loadSettings = async (file: string): Promise<ResolvedSettings> => {
   const text = await readFile(file, 'utf8');
-  return resolveSettings(parseDocument(NodeSettingsSchema, text, file).message);
+  return parseSettings(text, file);
 };
