--- a/playground/load/caller.ts
+++ b/playground/load/caller.ts
@@ -8,6 +8,7 @@
   /** Value of `x-caller`. */
   readonly caller: string;
   readonly kind: 'completion' | 'service';
+  readonly method: 'GET' | 'POST';
   readonly path: string;
   /** Whether a repeat may run again. */
   readonly idempotent: boolean;
@@ -104,9 +105,9 @@
         : `report ${runId}`;
     try {
       const response = await fetch(`http://${entry.address}${kind.path}`, {
-        method: 'POST',
+        method: kind.method,
         headers,
-        body,
+        body: kind.method === 'GET' ? undefined : body,
         signal: AbortSignal.timeout(CALL_DEADLINE_MS),
       });
       const text = await response.text();
