feat(observability): trace the hops of keyed requests and of trainers' calls, and pass the owner's outcome on

An entry that passed a trainer's call on dropped the header x-hyssoppulley-outcome of the owner's refusal. Ruled out: letting forwardHeaders keep the header, since a worker could then set it. Change: withSpan and withTraceparent; spans forward-to-home, forwarded-request, grant, worker and forward-to-owner. Conclusion: samples generated for a step have no spans yet.

--- a/src/node/dataPath/requestRouter.ts
+++ b/src/node/dataPath/requestRouter.ts
@@ -88,7 +88,11 @@
     );
     let outcome: string;
     if (route.idempotent) outcome = await this.#serve(route, request, response, span);
-    else outcome = await this.#passNonIdempotent(route, request, response);
+    else {
+      // The keyed module passes the headers on; its hops belong to this span.
+      if (span.traceparent !== undefined) request.headers.traceparent = span.traceparent;
+      outcome = await this.#passNonIdempotent(route, request, response);
+    }
     span.end(outcome === 'answered' ? undefined : outcome);
     metrics.requests.inc({ route: route.name, outcome });
     metrics.requestSeconds.observe({ route: route.name }, (clock.monotonicMs() - startMs) / 1000);
--- a/src/node/keyed/forwardHandler.ts
+++ b/src/node/keyed/forwardHandler.ts
@@ -10,6 +10,8 @@
   MAX_KEYED_BODY_BYTES,
   SIGNS_OF_LIFE_PER_TIMEOUT,
 } from './constants.ts';
+import { noTracing, type Tracing } from '../observability/tracing.ts';
+import { withSpan, withTraceparent } from '../observability/withSpan.ts';
 import { keyedProblem, sendSettlement } from './keyedProblems.ts';
 import type { KeyedRuns } from './keyedRuns.ts';
 import { readKeyedBody } from './readKeyedBody.ts';
@@ -35,7 +37,13 @@
  * @param silenceMs - time after which entries take a home for silent, in ms
  */
 export const createForwardHandler =
-  (runs: KeyedRuns, incarnation: string, clock: Clock, silenceMs: number): RequestHandler =>
+  (
+    runs: KeyedRuns,
+    incarnation: string,
+    clock: Clock,
+    silenceMs: number,
+    tracing: Tracing = noTracing,
+  ): RequestHandler =>
   async (request, response) => {
     const url = request.url ?? '';
     if (!url.startsWith(`${PREFIX}/`)) return false;
@@ -48,13 +56,17 @@
         return true;
       }
       const body = await readKeyedBody(request, MAX_KEYED_BODY_BYTES, clock, silenceMs);
-      const { settlement, repeated } = await runs.handle({
+      const keyed = {
         key,
         method: request.method ?? 'GET',
         pathAndQuery: url.slice(PREFIX.length),
-        headers: request.headers,
         body,
-      });
+      };
+      const { settlement, repeated } = await withSpan(
+        tracing,
+        { name: 'forwarded-request', kind: 'server', parent: request.headers.traceparent },
+        (span) => runs.handle({ ...keyed, headers: withTraceparent(request.headers, span) }),
+      );
       response.setHeader(HOME_HEADER, incarnation);
       sendSettlement(response, settlement, repeated);
     } catch (error) {
--- a/src/node/keyed/homeClient.ts
+++ b/src/node/keyed/homeClient.ts
@@ -11,6 +11,8 @@
   MAX_DELIVERED_ANSWER_BYTES,
   MAX_IDLE_FORWARD_SOCKETS,
 } from './constants.ts';
+import { noTracing, type Tracing } from '../observability/tracing.ts';
+import { withSpan, withTraceparent } from '../observability/withSpan.ts';
 import type { KeyedRequest } from './keyedRuns.ts';
 
 /** What a home answered, for the caller. `silent`: nothing that can be attributed to the key's home. */
@@ -32,12 +34,15 @@
 
   readonly #silenceMs: number;
 
+  readonly #tracing: Tracing;
+
   readonly #agent = new http.Agent({ keepAlive: true, maxFreeSockets: MAX_IDLE_FORWARD_SOCKETS });
 
   /** @param silenceMs - a home that shows no sign of life for so long counts as silent */
-  constructor(clock: Clock, silenceMs: number) {
+  constructor(clock: Clock, silenceMs: number, tracing: Tracing = noTracing) {
     this.#clock = clock;
     this.#silenceMs = silenceMs;
+    this.#tracing = tracing;
   }
 
   /** Sends a request to its home and reads the whole answer. Never throws. */
@@ -45,7 +50,12 @@
     let reason = '';
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
       try {
-        return await this.#attempt(home, request);
+        return await withSpan(
+          this.#tracing,
+          { name: 'forward-to-home', kind: 'client', parent: request.headers.traceparent },
+          (span) =>
+            this.#attempt(home, { ...request, headers: withTraceparent(request.headers, span) }),
+        );
       } catch (error) {
         reason = messageOf(error);
       }
--- a/src/node/keyed/keyedRequests.ts
+++ b/src/node/keyed/keyedRequests.ts
@@ -25,6 +25,7 @@
 import type { MembershipView, TablesView } from '../membership/membershipView.ts';
 import type { PeerClients } from '../membership/peerClients.ts';
 import type { Logger } from '../observability/logger.ts';
+import type { Tracing } from '../observability/tracing.ts';
 import type { ResolvedSettings } from '../settings/resolveSettings.ts';
 import type { ResolvedRoute } from '../tables/resolveTables.ts';
 import { admissionRequestOf } from './admissionRequest.ts';
@@ -53,6 +54,8 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly registry: Registry;
+  /** @default noTracing */
+  readonly tracing?: Tracing;
   /** Told of each call to another node, for its metric. */
   readonly onPeerCall?: (method: string, result: string) => void;
 }
@@ -111,7 +114,7 @@
       logger,
       onCall: options.onPeerCall,
     });
-    this.#homeClient = new HomeClient(clock, timing.suspectAfterMs);
+    this.#homeClient = new HomeClient(clock, timing.suspectAfterMs, options.tracing);
     this.#runs = this.#createRuns();
   }
 
@@ -133,6 +136,7 @@
       membership.self.incarnation,
       clock,
       settings.timing.suspectAfterMs,
+      this.#options.tracing,
     );
   }
 
@@ -190,6 +194,7 @@
       clock,
       logger,
       dispatch,
+      tracing: this.#options.tracing,
       onRefused: this.#options.onRefused,
       admit: (route, caller) => admission.admit(admissionRequestOf(route, caller)),
       connectTimeoutMs: settings.timing.peerTimeoutMs,
--- a/src/node/keyed/keyedRuns.ts
+++ b/src/node/keyed/keyedRuns.ts
@@ -12,6 +12,8 @@
 import { matchRoute } from '../decisions/matchRoute.ts';
 import type { MembershipView, TablesView, WorkerEndpoint } from '../membership/membershipView.ts';
 import type { Logger } from '../observability/logger.ts';
+import { noTracing, type Tracing } from '../observability/tracing.ts';
+import { withSpan, withTraceparent } from '../observability/withSpan.ts';
 import type { ResolvedRoute } from '../tables/resolveTables.ts';
 import { HOP_HEADER, MAX_DELIVERED_ANSWER_BYTES } from './constants.ts';
 
@@ -55,6 +57,8 @@
   readonly logger: Logger;
   /** Asks the key's witness; undefined: no answer in time. */
   readonly askGrant: (key: IdempotencyKey) => Promise<GrantDecision | undefined>;
+  /** @default noTracing */
+  readonly tracing?: Tracing;
   readonly dispatch: Dispatch;
   /** Waits for a place at the pool's workers. Rejects when the request is refused. */
   readonly admit: (route: ResolvedRoute, caller: string) => Promise<Placement>;
@@ -152,7 +156,7 @@
     try {
       using placement = await this.#admit(request, route);
       if (placement === undefined) return this.#settlement(key);
-      if (asksWitness && !home.grantAnswered(key, await this.#options.askGrant(key))) {
+      if (asksWitness && !home.grantAnswered(key, await this.#askGrant(request))) {
         return this.#settlement(key);
       }
       return await this.#dispatch(request, route, placement);
@@ -162,6 +166,12 @@
     }
   }
 
+  #askGrant({ key, headers }: KeyedRequest): Promise<GrantDecision | undefined> {
+    const { askGrant, tracing = noTracing } = this.#options;
+    const hop = { name: 'grant', kind: 'client', parent: headers.traceparent } as const;
+    return withSpan(tracing, hop, () => askGrant(key));
+  }
+
   /** The settlement of a run that ended without an answer. */
   #settlement(key: IdempotencyKey): Settlement {
     const { home } = this.#options;
@@ -209,21 +219,31 @@
 
   #send(request: KeyedRequest, worker: WorkerEndpoint, timeoutMs: number): Promise<OnceResult> {
     const { home, membership, dispatch, clock, connectTimeoutMs } = this.#options;
-    return dispatch(
-      {
-        address: worker.address,
-        method: request.method,
-        path: request.pathAndQuery,
-        headers: workerHeaders(request),
-        body: request.body,
-      },
-      {
-        clock,
-        connectTimeoutMs,
-        timeoutMs,
-        maxAnswerBytes: MAX_DELIVERED_ANSWER_BYTES,
-        mayDispatch: () => home.beginDispatch(request.key, membership.mayServe()),
-      },
+    const { tracing = noTracing } = this.#options;
+    const once = {
+      clock,
+      connectTimeoutMs,
+      timeoutMs,
+      maxAnswerBytes: MAX_DELIVERED_ANSWER_BYTES,
+      mayDispatch: () => home.beginDispatch(request.key, membership.mayServe()),
+    };
+    const hop = {
+      name: 'worker',
+      kind: 'client',
+      parent: request.headers.traceparent,
+      attributes: { 'hyssoppulley.worker': worker.name },
+    } as const;
+    return withSpan(tracing, hop, (span) =>
+      dispatch(
+        {
+          address: worker.address,
+          method: request.method,
+          path: request.pathAndQuery,
+          headers: withTraceparent(workerHeaders(request), span),
+          body: request.body,
+        },
+        once,
+      ),
     );
   }
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -123,7 +123,7 @@
   membership.setWorkerStateReader(createWorkerStateReader(dataPath));
   const keyed = store.add(
     new KeyedRequests({
-      ...{ settings, clock, random, logger, membership, clients: peerClients },
+      ...{ settings, clock, random, logger, membership, tracing, clients: peerClients },
       tables: configuration,
       admission: dataPath.admission,
       registry: metrics.registry,
@@ -136,7 +136,7 @@
 
   const training = store.add(
     assembleTraining({
-      ...{ settings, clock, random, logger, metrics, platform, membership },
+      ...{ settings, clock, random, logger, metrics, platform, membership, tracing },
       tables: configuration,
       engine: dataPath.engines,
     }),
--- a/src/node/training/assembleTraining.ts
+++ b/src/node/training/assembleTraining.ts
@@ -10,6 +10,7 @@
 import type { MembershipView, TablesView } from '../membership/membershipView.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
+import type { Tracing } from '../observability/tracing.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { ResolvedSettings } from '../settings/resolveSettings.ts';
 import type { ResolvedTables } from '../tables/resolveTables.ts';
@@ -33,6 +34,8 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: Pick<Metrics, 'registry'>;
+  /** @default noTracing */
+  readonly tracing?: Tracing;
 }
 
 /** Training on one node. */
@@ -102,7 +105,7 @@
         return entry instanceof JobEntry ? entry : undefined;
       },
       ownAddress: () => `${self.host}:${self.peerPort}`,
-      forwarder: this.#store.add(new OwnerForwarder()),
+      forwarder: this.#store.add(new OwnerForwarder(options.tracing)),
       maxStepBytes: settings.limits.maxSampleBytes * MAX_STEP_FRACTION,
     });
   }
--- a/src/node/training/ownerForwarder.ts
+++ b/src/node/training/ownerForwarder.ts
@@ -1,8 +1,10 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
-import { FORWARD_PREFIX } from '../constants.ts';
+import { FORWARD_PREFIX, OUTCOME_HEADER } from '../constants.ts';
 import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
 import { requestError } from '../dataPath/problem.ts';
+import { type HopSpan, noTracing, type Tracing } from '../observability/tracing.ts';
+import { withSpan, withTraceparent } from '../observability/withSpan.ts';
 
 /** Header that marks a request that another node has forwarded; it is not forwarded again. */
 export const HOP_HEADER = 'x-hyssoppulley-hop';
@@ -14,18 +16,35 @@
 export class OwnerForwarder implements Disposable {
   readonly #agent = new http.Agent({ keepAlive: true, maxSockets: 64 });
 
+  readonly #tracing: Tracing;
+
+  constructor(tracing: Tracing = noTracing) {
+    this.#tracing = tracing;
+  }
+
   /**
    * @param address - peer address of the owner
    * @throws RequestError when the owner does not answer
    */
-  async forward(
+  forward(address: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { traceparent } = request.headers;
+    const hop = { name: 'forward-to-owner', kind: 'client', parent: traceparent } as const;
+    return withSpan(this.#tracing, hop, (span) => this.#forward(address, request, response, span));
+  }
+
+  async #forward(
     address: string,
     request: IncomingMessage,
     response: ServerResponse,
+    span: HopSpan,
   ): Promise<void> {
     try {
-      const answer = await this.#send(address, request, response);
-      response.writeHead(answer.statusCode ?? 502, forwardHeaders(answer.headers));
+      const answer = await this.#send(address, request, response, span);
+      const headers = forwardHeaders(answer.headers);
+      // Not passed on in general, because a worker must not set it; here the owner, a node, said it.
+      const outcome = answer.headers[OUTCOME_HEADER];
+      if (outcome !== undefined) headers[OUTCOME_HEADER] = outcome;
+      response.writeHead(answer.statusCode ?? 502, headers);
       await pipeline(answer, response);
     } catch (error) {
       const neverSent = (error as { code?: string }).code === 'ECONNREFUSED';
@@ -50,6 +69,7 @@
     address: string,
     request: IncomingMessage,
     response: ServerResponse,
+    span: HopSpan,
   ): Promise<IncomingMessage> {
     return new Promise((resolve, reject) => {
       const outgoing = http.request(
@@ -57,7 +77,7 @@
         {
           method: request.method,
           agent: this.#agent,
-          headers: { ...forwardHeaders(request.headers), [HOP_HEADER]: '1' },
+          headers: withTraceparent({ ...forwardHeaders(request.headers), [HOP_HEADER]: '1' }, span),
           timeout: IDLE_LIMIT_MS,
         },
         resolve,
