refactor: share the hop header and the relaying of another node's answer

Ruled out: letting forwardHeaders keep the outcome, since a worker could then set it. Change: HOP_HEADER in src/node/constants.ts; relayNodeHeaders beside forwardHeaders. Behaviour is unchanged. Conclusion: one place decides what is passed on from another node.

--- a/src/node/constants.ts
+++ b/src/node/constants.ts
@@ -10,6 +10,9 @@
 /** Header of the draft IETF standard for idempotency keys. */
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
 
+/** Header that marks a request that another node has forwarded; it is not forwarded again. */
+export const HOP_HEADER = 'x-hyssoppulley-hop';
+
 /** Path prefix on the peer port of requests forwarded to their home or owner. */
 export const FORWARD_PREFIX = '/forward';
 
--- a/src/node/dataPath/forwardHeaders.ts
+++ b/src/node/dataPath/forwardHeaders.ts
@@ -30,3 +30,10 @@
     Object.entries(headers).filter(([name]) => !HOP_BY_HOP.has(name) && !named.has(name)),
   );
 };
+
+/** The headers of another node's answer. Its outcome is passed on as well, since a node and no worker said it. */
+export const relayNodeHeaders = (headers: IncomingHttpHeaders): OutgoingHttpHeaders => {
+  const outcome = headers[OUTCOME_HEADER];
+  const forwarded = forwardHeaders(headers);
+  return outcome === undefined ? forwarded : { ...forwarded, [OUTCOME_HEADER]: outcome };
+};
--- a/src/node/keyed/constants.ts
+++ b/src/node/keyed/constants.ts
@@ -1,9 +1,6 @@
 /** Path below FORWARD_PREFIX of keyed requests; the caller's own path follows. */
 export const KEYED_FORWARD_PATH = '/keyed';
 
-/** Marks a forwarded request. A node that receives it answers it itself or refuses it, and never forwards it again. */
-export const HOP_HEADER = 'x-hyssoppulley-hop';
-
 /** Incarnation of the home that answered a forwarded request; tells its answers from those of a later process. */
 export const HOME_HEADER = 'x-hyssoppulley-home';
 
--- a/src/node/keyed/homeClient.ts
+++ b/src/node/keyed/homeClient.ts
@@ -2,11 +2,10 @@
 import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
-import { FORWARD_PREFIX } from '../constants.ts';
+import { FORWARD_PREFIX, HOP_HEADER } from '../constants.ts';
 import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
 import {
   HOME_HEADER,
-  HOP_HEADER,
   KEYED_FORWARD_PATH,
   MAX_DELIVERED_ANSWER_BYTES,
   MAX_IDLE_FORWARD_SOCKETS,
--- a/src/node/keyed/keyedRequests.ts
+++ b/src/node/keyed/keyedRequests.ts
@@ -4,9 +4,9 @@
 import type { PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
 import { newId, type Random } from '../../shared/random.ts';
-import { IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER } from '../constants.ts';
+import { IDEMPOTENCY_KEY_HEADER } from '../constants.ts';
 import type { AdmissionController } from '../dataPath/admissionController.ts';
-import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
+import { relayNodeHeaders } from '../dataPath/forwardHeaders.ts';
 import { headerOf, type RequestHandler } from '../dataPath/httpServer.ts';
 import { RequestError, requestError, sendProblem } from '../dataPath/problem.ts';
 import type { NonIdempotentHandler } from '../dataPath/requestRouter.ts';
@@ -276,11 +276,8 @@
       ? await this.#homeClient.forward(home.identity, request)
       : { status: 'silent' as const, reason: 'no node with the incarnation of the home is known' };
     if (answer.status === 'answered') {
-      const headers = forwardHeaders(answer.headers);
+      const headers = relayNodeHeaders(answer.headers);
       delete headers[HOME_HEADER];
-      const outcome = answer.headers[OUTCOME_HEADER];
-      // Not passed on in general; here the home, and no worker, said it.
-      if (outcome !== undefined) headers[OUTCOME_HEADER] = outcome;
       response.statusCode = answer.statusCode;
       response.setHeaders(new Map(Object.entries(headers) as [string, string | string[]][]));
       response.end(answer.body);
--- a/src/node/keyed/keyedRuns.ts
+++ b/src/node/keyed/keyedRuns.ts
@@ -1,7 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
-import { CALLER_HEADER, IDEMPOTENCY_KEY_HEADER } from '../constants.ts';
+import { CALLER_HEADER, HOP_HEADER, IDEMPOTENCY_KEY_HEADER } from '../constants.ts';
 import type { OnceOptions, OnceRequest, OnceResult } from '../dataPath/dispatchOnce.ts';
 import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
 import { AdmissionError } from '../decisions/admission.ts';
@@ -15,7 +15,7 @@
 import { noTracing, type Tracing } from '../observability/tracing.ts';
 import { withSpan, withTraceparent } from '../observability/withSpan.ts';
 import type { ResolvedRoute } from '../tables/resolveTables.ts';
-import { HOP_HEADER, MAX_DELIVERED_ANSWER_BYTES } from './constants.ts';
+import { MAX_DELIVERED_ANSWER_BYTES } from './constants.ts';
 
 /** A keyed request that was read whole. */
 export interface KeyedRequest {
--- a/src/node/training/ownerForwarder.ts
+++ b/src/node/training/ownerForwarder.ts
@@ -1,14 +1,11 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
-import { FORWARD_PREFIX, OUTCOME_HEADER } from '../constants.ts';
-import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
+import { FORWARD_PREFIX, HOP_HEADER } from '../constants.ts';
+import { forwardHeaders, relayNodeHeaders } from '../dataPath/forwardHeaders.ts';
 import { requestError } from '../dataPath/problem.ts';
 import { type HopSpan, noTracing, type Tracing } from '../observability/tracing.ts';
 import { withSpan, withTraceparent } from '../observability/withSpan.ts';
 
-/** Header that marks a request that another node has forwarded; it is not forwarded again. */
-export const HOP_HEADER = 'x-hyssoppulley-hop';
-
 /** Longest answer time of an owner: the longest pull and some time for its transfer, in ms. */
 const IDLE_LIMIT_MS = 25_000;
 
@@ -40,11 +37,7 @@
   ): Promise<void> {
     try {
       const answer = await this.#send(address, request, response, span);
-      const headers = forwardHeaders(answer.headers);
-      // Not passed on in general, because a worker must not set it; here the owner, a node, said it.
-      const outcome = answer.headers[OUTCOME_HEADER];
-      if (outcome !== undefined) headers[OUTCOME_HEADER] = outcome;
-      response.writeHead(answer.statusCode ?? 502, headers);
+      response.writeHead(answer.statusCode ?? 502, relayNodeHeaders(answer.headers));
       await pipeline(answer, response);
     } catch (error) {
       const neverSent = (error as { code?: string }).code === 'ECONNREFUSED';
--- a/src/node/training/trainerApi.ts
+++ b/src/node/training/trainerApi.ts
@@ -1,12 +1,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { FORWARD_PREFIX } from '../constants.ts';
+import { FORWARD_PREFIX, HOP_HEADER } from '../constants.ts';
 import { headerOf, pathOf, type RequestHandler } from '../dataPath/httpServer.ts';
 import { problemBody, requestError, RequestError, sendProblem } from '../dataPath/problem.ts';
 import { readBody } from '../dataPath/readBody.ts';
 import type { JobOwner, PullAnswer } from './jobOwner.ts';
 import { cursorOf, notOwner } from './jobRefusals.ts';
 import type { Lease } from './leaseKeeper.ts';
-import { HOP_HEADER, type OwnerForwarder } from './ownerForwarder.ts';
+import type { OwnerForwarder } from './ownerForwarder.ts';
 import {
   parsePullRequest,
   parseStepSubmission,
