--- a/bench/platformCalls.ts
+++ b/bench/platformCalls.ts
@@ -4,6 +4,7 @@
 import { create } from '@bufbuild/protobuf';
 import { createClient } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
+import { testPlatform } from '../playground/testPlatform.ts';
 import { ProcessGroup } from '../playground/processes.ts';
 import { OperatorService } from '../src/gen/hyssoppulley/v1/operator_pb.ts';
 import { NodeSettingsSchema } from '../src/gen/hyssoppulley/v1/settings_pb.ts';
@@ -65,7 +66,7 @@
           platform: { url: `http://${platform.address}` },
         }),
       ),
-      { logger: silentLogger },
+      { logger: silentLogger, platform: testPlatform(`http://${platform.address}`) },
     );
   const nodes = await Promise.all(
     Array.from({ length: nodeCount }, (_, index) => startNumbered(index)),
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,7 @@
 });
 
 export default [
-  { ignores: ['dist/', 'node_modules/', 'src/gen/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'src/gen/'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/playground/standIns/standInServer.ts
+++ b/playground/standIns/standInServer.ts
@@ -35,6 +35,14 @@
     setTimeout(resolve, delayMs);
   });
 
+/** Splits `/objects/KIND/NAME/status` into its parts; missing ones are empty. */
+export const standInRequestParts = (pathname: string) => {
+  const [, root = '', kind = '', name = '', part = ''] = pathname
+    .split('/')
+    .map((segment) => decodeURIComponent(segment));
+  return { root, kind, name, part };
+};
+
 const readAll = async (request: http.IncomingMessage): Promise<Buffer> => {
   const chunks: Buffer[] = [];
   for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
--- a/playground/training/trainingCase.ts
+++ b/playground/training/trainingCase.ts
@@ -174,9 +174,9 @@
     const holder = await waitFor(
       'an owner',
       async () => {
-        const response = await fetch(`http://${this.#platform}/objects/leases/job/${JOB}`);
-        const { value } = (await response.json()) as { value?: { holder: string } };
-        return value?.holder ?? '';
+        const response = await fetch(`http://${this.#platform}/objects/leases/job.${JOB}`);
+        const { spec } = (await response.json()) as { spec?: { value: { holder: string } } };
+        return spec?.value.holder ?? '';
       },
       (name) => name !== '',
     );
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -3,8 +3,8 @@
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
-import { build } from 'esbuild';
 import { inject } from 'postject';
+import { bundleProgram } from './bundle.ts';
 
 // Builds dist/hyssoppulley: one executable with the bundled program and the pinned Node runtime inside.
 const root = fileURLToPath(new URL('..', import.meta.url));
@@ -14,15 +14,7 @@
 const binary = path.join(dist, 'hyssoppulley');
 
 await mkdir(dist, { recursive: true });
-await build({
-  entryPoints: [path.join(root, 'src/node/cli.ts')],
-  bundle: true,
-  platform: 'node',
-  target: 'node24',
-  format: 'cjs',
-  outfile: bundle,
-  logLevel: 'warning',
-});
+await bundleProgram(root, bundle);
 const config = path.join(dist, 'sea-config.json');
 await writeFile(
   config,
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -6,7 +6,9 @@
 
 // Runs every test and passes over exactly the failures that KNOWN-RED.txt lists by name in lines `test: NAME`.
 const root = fileURLToPath(new URL('..', import.meta.url));
-const PATTERNS = ['src/**/__tests__/*.test.ts', 'playground/**/__tests__/*.test.ts'];
+const PATTERNS = ['src', 'platform', 'playground'].map(
+  (folder) => `${folder}/**/__tests__/*.test.ts`,
+);
 // Whole-process tests start up to ten processes each; more files at once would measure the machine, not the product.
 const MAX_FILES_AT_ONCE = 4;
 
--- /dev/null
+++ b/src/node/batches/batchReader.ts
@@ -0,0 +1,164 @@
+import {
+  type BatchItem,
+  type BatchRecord,
+  type DispatcherRecord,
+  type ItemResult,
+  ReadStatus,
+} from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { type Clock, Stopwatch } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import type { BatchClient, PeerAddress } from '../membership/peerClients.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformClient } from '../platform/platformClient.ts';
+import type { BatchCoordinator } from './batchCoordinator.ts';
+import { batchKey, decodeBatch, decodeItems, isBatchId, itemsKey } from './batchObjects.ts';
+import { MAX_CACHED_ITEM_BATCHES, PEER_READ_MARGIN_MS } from './constants.ts';
+import { fitAnswer, readLog } from './resultLog.ts';
+
+/** Results of a batch from a position on. `unavailable`: this node cannot tell now. */
+export type BatchRead =
+  | { readonly kind: 'found'; readonly total: number; readonly results: readonly ItemResult[] }
+  | { readonly kind: 'no-such-batch' }
+  | { readonly kind: 'unavailable' };
+
+/** Body of an item that can still be read. */
+export type ItemRead =
+  | { readonly kind: 'found'; readonly body: Uint8Array }
+  | { readonly kind: 'no-such-item' }
+  | { readonly kind: 'unavailable' };
+
+export interface BatchReaderOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly platform: PlatformClient;
+  /** Coordinators of the pools whose batches may be meant. */
+  readonly coordinators: () => readonly BatchCoordinator[];
+  /** Incarnation of this node. */
+  readonly incarnation: string;
+  readonly client: (address: PeerAddress) => BatchClient;
+}
+
+/**
+ * Reads batches at any node: from the dispatcher where it answers, because it knows results first, else from the
+ * platform.
+ */
+export class BatchReader {
+  readonly #options: BatchReaderOptions;
+
+  /** Items of batches that were read from the platform, the latest last. */
+  readonly #items = new Map<string, Promise<BatchItem[]>>();
+
+  constructor(options: BatchReaderOptions) {
+    this.#options = options;
+  }
+
+  /** @param waitMs - how long the answer may be delayed until there is a result, in ms */
+  async read(batchId: string, after: number, waitMs: number): Promise<BatchRead> {
+    if (!isBatchId(batchId)) return { kind: 'no-such-batch' };
+    const started = new Stopwatch(this.#options.clock);
+    const asked = await this.#askDispatchers(batchId, after, waitMs);
+    const read = asked ?? (await this.#readStored(batchId, after));
+    this.#options.logger.info('batch-read', {
+      batch: batchId,
+      after,
+      outcome: read.kind,
+      results: read.kind === 'found' ? read.results.length : undefined,
+      source: asked === undefined ? 'platform' : 'dispatcher',
+      tookMs: Math.round(started.elapsedMs()),
+    });
+    return read;
+  }
+
+  async readItem(batchId: string, itemId: string): Promise<ItemRead> {
+    if (!isBatchId(batchId)) return { kind: 'no-such-item' };
+    for (const { dispatcher } of this.#options.coordinators()) {
+      const item = dispatcher?.findItem(batchId, itemId);
+      if (item !== undefined) return { kind: 'found', body: item.body };
+    }
+    try {
+      const record = await this.#record(batchId);
+      if (record === undefined || record.endedAtMs > 0n) return { kind: 'no-such-item' };
+      const items = await this.#itemsOf(record);
+      const item = items.find(({ id }) => id === itemId);
+      return item === undefined ? { kind: 'no-such-item' } : { kind: 'found', body: item.body };
+    } catch (error) {
+      this.#logFailure('item-read-failed', batchId, error);
+      return { kind: 'unavailable' };
+    }
+  }
+
+  async #askDispatchers(
+    batchId: string,
+    after: number,
+    waitMs: number,
+  ): Promise<BatchRead | undefined> {
+    const { coordinators, incarnation } = this.#options;
+    for (const { dispatcher, election } of coordinators()) {
+      const local = await dispatcher?.read(batchId, after, waitMs);
+      if (local !== undefined) return { kind: 'found', ...local };
+      const { holder } = election;
+      if (holder !== undefined && holder.incarnation !== incarnation) {
+        const read = await this.#ask(holder, batchId, after, waitMs);
+        if (read !== undefined) return read;
+      }
+    }
+    return undefined;
+  }
+
+  async #ask(
+    holder: DispatcherRecord,
+    batchId: string,
+    after: number,
+    waitMs: number,
+  ): Promise<BatchRead | undefined> {
+    try {
+      const answer = await this.#options
+        .client(holder)
+        .readResults({ batchId, after, waitMs }, { timeoutMs: waitMs + PEER_READ_MARGIN_MS });
+      if (answer.status !== ReadStatus.OK) return undefined;
+      return { kind: 'found', total: answer.total, results: answer.results };
+    } catch (error) {
+      this.#logFailure('dispatcher-read-failed', batchId, error);
+      return undefined;
+    }
+  }
+
+  async #readStored(batchId: string, after: number): Promise<BatchRead> {
+    const { platform } = this.#options;
+    try {
+      const record = await this.#record(batchId);
+      if (record === undefined) return { kind: 'no-such-batch' };
+      const entries = await readLog(platform, batchId);
+      const results = entries.flatMap((entry) => entry.results).slice(after);
+      return { kind: 'found', total: record.itemCount, results: fitAnswer(results) };
+    } catch (error) {
+      this.#logFailure('batch-read-failed', batchId, error);
+      return { kind: 'unavailable' };
+    }
+  }
+
+  async #record(batchId: string): Promise<BatchRecord | undefined> {
+    const object = await this.#options.platform.read(batchKey(batchId));
+    return object && decodeBatch(object.value);
+  }
+
+  #itemsOf({ id, partCount }: BatchRecord): Promise<BatchItem[]> {
+    const known = this.#items.get(id);
+    if (known) return known;
+    const { platform } = this.#options;
+    const read = Promise.all(
+      Array.from({ length: partCount }, (_, part) => platform.read(itemsKey(id, part))),
+    ).then((parts) => parts.flatMap((object) => decodeItems(object?.value)));
+    read.catch(() => this.#items.delete(id));
+    this.#items.set(id, read);
+    const [oldest] = this.#items.keys();
+    if (this.#items.size > MAX_CACHED_ITEM_BATCHES && oldest !== undefined) {
+      this.#items.delete(oldest);
+    }
+    return read;
+  }
+
+  #logFailure(event: string, batchId: string, error: unknown): void {
+    this.#options.logger.warn(event, { batch: batchId, message: messageOf(error) });
+  }
+}
--- /dev/null
+++ b/src/node/batches/batchService.ts
@@ -0,0 +1,103 @@
+import { create } from '@bufbuild/protobuf';
+import type { ServiceImpl } from '@connectrpc/connect';
+import {
+  type BatchRecord,
+  type BatchService as BatchRpc,
+  type DispatcherRecord,
+  type ItemProgress,
+  ReadResultsResponseSchema,
+  ReadStatus,
+  ReleasePoolResponseSchema,
+} from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import type { Clock } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import { newId } from '../../shared/random.ts';
+import type { BatchClient, PeerAddress } from '../membership/peerClients.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformClient } from '../platform/platformClient.ts';
+import type { BatchCoordinator } from './batchCoordinator.ts';
+import { batchKey, decodeBatch, encodeBatch, isBatchId } from './batchObjects.ts';
+import { MAX_END_ATTEMPTS } from './constants.ts';
+
+/** What became of a request to end a batch. `unknown`: it may have ended. */
+export type EndResult = 'ended' | 'no-such-batch' | 'unavailable' | 'unknown';
+
+export interface EndBatchOptions {
+  readonly clock: Clock;
+  readonly platform: PlatformClient;
+  readonly logger: Logger;
+}
+
+/** Ends a batch: nothing of it runs any more once its dispatcher has seen the record. */
+export const endBatch = async (
+  batchId: string,
+  { clock, platform, logger }: EndBatchOptions,
+): Promise<EndResult> => {
+  if (!isBatchId(batchId)) return 'no-such-batch';
+  let mayHaveEnded = false;
+  for (let attempt = 0; attempt < MAX_END_ATTEMPTS; attempt += 1) {
+    try {
+      const object = await platform.read(batchKey(batchId));
+      if (object === undefined) return 'no-such-batch';
+      const record: BatchRecord = decodeBatch(object.value);
+      if (record.endedAtMs > 0n) return 'ended';
+      record.endedAtMs = BigInt(Math.round(clock.nowMs()));
+      const result = await platform.write(object.key, encodeBatch(record), {
+        ifVersion: object.version,
+        operationId: newId(),
+      });
+      logger.info('batch-end-requested', { batch: batchId, outcome: result.status });
+      if (result.status === 'written') return 'ended';
+      if (result.status === 'unknown') mayHaveEnded = true;
+    } catch (error) {
+      logger.warn('batch-end-failed', { batch: batchId, message: messageOf(error) });
+    }
+  }
+  return mayHaveEnded ? 'unknown' : 'unavailable';
+};
+
+/** Answers other nodes' calls about batches. */
+export const createBatchHandlers = (
+  coordinators: () => readonly BatchCoordinator[],
+): Partial<ServiceImpl<typeof BatchRpc>> => ({
+  async readResults({ batchId, after, waitMs }) {
+    for (const { dispatcher } of coordinators()) {
+      const read = await dispatcher?.read(batchId, after, waitMs);
+      if (read !== undefined) {
+        return create(ReadResultsResponseSchema, {
+          status: ReadStatus.OK,
+          total: read.total,
+          results: [...read.results],
+        });
+      }
+    }
+    return create(ReadResultsResponseSchema, { status: ReadStatus.NOT_DISPATCHER });
+  },
+  releasePool({ pool, term }) {
+    const coordinator = coordinators().find((candidate) => candidate.pool === pool);
+    return create(ReleasePoolResponseSchema, { items: coordinator?.release(term) ?? [] });
+  },
+});
+
+/** Time for the former dispatcher to pass on what it has, in ms; a dead one costs the next dispatcher this long. */
+const RELEASE_TIMEOUT_MS = 400;
+
+/** Asks the former dispatcher of a pool to stop. Without an answer its items begin where the log ends. */
+export const releaseFormer = async (
+  client: (address: PeerAddress) => BatchClient,
+  former: DispatcherRecord,
+  { pool, term }: { readonly pool: string; readonly term: number },
+  logger: Logger,
+): Promise<ItemProgress[]> => {
+  try {
+    const answer = await client(former).releasePool(
+      { pool, term },
+      { timeoutMs: RELEASE_TIMEOUT_MS },
+    );
+    return answer.items;
+  } catch (error) {
+    const { node } = former;
+    logger.info('former-dispatcher-silent', { pool, node, message: messageOf(error) });
+    return [];
+  }
+};
--- /dev/null
+++ b/src/node/batches/batchSubsystem.ts
@@ -0,0 +1,153 @@
+import type { Clock } from '../../shared/clock.ts';
+import type { Random } from '../../shared/random.ts';
+import type { GatewayAdapter } from '../gateway/adapter.ts';
+import type { Forwarder } from '../gateway/forwarder.ts';
+import type { GatewayRoute } from '../gateway/gatewayTables.ts';
+import type { TablesFollower } from '../gateway/tablesFollower.ts';
+import type { WorkerRegistry } from '../gateway/workerRegistry.ts';
+import type { PeerClients } from '../membership/peerClients.ts';
+import type { Logger } from '../observability/logger.ts';
+import { ObjectFollower } from '../platform/objectFollower.ts';
+import type { PlatformObjects } from '../platform/platformClient.ts';
+import { type AcceptResult, BatchAcceptor, type BatchSubmission } from './batchAcceptor.ts';
+import { BatchCoordinator, type PublishedWeights } from './batchCoordinator.ts';
+import { BatchReader, type BatchRead, type ItemRead } from './batchReader.ts';
+import { endBatch, type EndResult, releaseFormer } from './batchService.ts';
+import { dispatcherLease, type ElectionView } from './dispatcherElection.ts';
+import { ItemScorer } from './itemScorer.ts';
+
+export interface BatchSubsystemOptions {
+  readonly platform: PlatformObjects;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly view: ElectionView;
+  readonly platformLost: () => boolean;
+  readonly registry: WorkerRegistry;
+  readonly tables: TablesFollower;
+  readonly forwarder: Forwarder;
+  readonly adapter: Pick<GatewayAdapter, 'generationCalls' | 'orderCalls' | 'publishedVersions'>;
+  readonly peerClients: PeerClients;
+  readonly maxValueBytes: number;
+  readonly maxLoading: number;
+  readonly retentionMs: number;
+  /** How long a waiting call for changes waits on a dispatcher, in ms. */
+  readonly waitMs: number;
+}
+
+/** Everything that a node does with batches: accepts, dispatches, reads and ends them. */
+export class BatchSubsystem implements AsyncDisposable {
+  readonly #options: BatchSubsystemOptions;
+
+  readonly #acceptor: BatchAcceptor;
+
+  readonly #reader: BatchReader;
+
+  readonly #scorer: ItemScorer;
+
+  /** By pool. */
+  readonly #coordinators = new Map<string, BatchCoordinator>();
+
+  constructor(options: BatchSubsystemOptions) {
+    this.#options = options;
+    const { clock, logger, platform, forwarder, tables, view, peerClients } = options;
+    this.#acceptor = new BatchAcceptor(options);
+    this.#scorer = new ItemScorer({
+      ...{ clock, logger, forwarder },
+      findRoute: (host, path) => tables.routes.find(host, path),
+    });
+    this.#reader = new BatchReader({
+      ...{ clock, logger, platform },
+      coordinators: () => this.coordinators(),
+      incarnation: view.self.incarnation,
+      client: (address) => peerClients.batch(address),
+    });
+  }
+
+  coordinators(): BatchCoordinator[] {
+    return [...this.#coordinators.values()];
+  }
+
+  /** Names, for heartbeats, of the pools that this node dispatches. */
+  heldLeases(): string[] {
+    return this.coordinators()
+      .filter(({ election }) => election.heldTerm !== undefined)
+      .map(({ pool }) => dispatcherLease(pool));
+  }
+
+  /** Takes part in the election of each pool that a route of batches names. */
+  tablesChanged(): void {
+    const routes = this.#options.tables.tables?.routes ?? [];
+    for (const { kind, pools } of routes) {
+      if (kind !== 'batch') continue;
+      for (const { pool } of pools) {
+        if (!this.#coordinators.has(pool)) this.#coordinators.set(pool, this.#coordinate(pool));
+      }
+    }
+    for (const { dispatcher } of this.coordinators()) dispatcher?.schedule();
+  }
+
+  workersChanged(): void {
+    for (const coordinator of this.coordinators()) coordinator.workersChanged();
+  }
+
+  submit(submission: BatchSubmission, route: GatewayRoute): Promise<AcceptResult> {
+    return this.#acceptor.accept(submission, route);
+  }
+
+  read(batchId: string, after: number, waitMs: number): Promise<BatchRead> {
+    return this.#reader.read(batchId, after, waitMs);
+  }
+
+  readItem(batchId: string, itemId: string): Promise<ItemRead> {
+    return this.#reader.readItem(batchId, itemId);
+  }
+
+  end(batchId: string): Promise<EndResult> {
+    return endBatch(batchId, this.#options);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all(this.coordinators().map((each) => each[Symbol.asyncDispose]()));
+  }
+
+  #coordinate(pool: string): BatchCoordinator {
+    const { tables, adapter, peerClients, logger } = this.#options;
+    return new BatchCoordinator({
+      ...this.#options,
+      pool,
+      tables: () => tables.tables,
+      generations: adapter.generationCalls,
+      orders: adapter.orderCalls,
+      scorer: this.#scorer,
+      acceptor: this.#acceptor,
+      followWeights: (onChange) => this.#followWeights(onChange),
+      release: (former, term) =>
+        releaseFormer((address) => peerClients.batch(address), former, { pool, term }, logger),
+    });
+  }
+
+  #followWeights(onChange: () => void): PublishedWeights & Disposable {
+    const { platform, clock, random, logger, adapter, waitMs } = this.#options;
+    const newest = new Map<string, number>();
+    const { prefix, decode } = adapter.publishedVersions;
+    const follower = new ObjectFollower({
+      ...{ platform, clock, random, logger, prefix },
+      waitMs: () => waitMs,
+      onEvent: ({ type, object }) => {
+        const published = type === 'written' ? decode(object) : undefined;
+        if (published === undefined || published.version <= (newest.get(published.model) ?? 0)) {
+          return;
+        }
+        newest.set(published.model, published.version);
+        logger.info('weights-published', { ...published });
+        onChange();
+      },
+    });
+    void follower.start();
+    return {
+      newest: (model) => newest.get(model) ?? 0,
+      [Symbol.dispose]: () => follower[Symbol.dispose](),
+    };
+  }
+}
--- /dev/null
+++ b/src/node/batches/dispatcherElection.ts
@@ -0,0 +1,249 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  type DispatcherRecord,
+  DispatcherRecordSchema,
+} from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import { type Clock, Stopwatch } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import { newId } from '../../shared/random.ts';
+import { repeatEvery } from '../../shared/repeat.ts';
+import { claimDelayMs, type DispatcherCandidate } from '../decisions/dispatcherClaim.ts';
+import type { Peer } from '../membership/membershipView.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformClient } from '../platform/platformClient.ts';
+import { decodeDispatcher, dispatcherKey, encodeDispatcher } from './batchObjects.ts';
+
+/** Between looks at the dispatcher, in ms. */
+const LOOK_INTERVAL_MS = 200;
+
+/** Time after the start in which other nodes become known, in ms; no claim is made before. */
+const SETTLE_MS = 600;
+
+/** Between reads of the record while its holder seems sound, in ms; a change usually shows in heartbeats. */
+const REREAD_INTERVAL_MS = 15_000;
+
+/** What the election sees of the nodes. */
+export interface ElectionView {
+  readonly self: NodeIdentity;
+  peers(): readonly Peer[];
+  /** Whether this node is about to stop. */
+  readonly leaving: boolean;
+}
+
+export interface DispatcherElectionOptions {
+  readonly pool: string;
+  readonly platform: PlatformClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly view: ElectionView;
+  /** Whether the platform does not answer this node. */
+  readonly platformLost: () => boolean;
+  /** This node has become the dispatcher; `former` dispatched before. */
+  readonly onElected: (term: number, former: DispatcherRecord | undefined) => void;
+  /** This node is no longer the dispatcher. */
+  readonly onLost: () => void;
+}
+
+const candidateOf = (identity: NodeIdentity, able: boolean): DispatcherCandidate => ({
+  name: identity.name,
+  incarnation: identity.incarnation,
+  capacityMillicores: identity.capacityMillicores,
+  able,
+});
+
+/** Name under which heartbeats tell that a node dispatches a pool. */
+export const dispatcherLease = (pool: string): string => `dispatcher/${pool}`;
+
+/**
+ * Agrees with the other nodes on who dispatches a pool. A node claims the pool by a conditional write when the holder
+ * is gone, leaving, or out of touch with the platform. The holder keeps it otherwise, so that nothing moves without need.
+ */
+export class DispatcherElection implements Disposable {
+  readonly #options: DispatcherElectionOptions;
+
+  readonly #started: Stopwatch;
+
+  readonly #timer: Disposable;
+
+  #known: { readonly record: DispatcherRecord | undefined; readonly version: number } | undefined;
+
+  #readAt: Stopwatch | undefined;
+
+  /** Since when the holder has been seen to be gone. */
+  #goneSince: Stopwatch | undefined;
+
+  #heldTerm: number | undefined;
+
+  #busy = false;
+
+  #disposed = false;
+
+  constructor(options: DispatcherElectionOptions) {
+    this.#options = options;
+    this.#started = new Stopwatch(options.clock);
+    this.#timer = repeatEvery(options.clock, LOOK_INTERVAL_MS, () => void this.#look(), 0);
+  }
+
+  /** The dispatcher as far as this node knows. */
+  get holder(): DispatcherRecord | undefined {
+    return this.#known?.record;
+  }
+
+  /** Term of this node as dispatcher; undefined: it is not. */
+  get heldTerm(): number | undefined {
+    return this.#heldTerm;
+  }
+
+  /**
+   * Confirms at the platform that this node still holds the pool.
+   *
+   * @returns false also when the platform does not answer
+   */
+  async verify(): Promise<boolean> {
+    try {
+      await this.#read();
+    } catch (error) {
+      const { logger, pool } = this.#options;
+      logger.warn('dispatcher-unverified', { pool, message: messageOf(error) });
+      return false;
+    }
+    return this.#heldTerm !== undefined;
+  }
+
+  /** Gives the pool up because another node has it, or is to take it. */
+  resign(reason: string): void {
+    if (this.#heldTerm === undefined) return;
+    const { logger, pool, onLost } = this.#options;
+    logger.info('dispatcher-lost', { pool, term: this.#heldTerm, reason });
+    this.#heldTerm = undefined;
+    onLost();
+  }
+
+  /** The holder may have changed: the record is read again. */
+  recheck(): void {
+    this.#readAt = undefined;
+    void this.#look();
+  }
+
+  [Symbol.dispose](): void {
+    this.#disposed = true;
+    this.#timer[Symbol.dispose]();
+  }
+
+  async #look(): Promise<void> {
+    if (this.#busy || this.#disposed) return;
+    this.#busy = true;
+    try {
+      await this.#step();
+    } catch (error) {
+      const { logger, pool } = this.#options;
+      logger.debug('dispatcher-look-failed', { pool, message: messageOf(error) });
+    } finally {
+      this.#busy = false;
+    }
+  }
+
+  async #step(): Promise<void> {
+    const { platformLost } = this.#options;
+    if (this.#mustRead()) await this.#read();
+    if (this.#isHolderAble()) {
+      this.#goneSince = undefined;
+      return;
+    }
+    if (platformLost() || this.#started.elapsedMs() < SETTLE_MS) return;
+    this.#goneSince ??= new Stopwatch(this.#options.clock);
+    const delayMs = this.#claimDelayMs();
+    if (delayMs === undefined || this.#goneSince.elapsedMs() < delayMs) return;
+    await this.#claim();
+  }
+
+  #mustRead(): boolean {
+    if (this.#known === undefined || this.#readAt === undefined) return true;
+    if (this.#readAt.elapsedMs() > REREAD_INTERVAL_MS) return true;
+    // Another node tells that it dispatches the pool.
+    const { view, pool } = this.#options;
+    const holder = this.#known.record?.incarnation;
+    return view
+      .peers()
+      .some(
+        ({ identity, leases, suspected }) =>
+          !suspected &&
+          identity.incarnation !== holder &&
+          leases.includes(dispatcherLease(pool)) &&
+          (this.#readAt?.elapsedMs() ?? Infinity) > LOOK_INTERVAL_MS * 4,
+      );
+  }
+
+  #isHolderAble(): boolean {
+    const record = this.#known?.record;
+    if (record === undefined) return false;
+    const { view, platformLost } = this.#options;
+    if (record.incarnation === view.self.incarnation) return this.#heldTerm !== undefined;
+    const peer = view.peers().find(({ identity }) => identity.name === record.node);
+    if (peer === undefined || peer.identity.incarnation !== record.incarnation) return false;
+    if (peer.suspected || peer.leaving) return false;
+    // A holder that the platform answers as little as this node is left alone.
+    return !peer.platformLost || platformLost();
+  }
+
+  #claimDelayMs(): number | undefined {
+    const { view, pool, platformLost } = this.#options;
+    const { self, leaving } = view;
+    const own = candidateOf(self, !leaving && !platformLost());
+    const peers = view
+      .peers()
+      .map((peer) =>
+        candidateOf(peer.identity, !peer.suspected && !peer.leaving && !peer.platformLost),
+      );
+    return claimDelayMs(pool, own, peers);
+  }
+
+  async #read(): Promise<void> {
+    const { platform, pool, view } = this.#options;
+    const object = await platform.read(dispatcherKey(pool));
+    this.#readAt = new Stopwatch(this.#options.clock);
+    const record = object && decodeDispatcher(object.value);
+    this.#known = { record, version: object?.version ?? 0 };
+    if (record !== undefined && record.incarnation !== view.self.incarnation) {
+      this.resign(`${record.node} has term ${record.term}`);
+    }
+  }
+
+  async #claim(): Promise<void> {
+    const { platform, pool, view, logger, onElected } = this.#options;
+    await this.#read();
+    if (this.#isHolderAble() || this.#known === undefined) return;
+    const former = this.#known.record;
+    const { name, incarnation, host, peerPort } = view.self;
+    const term = (former?.term ?? 0) + 1;
+    const record = create(DispatcherRecordSchema, {
+      ...{ node: name, incarnation, host, peerPort, term },
+    });
+    const result = await platform.write(dispatcherKey(pool), encodeDispatcher(record), {
+      ifVersion: this.#known.version,
+      operationId: newId(),
+    });
+    logger.info('dispatcher-claimed', {
+      pool,
+      term,
+      former: former?.node,
+      outcome: result.status,
+    });
+    // Without an answer the next look reads the record, which then names this node or another one.
+    this.#readAt = undefined;
+    if (result.status !== 'written' && !(await this.#wasTaken(record))) return;
+    this.#known = { record, version: 'version' in result ? result.version : this.#known.version };
+    this.#readAt = new Stopwatch(this.#options.clock);
+    this.#goneSince = undefined;
+    this.#heldTerm = term;
+    onElected(term, former);
+  }
+
+  /** Whether a claim whose answer was lost took effect. */
+  async #wasTaken({ incarnation, term }: DispatcherRecord): Promise<boolean> {
+    await this.#read();
+    const record = this.#known?.record;
+    return record?.incarnation === incarnation && record.term === term;
+  }
+}
--- /dev/null
+++ b/src/node/batches/poolDispatcher.ts
@@ -0,0 +1,444 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  type BatchItem,
+  type BatchRecord,
+  type ItemProgress,
+  ItemProgressSchema,
+  ItemResultSchema,
+  ItemState as ResultState,
+} from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { type Clock, sleep } from '../../shared/clock.ts';
+import type { Random } from '../../shared/random.ts';
+import { repeatEvery } from '../../shared/repeat.ts';
+import { type Placement, placeItems, type WaitingItem } from '../decisions/itemPlacement.ts';
+import { runsToRelocate } from '../decisions/runRelocation.ts';
+import type { EnginePool } from '../gateway/gatewayTables.ts';
+import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformClient } from '../platform/platformClient.ts';
+import type { WeightLoads } from '../weights/weightLoads.ts';
+import { BatchState } from './batchState.ts';
+import {
+  BROKEN_BACKOFF_MS,
+  ITEM_FAILED,
+  ITEM_IMPOSSIBLE,
+  REFUSAL_BACKOFF_MS,
+  TICK_MS,
+} from './constants.ts';
+import { EngineWorkers } from './engineWorkers.ts';
+import type { EarlierTexts } from './earlierTexts.ts';
+import type { GenerationCalls } from './generationCalls.ts';
+import { ItemRun, type RunEnd } from './itemRun.ts';
+import type { ItemScorer } from './itemScorer.ts';
+import type { ItemState } from './itemState.ts';
+import { fitAnswer, ResultLog } from './resultLog.ts';
+
+export interface PoolDispatcherOptions {
+  readonly pool: string;
+  readonly term: number;
+  /** Incarnation of this node. */
+  readonly writer: string;
+  readonly platform: PlatformClient;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly registry: WorkerRegistry;
+  readonly engine: () => EnginePool | undefined;
+  readonly calls: GenerationCalls;
+  readonly scorer: ItemScorer;
+  readonly weights: WeightLoads;
+  /** Newest published weight version of a model. */
+  readonly newestVersion: (model: string) => number;
+  /** Workers that may load weights at once. */
+  readonly maxLoading: number;
+  readonly earlierTexts: EarlierTexts;
+  /** Told when another node has taken the pool over. */
+  readonly onReplaced: () => void;
+}
+
+/** Result of a read at the dispatcher. */
+export interface ReadBatch {
+  readonly total: number;
+  readonly results: BatchState['log']['results'];
+}
+
+/** Name of the part of a prompt that a group shares. */
+const promptOf = ({ promptParts }: BatchItem): string =>
+  (promptParts.length > 1 ? promptParts.slice(0, -1) : promptParts).map(({ id }) => id).join('/');
+
+/** Runs the items of a pool's batches on its workers. One node at a time does so for a pool. */
+export class PoolDispatcher implements Disposable {
+  readonly #options: PoolDispatcherOptions;
+
+  readonly #batches = new Map<string, BatchState>();
+
+  /** Runs in progress by item. */
+  readonly #runs = new Map<ItemState, ItemRun>();
+
+  /** Scoring calls in progress by batch. */
+  readonly #scoring = new Map<string, AbortController>();
+
+  readonly #workers: EngineWorkers;
+
+  readonly #ticks: Disposable;
+
+  #scheduled = false;
+
+  #closed = false;
+
+  constructor(options: PoolDispatcherOptions) {
+    this.#options = options;
+    this.#workers = new EngineWorkers(options);
+    this.#ticks = repeatEvery(options.clock, TICK_MS, () => this.#tick());
+  }
+
+  get closed(): boolean {
+    return this.#closed;
+  }
+
+  has(batchId: string): boolean {
+    return this.#batches.has(batchId);
+  }
+
+  /**
+   * Adds a batch whose items begin to run.
+   *
+   * @param takeOver - whether a former dispatcher may have run it
+   * @param progress - what that one has generated
+   */
+  async add(
+    record: BatchRecord,
+    items: readonly BatchItem[],
+    takeOver: boolean,
+    progress: readonly ItemProgress[] = [],
+  ): Promise<void> {
+    const { logger, platform, clock, random, term, writer, earlierTexts, onReplaced } =
+      this.#options;
+    const log = new ResultLog({
+      ...{ platform, clock, random, logger, term, writer, batchId: record.id },
+      onAdopted: (results) => this.#batches.get(record.id)?.listed(results),
+      onTaken: onReplaced,
+    });
+    if (takeOver) await log.takeOver();
+    if (this.#closed || this.#batches.has(record.id)) return;
+    const batch = new BatchState(record, items, log);
+    this.#batches.set(record.id, batch);
+    this.#scoring.set(record.id, new AbortController());
+    for (const item of progress) batch.adopt(item);
+    const reused = earlierTexts.reuse(batch);
+    logger.info('batch-dispatched', {
+      batch: record.id,
+      pool: record.pool,
+      step: record.step,
+      minVersion: record.minVersion,
+      items: items.length,
+      listed: log.results.length,
+      ended: batch.ended,
+      reused,
+      term,
+    });
+    for (const state of batch.items.values()) {
+      if (state.whole && state.phase === 'waiting') void this.#score(state);
+    }
+    this.schedule();
+  }
+
+  /** Ends a batch: nothing of it runs any more. What is listed can still be read. */
+  end(batchId: string): void {
+    const batch = this.#batches.get(batchId);
+    if (batch === undefined || batch.ended) return;
+    batch.end();
+    this.#scoring.get(batchId)?.abort();
+    let stopped = 0;
+    for (const [state, run] of this.#runs) {
+      if (state.batch === batch) {
+        run.stop('batch-ended');
+        stopped += 1;
+      }
+    }
+    this.#options.earlierTexts.keep(batch);
+    const listed = batch.log.results.length;
+    this.#options.logger.info('batch-ended', { batch: batchId, listed, stoppedRuns: stopped });
+    this.schedule();
+  }
+
+  /** Forgets a batch that nobody reads any more. */
+  forget(batchId: string): void {
+    this.end(batchId);
+    this.#batches.get(batchId)?.log.close();
+    this.#batches.delete(batchId);
+    this.#scoring.delete(batchId);
+  }
+
+  /** Results from a position on; waits until there is one. Undefined: the batch is not here. */
+  async read(batchId: string, after: number, waitMs: number): Promise<ReadBatch | undefined> {
+    const batch = this.#batches.get(batchId);
+    if (batch === undefined) return undefined;
+    const { log } = batch;
+    if (log.results.length <= after && !batch.ended && waitMs > 0) await log.changes.wait(waitMs);
+    return { total: batch.items.size, results: fitAnswer(log.results.slice(after)) };
+  }
+
+  /** An item of a batch that has not ended. */
+  findItem(batchId: string, itemId: string): BatchItem | undefined {
+    const batch = this.#batches.get(batchId);
+    return batch === undefined || batch.ended ? undefined : batch.items.get(itemId)?.item;
+  }
+
+  /** Stops everything and tells what the items have generated, for the next dispatcher. */
+  release(): ItemProgress[] {
+    const progress = [...this.#batches.values()].flatMap((batch) =>
+      batch.ended
+        ? []
+        : [...batch.items.values()]
+            .filter(({ phase, text }) => phase !== 'listed' && text.events.length > 0)
+            .map(({ item, text, failedAttempts, whole }) =>
+              create(ItemProgressSchema, {
+                batchId: batch.record.id,
+                itemId: item.id,
+                events: [...text.events],
+                versions: text.versions,
+                failedAttempts,
+                whole,
+              }),
+            ),
+    );
+    this[Symbol.dispose]();
+    return progress;
+  }
+
+  /** Takes in the registrations of the pool's workers. */
+  workersChanged(): void {
+    this.#workers.changed();
+    this.schedule();
+  }
+
+  /** Looks for work soon: something changed. */
+  schedule(): void {
+    if (this.#scheduled || this.#closed) return;
+    this.#scheduled = true;
+    this.#options.clock.schedule(0, () => {
+      this.#scheduled = false;
+      if (!this.#closed) this.#place();
+    });
+  }
+
+  [Symbol.dispose](): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#ticks[Symbol.dispose]();
+    this.#options.weights.close();
+    for (const run of this.#runs.values()) run.stop('released');
+    for (const abort of this.#scoring.values()) abort.abort();
+    for (const { log } of this.#batches.values()) log.close();
+  }
+
+  #openBatches(): BatchState[] {
+    return [...this.#batches.values()].filter((batch) => !batch.ended && !batch.complete);
+  }
+
+  #waiting(): Map<string, ItemState> {
+    const waiting = new Map<string, ItemState>();
+    for (const batch of this.#openBatches()) {
+      for (const state of batch.items.values()) {
+        if (state.phase === 'waiting') waiting.set(`${batch.record.id}/${state.item.id}`, state);
+      }
+    }
+    return waiting;
+  }
+
+  #place(): void {
+    const waiting = this.#waiting();
+    const placements = placeItems(
+      [...waiting].map(([key, state]) => this.#waitingItem(key, state)),
+      this.#workers.forPlacement(this.#runningByWorker()),
+    );
+    const workers = this.#workers.registered();
+    for (const placement of placements) this.#start(placement, waiting, workers);
+    this.#refreshWeights(workers, placements.length < waiting.size);
+  }
+
+  #waitingItem(key: string, state: ItemState): WaitingItem {
+    const { item, text, batch, avoid } = state;
+    const done = text.events.length * (this.#options.engine()?.tokensPerEvent ?? 1);
+    const expected = item.expectedOutputTokens || item.maxOutputTokens;
+    return {
+      key,
+      batchRank: Number(batch.record.submittedAtMs),
+      // An item that is longer than was expected is likely to be one of the longest.
+      expectedTokens: done < expected ? expected - done : done / 2,
+      prompt: promptOf(item),
+      model: batch.record.model,
+      allows: (version) => text.allows(version),
+      avoid,
+    };
+  }
+
+  #start(
+    { item: key, worker: workerId }: Placement,
+    waiting: ReadonlyMap<string, ItemState>,
+    workers: readonly RegisteredWorker[],
+  ): void {
+    const state = waiting.get(key);
+    const worker = workers.find(({ id }) => id === workerId);
+    if (state === undefined || worker === undefined) return;
+    state.begin();
+    const { clock, calls, weights } = this.#options;
+    const { model } = state.batch.record;
+    const run = new ItemRun({
+      ...{ clock, calls, state, worker },
+      onVersion: (version) => weights.observed(worker.id, model, version),
+      onGap: (gapMs) => this.#workers.gap(worker.id, gapMs),
+    });
+    this.#runs.set(state, run);
+    this.#workers.reads(worker.id, promptOf(state.item));
+    const begun = state.text.events.length;
+    void run.finish().then((end) => {
+      this.#runs.delete(state);
+      this.#logRun(run, end, begun);
+      if (!this.#closed) this.#ended(run, end);
+    });
+  }
+
+  #logRun({ state, worker, events, elapsedMs }: ItemRun, end: RunEnd, begun: number): void {
+    this.#options.logger.info('item-run', {
+      batch: state.batch.record.id,
+      item: state.item.id,
+      worker: worker.id,
+      begun,
+      events,
+      versions: state.text.versions.join(','),
+      tookMs: Math.round(elapsedMs),
+      end: end.kind,
+      status: end.kind === 'failed' ? end.statusCode : undefined,
+      reason: 'reason' in end ? end.reason : undefined,
+    });
+  }
+
+  /** Decides what follows a run. */
+  #ended(run: ItemRun, end: RunEnd): void {
+    const { state, worker } = run;
+    state.wait(worker.id);
+    const isStopped = end.kind === 'stopped';
+    if (end.kind === 'complete' || (end.kind === 'uncertain' && run.events === 0)) {
+      this.#workers.record(worker.id, 'answered');
+      void this.#score(state);
+    } else if (end.kind === 'failed') {
+      this.#failed(run, end.statusCode);
+    } else if (end.kind === 'not-run') {
+      if (!end.misdirected) state.wait(undefined);
+      this.#pause(worker.id, REFUSAL_BACKOFF_MS);
+    } else if (end.kind === 'broken') {
+      this.#workers.record(worker.id, 'failed');
+      if (run.events === 0) this.#pause(worker.id, BROKEN_BACKOFF_MS);
+    } else if (isStopped && end.reason === 'stalled') {
+      this.#workers.record(worker.id, 'silent');
+    } else if (isStopped && end.reason === 'wrong-version') {
+      if (state.batch.record.singleVersion) state.text.clear();
+    }
+    this.schedule();
+  }
+
+  #failed({ state, worker }: ItemRun, statusCode: number): void {
+    if (statusCode === ITEM_FAILED) state.fail();
+    const isOver = state.failedAttempts >= state.batch.record.maxAttempts;
+    if (statusCode === ITEM_IMPOSSIBLE || isOver) this.#finish(state, undefined);
+    else this.#pause(worker.id, REFUSAL_BACKOFF_MS);
+  }
+
+  async #score(state: ItemState): Promise<void> {
+    const { scorer } = this.#options;
+    const { batch, item } = state;
+    state.score();
+    const signal = this.#scoring.get(batch.record.id)?.signal;
+    const score =
+      item.scoring === undefined || signal === undefined
+        ? ''
+        : await scorer.score(item.scoring, signal);
+    if (signal?.aborted || this.#closed) return;
+    this.#finish(state, score);
+  }
+
+  /** @param score - undefined: the item is given up */
+  #finish(state: ItemState, score: string | undefined): void {
+    const { batch, item, text } = state;
+    if (batch.ended || state.closed) return;
+    const isGroupDone = batch.finish(state);
+    batch.log.append(
+      create(ItemResultSchema, {
+        itemId: item.id,
+        state: score === undefined ? ResultState.DEAD : ResultState.COMPLETED,
+        events: score === undefined ? [] : [...text.events],
+        versions: score === undefined ? [] : text.versions,
+        score: score ?? '',
+      }),
+    );
+    if (isGroupDone && batch.missingGroups <= 0) batch.log.flush();
+    this.schedule();
+  }
+
+  #pause(worker: string, forMs: number): void {
+    this.#workers.pause(worker, forMs);
+    void sleep(this.#options.clock, forMs).then(() => this.schedule());
+  }
+
+  #runningByWorker(): Map<string, number> {
+    const running = new Map<string, number>();
+    for (const { worker } of this.#runs.values()) {
+      running.set(worker.id, (running.get(worker.id) ?? 0) + 1);
+    }
+    return running;
+  }
+
+  #refreshWeights(workers: readonly RegisteredWorker[], hasWaiting: boolean): void {
+    const { weights, newestVersion, maxLoading, engine } = this.#options;
+    const open = this.#openBatches();
+    for (const model of engine()?.models ?? []) {
+      const ofModel = open.filter(({ record }) => record.model === model);
+      const runningOf = (worker: string) =>
+        [...this.#runs.values()].filter(
+          (run) => run.worker.id === worker && run.state.batch.record.model === model,
+        ).length;
+      weights.refresh(
+        workers,
+        model,
+        {
+          newestVersion: newestVersion(model),
+          neededVersion: Math.max(0, ...ofModel.map(({ record }) => record.minVersion)),
+          hasWaiting: hasWaiting && ofModel.length > 0,
+          maxLoading,
+          singleVersion: ofModel.some(({ record }) => record.singleVersion),
+        },
+        runningOf,
+      );
+    }
+  }
+
+  /** Moves runs away from workers that are silent or slow, and gives up items whose time is over. */
+  #tick(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    const { stallMs } = this.#workers;
+    for (const run of this.#runs.values()) {
+      if (run.silentMs(nowMs) > stallMs) run.stop('stalled');
+    }
+    this.#leaveSlowWorkers();
+    this.schedule();
+  }
+
+  #leaveSlowWorkers(): void {
+    const { weights } = this.#options;
+    const running = this.#runningByWorker();
+    const isSlow = (id: string) => this.#workers.isSlow(id);
+    if (![...running.keys()].some(isSlow)) return;
+    const runs = [...this.#runs.values()].map((run) => ({
+      run,
+      worker: run.worker.id,
+      mayGoTo: (id: string) => {
+        const version = weights.versionOf(id, run.state.batch.record.model);
+        return version !== undefined && run.state.text.allows(version);
+      },
+    }));
+    const free = this.#workers.freeSlots(running);
+    for (const { run } of runsToRelocate(runs, isSlow, free)) run.stop('slow-worker');
+  }
+}
--- a/src/node/cli.ts
+++ b/src/node/cli.ts
@@ -22,8 +22,34 @@
     const { loadSettings } = await import('./settings/resolveSettings.ts');
     const { startNode } = await import('./node.ts');
     const { stopOnSignals } = await import('./shutdown.ts');
-    const node = await startNode(await loadSettings(options.config));
+    const { reloadOnHangup } = await import('./settings/settingsReload.ts');
+    const { connectPlatform, startPlatformGateway } = await import('../../platform/gateway.ts');
+    const settings = await loadSettings(options.config);
+    const { gateway } = settings;
+    const node =
+      gateway === undefined
+        ? await startNode(settings, { platform: (logger) => connectPlatform(settings, logger) })
+        : await startPlatformGateway({ ...settings, gateway });
     stopOnSignals(node.shutdown);
+    const { logger, applySettings } = node;
+    reloadOnHangup({ file: options.config, settings, logger, apply: applySettings });
+  });
+
+program
+  .command('storage')
+  .description("run the process of a VM with a disk on the users' platform")
+  .requiredOption('--config <file>', 'settings of the node, YAML')
+  .action(async (options: { config: string }) => {
+    const { loadSettings } = await import('./settings/resolveSettings.ts');
+    const { startPlatformStorage } = await import('../../platform/gateway.ts');
+    const settings = await loadSettings(options.config);
+    const { logger } = await startPlatformStorage(settings);
+    const { reloadOnHangup } = await import('./settings/settingsReload.ts');
+    reloadOnHangup({
+      ...{ file: options.config, settings, logger },
+      apply: (_next, changed) => changed,
+    });
+    process.once('SIGTERM', () => process.exit(0));
   });
 
 registerOperatorCommands(program);
--- a/src/node/dataPath/httpServer.ts
+++ b/src/node/dataPath/httpServer.ts
@@ -62,8 +62,9 @@
 export const createHttpServer = (
   handlers: readonly RequestHandler[],
   onError: (error: unknown, response: http.ServerResponse) => void,
+  options: http.ServerOptions = {},
 ): http.Server => {
-  const server = http.createServer((request, response) => {
+  const server = http.createServer(options, (request, response) => {
     const run = async () => {
       for (const handler of handlers) {
         if (await handler(request, response)) return;
--- a/src/node/dataPath/workerHttp.ts
+++ b/src/node/dataPath/workerHttp.ts
@@ -80,7 +80,7 @@
    * @throws WorkerCallError
    */
   send(
-    worker: WorkerEndpoint,
+    worker: Pick<WorkerEndpoint, 'address'>,
     { method, path, headers, body, newConnection = false }: WorkerRequest,
     signal: AbortSignal,
   ): Promise<http.IncomingMessage> {
@@ -133,7 +133,7 @@
    *
    * @throws WorkerCallError when there is no whole answer in time
    */
-  async call(worker: WorkerEndpoint, call: ShortCall): Promise<ShortAnswer> {
+  async call(worker: Pick<WorkerEndpoint, 'address'>, call: ShortCall): Promise<ShortAnswer> {
     const abort = new AbortController();
     const timeoutMs = call.timeoutMs ?? SHORT_CALL_TIMEOUT_MS;
     const timer = this.clock.schedule(timeoutMs, () =>
--- a/src/node/decisions/peerTable.ts
+++ b/src/node/decisions/peerTable.ts
@@ -52,6 +52,8 @@
 const sameState = (left: PeerDigest, right: PeerDigest): boolean =>
   left.leaving === right.leaving &&
   left.acceptedRevision === right.acceptedRevision &&
+  left.platformLost === right.platformLost &&
+  left.workersVersion === right.workersVersion &&
   left.leases.length === right.leases.length &&
   left.leases.every((lease, index) => lease === right.leases[index]);
 
--- /dev/null
+++ b/src/node/gateway/entryAddresses.ts
@@ -0,0 +1,36 @@
+import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import { joinAddress } from '../dataPath/workerAddress.ts';
+import type { Peer } from '../membership/membershipView.ts';
+
+/** Addresses in one answer of the directory, at most. */
+export const MAX_ENTRY_ADDRESSES = 64;
+
+/** The nodes as the directory sees them. */
+export interface DirectoryView {
+  readonly self: NodeIdentity;
+  readonly leaving: boolean;
+  peers(): readonly Peer[];
+}
+
+const addressOf = ({ host, callerPort }: NodeIdentity): string => joinAddress(host, callerPort);
+
+/**
+ * Addresses at which callers reach nodes that take requests: those that answer, are not leaving and get answers from
+ * the platform; without any of these, all that are not leaving. Nodes of the caller's zone come first.
+ */
+export const entryAddresses = (
+  view: DirectoryView,
+  availabilityZone: string,
+  { platformLost }: { readonly platformLost: boolean },
+): string[] => {
+  const { self, leaving } = view;
+  const nodes = [{ identity: self, leaving, suspected: false, platformLost }, ...view.peers()];
+  const staying = nodes.filter((node) => !node.leaving);
+  const sound = staying.filter((node) => !node.suspected && !node.platformLost);
+  const isNear = (node: { readonly identity: NodeIdentity }) =>
+    Number(node.identity.availabilityZone === availabilityZone);
+  return (sound.length > 0 ? sound : staying)
+    .sort((left, right) => isNear(right) - isNear(left))
+    .slice(0, MAX_ENTRY_ADDRESSES)
+    .map(({ identity }) => addressOf(identity));
+};
--- /dev/null
+++ b/src/node/gateway/gatewayNode.ts
@@ -0,0 +1,250 @@
+import { create } from '@bufbuild/protobuf';
+import { NEVER } from 'rxjs';
+import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { NodeIdentitySchema, PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import { TablesSchema } from '../../gen/hyssoppulley/v1/tables_pb.ts';
+import { type Clock, Stopwatch, systemClock } from '../../shared/clock.ts';
+import { DisposableStore } from '../../shared/disposableStore.ts';
+import { onInvariantViolation } from '../../shared/invariants.ts';
+import { newId, type Random, systemRandom } from '../../shared/random.ts';
+import { repeatEvery } from '../../shared/repeat.ts';
+import { createBatchHandlers } from '../batches/batchService.ts';
+import { BatchSubsystem } from '../batches/batchSubsystem.ts';
+import { RightToServe } from '../decisions/rightToServe.ts';
+import { Membership } from '../membership/membership.ts';
+import type { Peer, TablesView } from '../membership/membershipView.ts';
+import { PeerClients } from '../membership/peerClients.ts';
+import { splitAddress } from '../membership/splitAddress.ts';
+import { createLogger, type Logger } from '../observability/logger.ts';
+import { createMetrics } from '../observability/metrics.ts';
+import { createPlatformClient } from '../platform/createPlatformClient.ts';
+import { ObjectFollower } from '../platform/objectFollower.ts';
+import type { PlatformObjects } from '../platform/platformClient.ts';
+import { PlatformHealth } from '../platform/platformHealth.ts';
+import { RequestTracker } from '../requestTracker.ts';
+import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
+import { Shutdown } from '../shutdown.ts';
+import type { GatewayAdapter } from './adapter.ts';
+import { entryAddresses } from './entryAddresses.ts';
+import { Forwarder } from './forwarder.ts';
+import type { GatewayServices } from './gatewayServices.ts';
+import { PeerServer } from './peerServer.ts';
+import { TablesFollower } from './tablesFollower.ts';
+import { WorkerChooser } from './workerChooser.ts';
+import { WorkerRegistry } from './workerRegistry.ts';
+
+/** Wait of a call for changes, in ms, on the node that looks out for changes that others miss. */
+const SENTINEL_WAIT_MS = 2500;
+
+/** Wait of a call for changes on other nodes, in ms. Their heartbeats tell them when they have missed one. */
+const QUIET_WAIT_MS = 25_000;
+
+/** Time that news of a change may take by the platform before a node that has not got it reads again, in ms. */
+const NEWS_GRACE_MS = 400;
+
+/** Between looks for state of workers that are gone, in ms. */
+const SWEEP_MS = 10_000;
+
+/** Time before the kill in which a stopping process must have ended, in ms. */
+const STOP_MARGIN_MS = 500;
+
+/** Time for requests in progress after a stopping node takes no new ones, in ms. */
+const FINISH_MS = 1500;
+
+export interface GatewayDependencies {
+  readonly settings: ResolvedSettings & { readonly gateway: ResolvedGateway };
+  readonly platform: (logger: Logger) => PlatformObjects;
+  readonly createAdapter: (logger: Logger) => GatewayAdapter;
+  /** @default the system's clock */
+  readonly clock?: Clock;
+  /** @default the system's random source */
+  readonly random?: Random;
+  /** @default lines on standard output */
+  readonly logger?: Logger;
+}
+
+/** A gateway that serves. */
+export interface RunningGateway extends AsyncDisposable {
+  readonly shutdown: Shutdown;
+  readonly logger: Logger;
+  /** Puts changed settings in force; returns the fields that need a restart. */
+  readonly applySettings: (next: ResolvedSettings, changed: readonly string[]) => readonly string[];
+}
+
+/** Starts a node on the users' platform: it serves callers and trainers there. */
+export const startGateway = async (dependencies: GatewayDependencies): Promise<RunningGateway> => {
+  const { settings, clock = systemClock, random = systemRandom } = dependencies;
+  const { gateway, timing } = settings;
+  const logger = dependencies.logger ?? createLogger(settings.log.level, { node: settings.name });
+  const adapter = dependencies.createAdapter(logger);
+  const store = new DisposableStore();
+  const metrics = createMetrics();
+  onInvariantViolation((name, details) => {
+    metrics.invariantViolations.inc({ name });
+    logger.error('invariant-violated', { name, details: JSON.stringify(details) });
+  });
+
+  const health = new PlatformHealth(clock);
+  const platform = createPlatformClient(settings.platform, {
+    platform: dependencies.platform(logger),
+    ...{ clock, random, metrics },
+    onResult: (answered) => health.record(answered),
+  });
+  const peerClients = store.add(new PeerClients(timing.peerTimeoutMs));
+  const peerAddress = splitAddress(gateway.peerAddress);
+  const self = create(NodeIdentitySchema, {
+    name: settings.name,
+    incarnation: newId(),
+    host: peerAddress.host,
+    peerPort: peerAddress.port,
+    callerPort: splitAddress(gateway.frontAddress).port,
+    region: settings.region,
+    availabilityZone: settings.availabilityZone,
+    capacityMillicores: gateway.capacityMillicores,
+  });
+
+  let membership: Membership;
+  const isSentinel = (): boolean =>
+    membership.peers().every(({ identity, suspected }) => suspected || identity.name > self.name);
+  const waitMs = () => (isSentinel() ? SENTINEL_WAIT_MS : QUIET_WAIT_MS);
+  const registry = store.add(
+    new WorkerRegistry({
+      ...{ clock, logger },
+      decode: adapter.workers.decode,
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
+      onChange: () => batches.workersChanged(),
+    }),
+  );
+  let workersVersion = 0;
+  const workers = store.add(
+    new ObjectFollower({
+      ...{ platform, clock, random, logger, waitMs },
+      prefix: adapter.workers.prefix,
+      onEvent: (event) => {
+        workersVersion = Math.max(workersVersion, event.object.version);
+        registry.take(event);
+      },
+      onRegained: (awayMs) => registry.regained(awayMs),
+    }),
+  );
+  const tables = store.add(
+    new TablesFollower({
+      ...{ platform, clock, random, logger, waitMs },
+      kind: adapter.tables,
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
+      onChange: () => batches.tablesChanged(),
+    }),
+  );
+  // A watch may miss a change without an error; heartbeats of a node that has got it show that.
+  const catchUp = (peer: Peer) => {
+    clock.schedule(NEWS_GRACE_MS, () => {
+      const fields = { peer: peer.identity.name };
+      if (peer.acceptedRevision > tables.version) {
+        logger.info('tables-change-missed', { ...fields, version: peer.acceptedRevision });
+        tables.refresh();
+      }
+      if (peer.workersVersion > workersVersion) {
+        logger.info('workers-change-missed', { ...fields, version: peer.workersVersion });
+        workers.refresh();
+      }
+    });
+  };
+  const heartbeatTables: TablesView = {
+    current: () => ({
+      revision: tables.version,
+      routes: [],
+      pools: new Map(),
+      source: create(TablesSchema),
+    }),
+    changes$: NEVER,
+  };
+  membership = new Membership({
+    ...{ self, timing, platform, clock, random, logger },
+    seedPeers: settings.seedPeers,
+    tables: heartbeatTables,
+    send: (target, request) => peerClients.get(target).heartbeat(request),
+    rightToServe: new RightToServe(timing.isolationMs),
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    heldLeases: () => batches.heldLeases(),
+    preparedRevision: () => 0,
+    platformLost: () => health.lost,
+    workersVersion: () => workersVersion,
+    onHigherRevision: catchUp,
+  });
+
+  const chooser = new WorkerChooser({
+    ...{ clock, random, registry },
+    availabilityZone: settings.availabilityZone,
+  });
+  const forwarder = new Forwarder({ clock, logger, chooser, calls: adapter.workerCalls });
+  const batches = store.add(
+    new BatchSubsystem({
+      ...{ platform, clock, random, logger, registry, tables, forwarder, adapter, peerClients },
+      view: membership,
+      platformLost: () => health.lost,
+      maxValueBytes: gateway.maxValueBytes,
+      maxLoading: gateway.maxLoadingWorkers,
+      retentionMs: gateway.resultRetentionMs,
+      waitMs: SENTINEL_WAIT_MS,
+    }),
+  );
+  const requests = new RequestTracker();
+  const services: GatewayServices = {
+    ready: () => tables.tables !== undefined && !membership.leaving,
+    entryAddresses: (zone) => entryAddresses(membership, zone, { platformLost: health.lost }),
+    bounds: () => tables.tables?.bounds,
+    match: (host, path) => {
+      if (tables.tables === undefined) return { kind: 'not-ready' };
+      const route = tables.routes.find(host, path);
+      return route === undefined ? { kind: 'no-route' } : { kind: 'route', route };
+    },
+    forward: (...request) => forwarder.forward(...request),
+    submitBatch: (...batch) => batches.submit(...batch),
+    readBatch: (...read) => batches.read(...read),
+    readItem: (...read) => batches.readItem(...read),
+    endBatch: (batchId) => batches.end(batchId),
+  };
+  const servers = store.add(adapter.createServers(services, requests));
+  const peerServer = store.add(
+    new PeerServer({
+      ...{ logger, metrics },
+      routes: (router) => {
+        router.service(PeerService, { heartbeat: (request) => membership.heartbeat(request) });
+        router.service(
+          BatchService,
+          createBatchHandlers(() => batches.coordinators()),
+        );
+      },
+    }),
+  );
+  const shutdown = new Shutdown({
+    ...{ clock, logger, requests },
+    keepServingMs: gateway.graceMs - STOP_MARGIN_MS - FINISH_MS,
+    deadlineMs: gateway.graceMs - STOP_MARGIN_MS,
+    announce: () => membership.announceLeaving(),
+    closeListener: () => servers.leave(),
+    handOvers: [],
+    deregister: () => membership.deregister(),
+    dispose: () => store[Symbol.asyncDispose](),
+  });
+
+  const started = new Stopwatch(clock);
+  await peerServer.listen(peerAddress);
+  await servers.listen();
+  await membership.start();
+  store.add(membership);
+  await Promise.all([tables.start(), workers.start()]);
+  store.add(repeatEvery(clock, SWEEP_MS, () => chooser.sweep()));
+  logger.info('node-started', {
+    incarnation: self.incarnation,
+    front: gateway.frontAddress,
+    peer: gateway.peerAddress,
+    tookMs: Math.round(started.elapsedMs()),
+  });
+  return {
+    shutdown,
+    logger,
+    applySettings: (_next, changed) => changed,
+    [Symbol.asyncDispose]: () => store[Symbol.asyncDispose](),
+  };
+};
--- /dev/null
+++ b/src/node/gateway/tablesFollower.ts
@@ -0,0 +1,92 @@
+import { type Clock } from '../../shared/clock.ts';
+import type { Random } from '../../shared/random.ts';
+import type { Logger } from '../observability/logger.ts';
+import { ObjectFollower } from '../platform/objectFollower.ts';
+import type { PlatformEvent, PlatformObjects } from '../platform/platformClient.ts';
+import type { ForeignKind } from './adapter.ts';
+import type { GatewayTables } from './gatewayTables.ts';
+import { RouteIndex } from './routeIndex.ts';
+
+export interface TablesFollowerOptions {
+  readonly platform: PlatformObjects;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly kind: ForeignKind<GatewayTables>;
+  readonly waitMs: () => number;
+  readonly onChange: () => void;
+}
+
+/** Keeps the tables current that the operator writes to the platform. A revision is never replaced by an older one. */
+export class TablesFollower implements Disposable {
+  readonly #options: TablesFollowerOptions;
+
+  readonly #follower: ObjectFollower;
+
+  #tables: GatewayTables | undefined;
+
+  #index = new RouteIndex([]);
+
+  /** Version of the object that holds the tables. */
+  #version = 0;
+
+  constructor(options: TablesFollowerOptions) {
+    this.#options = options;
+    const { platform, clock, random, logger, kind, waitMs } = options;
+    this.#follower = new ObjectFollower({
+      ...{ platform, clock, random, logger, prefix: kind.prefix, waitMs },
+      onEvent: (event) => this.#take(event),
+    });
+  }
+
+  get tables(): GatewayTables | undefined {
+    return this.#tables;
+  }
+
+  get routes(): RouteIndex {
+    return this.#index;
+  }
+
+  /** Version of the platform at which the tables last changed. */
+  get version(): number {
+    return this.#version;
+  }
+
+  start(): Promise<void> {
+    return this.#follower.start();
+  }
+
+  /** Reads the tables again, because another node has a later version. */
+  refresh(): void {
+    this.#follower.refresh();
+  }
+
+  [Symbol.dispose](): void {
+    this.#follower[Symbol.dispose]();
+  }
+
+  #take({ type, object }: PlatformEvent): void {
+    if (type === 'removed') return;
+    const { logger, kind, onChange } = this.#options;
+    const tables = kind.decode(object);
+    if (tables === undefined) {
+      logger.error('tables-unreadable', { key: object.key, version: object.version });
+      return;
+    }
+    if (this.#tables !== undefined && tables.revision < this.#tables.revision) {
+      logger.warn('tables-outdated', { revision: tables.revision, held: this.#tables.revision });
+      return;
+    }
+    this.#tables = tables;
+    this.#version = object.version;
+    this.#index = new RouteIndex(tables.routes);
+    const { revision, routes, pools } = tables;
+    logger.info('tables-in-force', {
+      revision,
+      routes: routes.length,
+      pools: pools.size,
+      version: object.version,
+    });
+    onChange();
+  }
+}
--- /dev/null
+++ b/src/node/gateway/workerChooser.ts
@@ -0,0 +1,96 @@
+import type { Clock } from '../../shared/clock.ts';
+import type { Random } from '../../shared/random.ts';
+import { InFlightCounts } from '../decisions/inFlightCounts.ts';
+import { selectWorkerByDefault, type WorkerSelector } from '../decisions/workerSelection.ts';
+import { type WorkerResult, WorkerTrust } from '../decisions/workerTrust.ts';
+import type { GatewayRoute } from './gatewayTables.ts';
+import type { WorkerLoad } from './workerCalls.ts';
+import type { RegisteredWorker, WorkerRegistry } from './workerRegistry.ts';
+
+export interface WorkerChoiceOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly registry: WorkerRegistry;
+  /** Availability zone of this node. */
+  readonly availabilityZone: string;
+  /** @default selectWorkerByDefault */
+  readonly select?: WorkerSelector;
+}
+
+/** How long a worker's word on its load counts, in ms. */
+const LOAD_AGE_MS = 500;
+
+/** Chooses workers for requests by this node's own counts, what workers say of their load, and how requests went. */
+export class WorkerChooser {
+  readonly trust = new WorkerTrust();
+
+  readonly #options: WorkerChoiceOptions;
+
+  readonly #inFlight = new InFlightCounts();
+
+  readonly #loads = new Map<string, { readonly others: number; readonly atMs: number }>();
+
+  constructor(options: WorkerChoiceOptions) {
+    this.#options = options;
+  }
+
+  /** Draws one of the route's pools by weight. */
+  choosePool({ pools }: GatewayRoute): string | undefined {
+    const total = pools.reduce((sum, { weight }) => sum + weight, 0);
+    let point = this.#options.random() * total;
+    for (const { pool, weight } of pools) {
+      point -= weight;
+      if (point < 0) return pool;
+    }
+    return pools.at(-1)?.pool;
+  }
+
+  /**
+   * Chooses a worker of a pool and counts a request on it.
+   *
+   * @param tried - ids of workers that were tried already; chosen again only when `again` is set
+   */
+  take(pool: string, tried: ReadonlySet<string>, again: boolean): RegisteredWorker | undefined {
+    const { clock, registry, availabilityZone, random, select } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const all = registry.usable(pool);
+    const untried = all.filter(({ id }) => !tried.has(id));
+    if (untried.length === 0 && !again) return undefined;
+    const usable = this.trust.usable(untried.length > 0 ? untried : all, nowMs);
+    const candidates = usable.map((worker) => ({
+      worker,
+      name: worker.id,
+      availabilityZone: worker.availabilityZone,
+      inFlight: this.#inFlight.of(worker.id),
+      reportedRunning: this.#othersAt(worker.id, nowMs),
+    }));
+    const chosen = (select ?? selectWorkerByDefault)(candidates, { availabilityZone, random });
+    if (chosen !== undefined) this.#inFlight.add(chosen.worker.id);
+    return chosen?.worker;
+  }
+
+  /** Ends a request that `take` counted. */
+  release(worker: string, result: WorkerResult | 'abandoned', load: WorkerLoad | undefined): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    if (load !== undefined) {
+      const others = Math.max(0, load.running + load.waiting - this.#inFlight.of(worker));
+      this.#loads.set(worker, { others, atMs: nowMs });
+    }
+    this.#inFlight.remove(worker);
+    if (result !== 'abandoned') this.trust.record(worker, result, nowMs);
+  }
+
+  /** Forgets workers that are no longer registered. */
+  sweep(): void {
+    const { registry } = this.#options;
+    this.trust.retain((id) => registry.find(id) !== undefined);
+    for (const id of this.#loads.keys()) {
+      if (registry.find(id) === undefined) this.#loads.delete(id);
+    }
+  }
+
+  #othersAt(worker: string, nowMs: number): number | undefined {
+    const load = this.#loads.get(worker);
+    return load !== undefined && nowMs - load.atMs < LOAD_AGE_MS ? load.others : undefined;
+  }
+}
--- a/src/node/keyed/__tests__/chooseWitness.test.ts
+++ b/src/node/keyed/__tests__/chooseWitness.test.ts
@@ -11,6 +11,8 @@
   leaving: state === 'leaving',
   acceptedRevision: 1,
   leases: [],
+  platformLost: false,
+  workersVersion: 0,
 });
 
 // Guards against a home and a witness that fail together, and against witnesses that do not answer.
--- a/src/node/membership/heartbeats.ts
+++ b/src/node/membership/heartbeats.ts
@@ -45,6 +45,10 @@
   /** Names of held leases, such as `job/draft`. */
   readonly heldLeases: () => readonly string[];
   readonly mayServe: () => boolean;
+  /** Whether the platform does not answer this node. */
+  readonly platformLost: () => boolean;
+  /** Version of the platform at which the registrations of workers last changed. */
+  readonly workersVersion: () => number;
 }
 
 export interface HeartbeatsOptions {
@@ -59,7 +63,7 @@
   readonly logger: Logger;
   /** A heartbeat was answered; `sentAt` was started directly before it was sent. */
   readonly onAnswered: (response: HeartbeatResponse, sentAt: Stopwatch) => void;
-  /** A digest shows an accepted revision above the own one. */
+  /** A digest shows a higher accepted revision, or later registrations of workers, than this node knows. */
   readonly onHigherRevision: (peer: PeerDigest) => void;
   /** Another incarnation of the own name is known. */
   readonly onNamesake: (other: NodeIdentity) => void;
@@ -204,6 +208,8 @@
       leaving: state.leaving(),
       acceptedRevision: state.acceptedRevision(),
       leases: [...state.heldLeases()],
+      platformLost: state.platformLost(),
+      workersVersion: state.workersVersion(),
     });
   }
 
@@ -256,6 +262,9 @@
     }
     if (result === 'full') logger.warn('peer-table-full', { peer: identity.name });
     const isNews = result !== 'known' && result !== 'stale' && result !== 'full';
-    if (isNews && digest.acceptedRevision > state.acceptedRevision()) onHigherRevision(digest);
+    const isAhead =
+      digest.acceptedRevision > state.acceptedRevision() ||
+      digest.workersVersion > state.workersVersion();
+    if (isNews && isAhead) onHigherRevision(digest);
   }
 }
--- a/src/node/membership/membership.ts
+++ b/src/node/membership/membership.ts
@@ -62,6 +62,10 @@
   readonly heldLeases: () => readonly string[];
   /** Highest revision that this node prepared. */
   readonly preparedRevision: () => number;
+  /** Whether the platform does not answer this node. @default it does */
+  readonly platformLost?: () => boolean;
+  /** Version of the platform at which the registrations of workers last changed. @default 0: they are not followed */
+  readonly workersVersion?: () => number;
   /** A heartbeat showed a higher accepted revision than the own one. */
   readonly onHigherRevision: (peer: Peer) => void;
   /** Whether an answered heartbeat counts for the right to serve. @default every answer does */
@@ -254,12 +258,15 @@
 
   #selfState(): SelfState {
     const { tables, heldLeases, preparedRevision } = this.#options;
+    const { platformLost = () => false, workersVersion = () => 0 } = this.#options;
     return {
       leaving: () => this.#leaving,
       acceptedRevision: () => tables.current()?.revision ?? 0,
       preparedRevision,
       heldLeases,
       mayServe: () => this.mayServe(),
+      platformLost,
+      workersVersion,
     };
   }
 
@@ -368,6 +375,8 @@
       lastHeardMs: directMs === undefined ? undefined : nowMs - directMs,
       acceptedRevision: digest.acceptedRevision,
       leases: digest.leases,
+      platformLost: digest.platformLost,
+      workersVersion: digest.workersVersion,
     };
   }
 }
--- a/src/node/membership/membershipView.ts
+++ b/src/node/membership/membershipView.ts
@@ -20,6 +20,10 @@
   readonly lastHeardMs?: number;
   readonly acceptedRevision: number;
   readonly leases: readonly string[];
+  /** Whether the platform does not answer the peer. */
+  readonly platformLost: boolean;
+  /** Version of the platform at which the registrations of workers last changed, as far as the peer knows. */
+  readonly workersVersion: number;
 }
 
 /** A worker of a pool that may get work. */
--- a/src/node/membership/peerClients.ts
+++ b/src/node/membership/peerClients.ts
@@ -1,9 +1,19 @@
 import http from 'node:http';
 import { type Client, createClient } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
+import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type NodeIdentity, PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 
 export type PeerClient = Client<typeof PeerService>;
+export type BatchClient = Client<typeof BatchService>;
+
+/** Address of a node for calls by other nodes. */
+export type PeerAddress = Pick<NodeIdentity, 'host' | 'peerPort'>;
+
+interface ClientsOfPeer {
+  readonly peer: PeerClient;
+  readonly batch: BatchClient;
+}
 
 /** Largest number of peers for which a client is kept; the least recently made is dropped first. */
 const MAX_CLIENTS = 1024;
@@ -14,14 +24,27 @@
 
   readonly #timeoutMs: number;
 
-  readonly #clients = new Map<string, PeerClient>();
+  readonly #clients = new Map<string, ClientsOfPeer>();
 
   /** @param timeoutMs - time for one call, in ms */
   constructor(timeoutMs: number) {
     this.#timeoutMs = timeoutMs;
   }
 
-  get(identity: Pick<NodeIdentity, 'host' | 'peerPort'>): PeerClient {
+  get(address: PeerAddress): PeerClient {
+    return this.#of(address).peer;
+  }
+
+  /** Calls about batches. */
+  batch(address: PeerAddress): BatchClient {
+    return this.#of(address).batch;
+  }
+
+  [Symbol.dispose](): void {
+    this.#agent.destroy();
+  }
+
+  #of(identity: PeerAddress): ClientsOfPeer {
     const baseUrl = `http://${identity.host}:${identity.peerPort}`;
     const known = this.#clients.get(baseUrl);
     if (known) return known;
@@ -32,14 +55,13 @@
       defaultTimeoutMs: this.#timeoutMs,
       nodeOptions: { agent: this.#agent },
     });
-    const client = createClient(PeerService, transport);
+    const clients = {
+      peer: createClient(PeerService, transport),
+      batch: createClient(BatchService, transport),
+    };
     const [oldest] = this.#clients.keys();
     if (this.#clients.size >= MAX_CLIENTS && oldest !== undefined) this.#clients.delete(oldest);
-    this.#clients.set(baseUrl, client);
-    return client;
-  }
-
-  [Symbol.dispose](): void {
-    this.#agent.destroy();
+    this.#clients.set(baseUrl, clients);
+    return clients;
   }
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -22,6 +22,7 @@
 import { createOperator } from './operator/createOperator.ts';
 import { createOperatorViews } from './operatorViews.ts';
 import { createPlatformClient } from './platform/createPlatformClient.ts';
+import type { PlatformObjects } from './platform/platformClient.ts';
 import { RequestTracker } from './requestTracker.ts';
 import type { ResolvedSettings } from './settings/resolveSettings.ts';
 import { Shutdown } from './shutdown.ts';
@@ -30,6 +31,8 @@
 
 /** What a node takes from its surroundings. */
 export interface NodeDependencies {
+  /** Connects to the platform's object API. */
+  readonly platform: (logger: Logger) => PlatformObjects;
   /** @default the system's clock */
   readonly clock?: Clock;
   /** @default the system's random source */
@@ -44,12 +47,15 @@
   readonly callerPort: number;
   readonly peerPort: number;
   readonly shutdown: Shutdown;
+  readonly logger: Logger;
+  /** Puts changed settings in force; returns the fields that need a restart. */
+  readonly applySettings: (next: ResolvedSettings, changed: readonly string[]) => readonly string[];
 }
 
 /** Starts a node: opens both ports, joins, and begins to serve the accepted tables. */
 export const startNode = async (
   settings: ResolvedSettings,
-  dependencies: NodeDependencies = {},
+  dependencies: NodeDependencies,
 ): Promise<RunningNode> => {
   const { clock = systemClock, random = systemRandom } = dependencies;
   const { timing } = settings;
@@ -61,7 +67,10 @@
     logger.error('invariant-violated', { name, details: JSON.stringify(details) });
   });
 
-  const platform = createPlatformClient(settings.platform, { clock, random, metrics });
+  const platform = createPlatformClient(settings.platform, {
+    platform: dependencies.platform(logger),
+    ...{ clock, random, metrics },
+  });
   const rightToServe = new RightToServe(timing.isolationMs);
   const configuration = new Configuration({
     platform,
@@ -211,6 +220,8 @@
     callerPort,
     peerPort,
     shutdown,
+    logger,
+    applySettings: (_next, changed) => changed,
     [Symbol.asyncDispose]: () => store[Symbol.asyncDispose](),
   };
 };
--- a/src/node/platform/budgetedPlatformClient.ts
+++ b/src/node/platform/budgetedPlatformClient.ts
@@ -3,20 +3,25 @@
 import { backoffMs } from './backoff.ts';
 import { CallBudget } from './callBudget.ts';
 import {
-  type PlatformClient,
+  type ChangesOptions,
+  type PlatformChanges,
   PlatformError,
   type PlatformEvent,
+  PlatformHistoryError,
   type PlatformObject,
+  type PlatformObjects,
+  type PlatformSnapshot,
   type VmEntry,
   type WriteOptions,
   type WriteResult,
 } from './platformClient.ts';
 
 /** Operations of the platform, as metric labels. */
-export type PlatformOperation = 'read' | 'list' | 'write' | 'remove' | 'watch' | 'vms';
+export type PlatformOperation =
+  'read' | 'list' | 'write' | 'status' | 'remove' | 'watch' | 'changes' | 'vms';
 
 export interface BudgetedPlatformClientOptions {
-  readonly platform: PlatformClient;
+  readonly platform: PlatformObjects;
   readonly clock: Clock;
   readonly random: Random;
   /** Calls a second that this node allows itself. */
@@ -27,12 +32,14 @@
   readonly onCall?: (operation: PlatformOperation) => void;
   /** Told of each call that the budget refused. */
   readonly onRefused?: (operation: PlatformOperation) => void;
+  /** Told whether the platform answered a call. */
+  readonly onResult?: (answered: boolean) => void;
 }
 
 const OVER_BUDGET = 'the call budget of this node is used up (platform.callsPerSecond)';
 
 /** Keeps the calls of one node within its budget and repeats reads that failed. Writes are never repeated here. */
-export class BudgetedPlatformClient implements PlatformClient {
+export class BudgetedPlatformClient implements PlatformObjects {
   readonly #options: BudgetedPlatformClientOptions;
 
   readonly #budget: CallBudget;
@@ -59,14 +66,29 @@
     return this.#repeat('vms', () => this.#options.platform.listVms());
   }
 
-  async write(key: string, value: unknown, options?: WriteOptions): Promise<WriteResult> {
-    if (await this.#mayCall('write')) return this.#options.platform.write(key, value, options);
-    return { status: 'unavailable', reason: OVER_BUDGET };
+  snapshot(prefix: string): Promise<PlatformSnapshot> {
+    return this.#repeat('list', () => this.#options.platform.snapshot(prefix));
   }
 
-  async remove(key: string, options?: WriteOptions): Promise<WriteResult> {
-    if (await this.#mayCall('remove')) return this.#options.platform.remove(key, options);
-    return { status: 'unavailable', reason: OVER_BUDGET };
+  async changesSince(
+    prefix: string,
+    version: number,
+    options: ChangesOptions,
+  ): Promise<PlatformChanges> {
+    if (!(await this.#mayCall('changes'))) throw new PlatformError(OVER_BUDGET);
+    return this.#counted(() => this.#options.platform.changesSince(prefix, version, options));
+  }
+
+  write(key: string, value: unknown, options?: WriteOptions): Promise<WriteResult> {
+    return this.#change('write', () => this.#options.platform.write(key, value, options));
+  }
+
+  writeStatus(key: string, status: unknown, options?: WriteOptions): Promise<WriteResult> {
+    return this.#change('status', () => this.#options.platform.writeStatus(key, status, options));
+  }
+
+  remove(key: string, options?: WriteOptions): Promise<WriteResult> {
+    return this.#change('remove', () => this.#options.platform.remove(key, options));
   }
 
   watch(prefix: string, onEvent: (event: PlatformEvent) => void): Disposable {
@@ -80,7 +102,7 @@
     for (let attempt = 1; ; attempt += 1) {
       if (!(await this.#mayCall(operation))) throw new PlatformError(OVER_BUDGET);
       try {
-        return await call();
+        return await this.#counted(call);
       } catch (error) {
         if (attempt >= readAttempts) throw error;
         await sleep(clock, backoffMs(attempt, random));
@@ -88,6 +110,28 @@
     }
   }
 
+  async #change(
+    operation: PlatformOperation,
+    call: () => Promise<WriteResult>,
+  ): Promise<WriteResult> {
+    if (!(await this.#mayCall(operation))) return { status: 'unavailable', reason: OVER_BUDGET };
+    const result = await call();
+    this.#options.onResult?.(result.status === 'written' || result.status === 'conflict');
+    return result;
+  }
+
+  async #counted<T>(call: () => Promise<T>): Promise<T> {
+    const { onResult } = this.#options;
+    try {
+      const result = await call();
+      onResult?.(true);
+      return result;
+    } catch (error) {
+      onResult?.(error instanceof PlatformHistoryError);
+      throw error;
+    }
+  }
+
   async #mayCall(operation: PlatformOperation): Promise<boolean> {
     const { clock, onCall, onRefused } = this.#options;
     const waitMs = this.#budget.take();
--- a/src/node/platform/createPlatformClient.ts
+++ b/src/node/platform/createPlatformClient.ts
@@ -1,36 +1,28 @@
 import type { Clock } from '../../shared/clock.ts';
 import type { Random } from '../../shared/random.ts';
 import type { Metrics } from '../observability/metrics.ts';
-import type { ResolvedSettings } from '../settings/resolveSettings.ts';
 import { BudgetedPlatformClient, type PlatformOperation } from './budgetedPlatformClient.ts';
-import { HttpPlatformClient } from './httpPlatformClient.ts';
-import type { PlatformClient } from './platformClient.ts';
+import type { PlatformObjects } from './platformClient.ts';
 
 export interface PlatformDependencies {
+  /** Client without a budget. */
+  readonly platform: PlatformObjects;
   readonly clock: Clock;
   readonly random: Random;
   readonly metrics: Metrics;
+  /** Told whether the platform answered a call. */
+  readonly onResult?: (answered: boolean) => void;
 }
 
-/** Makes the client of a node: over HTTP, within the call budget, counted. */
+/** Makes the client of a node: within the call budget, counted. */
 export const createPlatformClient = (
-  { url, timeoutMs, callsPerSecond }: ResolvedSettings['platform'],
-  { clock, random, metrics }: PlatformDependencies,
-): PlatformClient => {
-  const count = (operation: PlatformOperation) => metrics.platformCalls.inc({ operation });
-  const client = new BudgetedPlatformClient({
-    platform: new HttpPlatformClient({
-      url,
-      timeoutMs,
-      clock,
-      random,
-      onWatchReopened: () => count('watch'),
-    }),
-    clock,
-    random,
-    callsPerSecond,
-    onCall: (operation) => {
-      count(operation);
+  { callsPerSecond }: { readonly callsPerSecond: number },
+  { platform, clock, random, metrics, onResult }: PlatformDependencies,
+): PlatformObjects => {
+  const client: BudgetedPlatformClient = new BudgetedPlatformClient({
+    ...{ platform, clock, random, callsPerSecond, onResult },
+    onCall: (operation: PlatformOperation) => {
+      metrics.platformCalls.inc({ operation });
       metrics.platformCallsAvailable.set(client.availableCalls);
     },
     onRefused: (operation) => metrics.platformCallsRefused.inc({ operation }),
--- a/src/node/platform/platformClient.ts
+++ b/src/node/platform/platformClient.ts
@@ -3,6 +3,9 @@
 /** A call to the platform that gave no usable answer. Reads only; writes report it as a result. */
 export const PlatformError = BaseError.subclass('PlatformError');
 
+/** The platform no longer has the changes since the version that was asked for; the objects must be listed again. */
+export const PlatformHistoryError = PlatformError.subclass('PlatformHistoryError');
+
 /** One object of the platform. */
 export interface PlatformObject {
   readonly key: string;
@@ -11,6 +14,8 @@
   /** Identifies the write that made this version, so that a lost answer can be resolved by reading back. */
   readonly operationId: string;
   readonly value: unknown;
+  /** What the object's user reports back to its writer, where the platform keeps that apart. */
+  readonly status?: unknown;
 }
 
 /** Result of a write. Every caller handles all four. */
@@ -62,3 +67,34 @@
   /** @throws PlatformError when no answer arrived in time */
   listVms(): Promise<readonly VmEntry[]>;
 }
+
+/** All objects below a prefix, and the version of the platform from which changes are to be followed. */
+export interface PlatformSnapshot {
+  readonly objects: readonly PlatformObject[];
+  readonly version: number;
+}
+
+/** Changes after a version, and the version to continue from. */
+export interface PlatformChanges {
+  readonly events: readonly PlatformEvent[];
+  readonly version: number;
+}
+
+export interface ChangesOptions {
+  /** How long the platform may wait for a change before it answers with none, in ms. */
+  readonly waitMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** The calls by which objects are followed without a gap, and status is written to objects of others. */
+export interface PlatformObjects extends PlatformClient {
+  /** @throws PlatformError when no answer arrived in time */
+  snapshot(prefix: string): Promise<PlatformSnapshot>;
+  /**
+   * @throws PlatformHistoryError when the changes since `version` are gone
+   * @throws PlatformError when no answer arrived in time
+   */
+  changesSince(prefix: string, version: number, options: ChangesOptions): Promise<PlatformChanges>;
+  /** Replaces the status of an object; the value stays as it is. */
+  writeStatus(key: string, status: unknown, options?: WriteOptions): Promise<WriteResult>;
+}
--- a/src/node/settings/resolveSettings.ts
+++ b/src/node/settings/resolveSettings.ts
@@ -1,5 +1,9 @@
 import { readFile } from 'node:fs/promises';
-import { type NodeSettings, NodeSettingsSchema } from '../../gen/hyssoppulley/v1/settings_pb.ts';
+import {
+  type GatewaySettings,
+  type NodeSettings,
+  NodeSettingsSchema,
+} from '../../gen/hyssoppulley/v1/settings_pb.ts';
 import { checkSettings } from './checkSettings.ts';
 import { documentError } from './documentError.ts';
 import { parseDocument } from './parseDocument.ts';
@@ -7,6 +11,24 @@
 /** Settings of a node with every default filled in. */
 export type ResolvedSettings = ReturnType<typeof resolveSettings>;
 
+const resolveGateway = (gateway: GatewaySettings) => ({
+  frontAddress: gateway.frontAddress,
+  readyAddress: gateway.readyAddress,
+  directoryAddress: gateway.directoryAddress,
+  peerAddress: gateway.peerAddress,
+  capacityMillicores: Math.round(1000 * (gateway.cpuShare ?? 1) * (gateway.cores ?? 1)),
+  maxValueBytes: gateway.maxValueBytes ?? 1_000_000,
+  graceMs: gateway.graceMs ?? 8000,
+  directoryTtlMs: gateway.directoryTtlMs ?? 2000,
+  orderLeaseMs: gateway.orderLeaseMs ?? 3000,
+  ordersFenced: gateway.ordersFenced ?? false,
+  resultRetentionMs: gateway.resultRetentionMs ?? 120_000,
+  maxLoadingWorkers: gateway.maxLoadingWorkers ?? 2,
+});
+
+/** Settings of a node on the users' platform with every default filled in. */
+export type ResolvedGateway = ReturnType<typeof resolveGateway>;
+
 /** Fills in the defaults that `settings.proto` documents. */
 export const resolveSettings = (settings: NodeSettings) => ({
   name: settings.name,
@@ -21,6 +43,7 @@
     callsPerSecond: settings.platform?.callsPerSecond ?? 50,
   },
   dataFolder: settings.dataFolder,
+  gateway: settings.gateway && resolveGateway(settings.gateway),
   seedPeers: settings.seedPeers,
   limits: {
     maxConcurrent: settings.limits?.maxConcurrent ?? 4096,
--- /dev/null
+++ b/src/node/weights/weightLoads.ts
@@ -0,0 +1,198 @@
+import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
+import { type RefreshNeeds, workersToRefresh } from '../decisions/weightRefresh.ts';
+import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { LoadOrder, OrderCalls } from './orderCalls.ts';
+import { WorkerWeights } from './workerWeights.ts';
+
+/** Expected time of a load before one was measured, in ms. */
+const FIRST_LOAD_MS = 950;
+
+/** Between reports while the result of an order is not known, in ms: reports are some hundred ms old. */
+const REPORT_INTERVAL_MS = 300;
+
+/** Reports after which an order that shows no effect is given again. */
+const MAX_REPORTS = 3;
+
+/** Time after a refused order in which the worker gets no other, in ms. */
+const REFUSED_PAUSE_MS = 400;
+
+/** Longest wait for the end of a load that a worker reports, in ms. */
+const MAX_LOAD_MS = 10_000;
+
+export interface WeightLoadsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly calls: OrderCalls;
+  /** Name of this node as holder of the orders. */
+  readonly holder: string;
+  /** Number of this holder's term. */
+  readonly fencing: number;
+  /** Confirms at the platform that this node still is the holder; asked directly before each order. */
+  readonly verifyHold: () => Promise<boolean>;
+  /** Told when a worker knows a later holder. */
+  readonly onFenced: () => void;
+  /** Told when a worker may have become usable. */
+  readonly onChange: () => void;
+}
+
+/** What a load is about to do. */
+interface Load {
+  readonly worker: RegisteredWorker;
+  readonly model: string;
+  readonly version: number;
+  readonly runs: LoadOrder['runs'];
+}
+
+/** Knows the weight versions of a pool's workers and brings them to newer ones. */
+export class WeightLoads {
+  readonly #options: WeightLoadsOptions;
+
+  readonly #workers = new Map<string, WorkerWeights>();
+
+  #closed = false;
+
+  constructor(options: WeightLoadsOptions) {
+    this.#options = options;
+  }
+
+  /** Weight version under which a worker takes runs of a model; undefined while it takes none. */
+  versionOf(worker: string, model: string): number | undefined {
+    const weights = this.#workers.get(worker);
+    return weights === undefined || weights.loading === model
+      ? undefined
+      : weights.versionOf(model);
+  }
+
+  isLoading(worker: string): boolean {
+    return this.#workers.get(worker)?.loading !== undefined;
+  }
+
+  /** Takes in a registration. It lags, so it never lowers a version of the same start. */
+  registered(worker: RegisteredWorker): void {
+    const { id, startedAtMs, models } = worker;
+    const known = this.#workers.get(id);
+    if (known === undefined || known.startedAtMs !== startedAtMs) {
+      this.#workers.set(id, new WorkerWeights(worker));
+      return;
+    }
+    known.registered(models);
+  }
+
+  /** Takes in the version under which a run began; that is the worker's own word. */
+  observed(worker: string, model: string, version: number): void {
+    const weights = this.#workers.get(worker);
+    const expected = weights?.versionOf(model);
+    if (weights === undefined || expected === version) return;
+    weights.observe(model, version);
+    this.#options.logger.info('weights-observed', { worker, model, version, expected });
+  }
+
+  /** Gives the orders that are due for one model. */
+  refresh(
+    workers: readonly RegisteredWorker[],
+    model: string,
+    needs: RefreshNeeds & { readonly singleVersion: boolean },
+    runningOf: (worker: string) => number,
+  ): void {
+    if (this.#closed) return;
+    const chosen = workersToRefresh(
+      workers.map(({ id }) => ({
+        id,
+        version: this.#workers.get(id)?.versionOf(model),
+        busy: this.isLoading(id),
+        running: runningOf(id),
+      })),
+      needs,
+    );
+    for (const id of chosen) {
+      const worker = workers.find((candidate) => candidate.id === id);
+      if (worker !== undefined) {
+        const runs = needs.singleVersion ? 'finish' : 'continue';
+        void this.#load({ worker, model, version: needs.newestVersion, runs });
+      }
+    }
+  }
+
+  /** Forgets workers that are no longer registered. */
+  retain(isKnown: (worker: string) => boolean): void {
+    for (const id of this.#workers.keys()) if (!isKnown(id)) this.#workers.delete(id);
+  }
+
+  /** Ends all orders. */
+  close(): void {
+    this.#closed = true;
+  }
+
+  async #load(load: Load): Promise<void> {
+    const { worker, model, version } = load;
+    const weights = this.#workers.get(worker.id);
+    if (weights === undefined) return;
+    weights.beginLoad(model);
+    const started = new Stopwatch(this.#options.clock);
+    const outcome = await this.#order(load, weights);
+    this.#options.logger.info('weights-load', {
+      worker: worker.id,
+      model,
+      version,
+      from: weights.versionOf(model),
+      outcome,
+      tookMs: Math.round(started.elapsedMs()),
+    });
+    if (outcome === 'loaded') weights.observe(model, version);
+    weights.endLoad();
+    if (!this.#closed) this.#options.onChange();
+  }
+
+  async #order(
+    { worker, model, version, runs }: Load,
+    weights: WorkerWeights,
+  ): Promise<'loaded' | 'failed' | 'not-holder'> {
+    const { clock, calls, holder, fencing, verifyHold, onFenced } = this.#options;
+    if (weights.orders === undefined && !(await this.#readReport(worker, weights))) return 'failed';
+    if (!(await verifyHold()) || this.#closed) return 'not-holder';
+    const expectedOrders = weights.orders ?? 0;
+    const answer = await calls.order(worker, {
+      ...{ model, version, runs, holder, fencing, expectedOrders },
+    });
+    if (answer === 'holds') return 'loaded';
+    if (answer === 'accepted') {
+      weights.countedOrders(expectedOrders + 1);
+      await sleep(clock, FIRST_LOAD_MS);
+      return 'loaded';
+    }
+    if (answer === 'fenced') {
+      onFenced();
+      return 'not-holder';
+    }
+    if (answer === 'refused') {
+      await sleep(clock, REFUSED_PAUSE_MS);
+      return 'failed';
+    }
+    return this.#awaitEffect(worker, { model, version }, weights);
+  }
+
+  /** Finds out by the worker's reports what became of an order that had no answer, or met another one. */
+  async #awaitEffect(
+    worker: RegisteredWorker,
+    { model, version }: Pick<Load, 'model' | 'version'>,
+    weights: WorkerWeights,
+  ): Promise<'loaded' | 'failed'> {
+    const { clock } = this.#options;
+    const started = new Stopwatch(clock);
+    for (let quiet = 0; quiet < MAX_REPORTS && started.elapsedMs() < MAX_LOAD_MS;) {
+      await sleep(clock, REPORT_INTERVAL_MS);
+      const report = await this.#readReport(worker, weights);
+      if (this.#closed) return 'failed';
+      if ((report?.versions.get(model) ?? 0) >= version) return 'loaded';
+      if (report === undefined || !report.busy) quiet += 1;
+    }
+    return 'failed';
+  }
+
+  async #readReport(worker: RegisteredWorker, weights: WorkerWeights) {
+    const report = await this.#options.calls.report(worker);
+    if (report !== undefined) weights.countedOrders(report.orders);
+    return report;
+  }
+}
