feat(platform): follow shared objects through relays, and share a pool's workers among the models

Change: two relays watch the platform and answer the other nodes; a worker keeps the newest weights of one model, shares follow capacity and move only when uneven; a quarter of a pool loads at once.

--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -46,7 +46,7 @@
   readonly orders: OrderCalls;
   readonly scorer: ItemScorer;
   readonly acceptor: BatchAcceptor;
-  readonly maxLoading: number;
+  readonly maxLoading?: number;
   /** Follows published weights until disposed. */
   readonly followWeights: (onChange: () => void) => PublishedWeights & Disposable;
   /** How long a waiting call for changes waits on a dispatcher, in ms. */
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -29,7 +29,7 @@
   readonly adapter: Pick<GatewayAdapter, 'generationCalls' | 'orderCalls' | 'publishedVersions'>;
   readonly peerClients: PeerClients;
   readonly maxValueBytes: number;
-  readonly maxLoading: number;
+  readonly maxLoading?: number;
   readonly retentionMs: number;
   /** How long a waiting call for changes waits on a dispatcher, in ms. */
   readonly waitMs: number;
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -57,5 +57,8 @@
 export const ITEM_FAILED = 500;
 export const ITEM_IMPOSSIBLE = 422;
 
+/** Share of a pool that loads weights at full speed; the weight store serves more of them more slowly. */
+export const LOADING_SHARE = 0.25;
+
 /** Rank of items at engines: behind the streams of callers, which have the default of 5 or less. */
 export const ITEM_RANK = 5;
--- a/src/node/batches/engineWorkers.ts
+++ b/src/node/batches/engineWorkers.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../../shared/clock.ts';
 import type { PlacementWorker } from '../decisions/itemPlacement.ts';
+import type { SharedWorker } from '../decisions/workerShares.ts';
 import type { FreeSlots } from '../decisions/runRelocation.ts';
 import { WorkerPace } from '../decisions/workerPace.ts';
 import { type WorkerResult, WorkerTrust } from '../decisions/workerTrust.ts';
@@ -69,6 +70,16 @@
       }));
   }
 
+  /** The workers as the sharing among models sees them. */
+  forSharing(runningOf: (worker: string) => (model: string) => number): SharedWorker[] {
+    const nowMs = this.#options.clock.monotonicMs();
+    return this.registered().map(({ id }) => ({
+      id,
+      capacity: this.#trust.isSuspended(id, nowMs) ? 0 : 1 / this.#pace.factorOf(id, nowMs),
+      runningOf: runningOf(id),
+    }));
+  }
+
   isSlow(worker: string): boolean {
     return this.#pace.isSlow(worker, this.#options.clock.monotonicMs());
   }
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -11,6 +11,7 @@
 import type { Random } from '../../shared/random.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import { type Placement, placeItems, type WaitingItem } from '../decisions/itemPlacement.ts';
+import { shareWorkers } from '../decisions/workerShares.ts';
 import { runsToRelocate } from '../decisions/runRelocation.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
@@ -22,6 +23,7 @@
   BROKEN_BACKOFF_MS,
   ITEM_FAILED,
   ITEM_IMPOSSIBLE,
+  LOADING_SHARE,
   REFUSAL_BACKOFF_MS,
   TICK_MS,
 } from './constants.ts';
@@ -49,8 +51,8 @@
   readonly weights: WeightLoads;
   /** Newest published weight version of a model. */
   readonly newestVersion: (model: string) => number;
-  /** Workers that may load weights at once. */
-  readonly maxLoading: number;
+  /** Workers that may load weights at once. @default `LOADING_SHARE` of the pool */
+  readonly maxLoading?: number;
   readonly earlierTexts: EarlierTexts;
   /** Told when another node has taken the pool over. */
   readonly onReplaced: () => void;
@@ -80,6 +82,9 @@
 
   readonly #workers: EngineWorkers;
 
+  /** The model whose newest weights each worker keeps. */
+  #shares: ReadonlyMap<string, string> = new Map();
+
   readonly #ticks: Disposable;
 
   #scheduled = false;
@@ -255,7 +260,7 @@
     );
     const workers = this.#workers.registered();
     for (const placement of placements) this.#start(placement, waiting, workers);
-    this.#refreshWeights(workers, placements.length < waiting.size);
+    this.#refreshWeights(workers);
   }
 
   #waitingItem(key: string, state: ItemState): WaitingItem {
@@ -390,30 +395,48 @@
     return running;
   }
 
-  #refreshWeights(workers: readonly RegisteredWorker[], hasWaiting: boolean): void {
-    const { weights, newestVersion, maxLoading, engine } = this.#options;
+  /** Orders the loads that are due. Each model keeps its newest weights on its share of the workers. */
+  #refreshWeights(workers: readonly RegisteredWorker[]): void {
+    const { weights, newestVersion, engine, maxLoading } = this.#options;
     const open = this.#openBatches();
-    for (const model of engine()?.models ?? []) {
+    const trained = (engine()?.models ?? []).filter(
+      (model) => newestVersion(model) > 0 || open.some(({ record }) => record.model === model),
+    );
+    const running = this.#runningByModel();
+    const runningOf = (worker: string) => (model: string) => running.get(`${worker}/${model}`) ?? 0;
+    this.#shares = shareWorkers(trained, this.#workers.forSharing(runningOf), this.#shares);
+    const atOnce = maxLoading ?? Math.ceil(workers.length * LOADING_SHARE);
+    const loadsForOthers = ({ id }: RegisteredWorker, model: string) =>
+      weights.isLoading(id) && this.#shares.get(id) !== model;
+    for (const model of trained) {
       const ofModel = open.filter(({ record }) => record.model === model);
-      const runningOf = (worker: string) =>
-        [...this.#runs.values()].filter(
-          (run) => run.worker.id === worker && run.state.batch.record.model === model,
-        ).length;
       weights.refresh(
-        workers,
+        workers.filter(({ id }) => this.#shares.get(id) === model),
         model,
         {
           newestVersion: newestVersion(model),
           neededVersion: Math.max(0, ...ofModel.map(({ record }) => record.minVersion)),
-          hasWaiting: hasWaiting && ofModel.length > 0,
-          maxLoading,
+          hasWaiting: ofModel.some((batch) =>
+            [...batch.items.values()].some(({ phase }) => phase === 'waiting'),
+          ),
+          maxLoading: atOnce - workers.filter((worker) => loadsForOthers(worker, model)).length,
           singleVersion: ofModel.some(({ record }) => record.singleVersion),
         },
-        runningOf,
+        (worker) => runningOf(worker)(model),
       );
     }
   }
 
+  /** Runs of each model on each worker, by `WORKER/MODEL`. */
+  #runningByModel(): Map<string, number> {
+    const running = new Map<string, number>();
+    for (const { worker, state } of this.#runs.values()) {
+      const key = `${worker.id}/${state.batch.record.model}`;
+      running.set(key, (running.get(key) ?? 0) + 1);
+    }
+    return running;
+  }
+
   /** Moves runs away from workers that are silent or slow, and gives up items whose time is over. */
   #tick(): void {
     const nowMs = this.#options.clock.monotonicMs();
--- /dev/null
+++ b/src/node/decisions/relayNodes.ts
@@ -0,0 +1,43 @@
+import { preferredNode } from './rendezvous.ts';
+
+/** Nodes that watch the platform for all others; one may fail while the others learn of it. */
+export const RELAY_COUNT = 2;
+
+/** A node as the choice of relays sees it. */
+export interface RelayCandidate {
+  readonly name: string;
+  readonly availabilityZone: string;
+  /** It answers its peers, is not leaving, and the platform answers it. */
+  readonly able: boolean;
+}
+
+/** Chooses the nodes that watch the platform, the same at all nodes that see the same candidates. */
+export const chooseRelays = <T extends RelayCandidate>(candidates: readonly T[]): T[] => {
+  const rest = candidates.filter(({ able }) => able);
+  const chosen: T[] = [];
+  while (chosen.length < RELAY_COUNT && rest.length > 0) {
+    const name = preferredNode(
+      'relay',
+      rest.map((candidate) => candidate.name),
+    );
+    const index = rest.findIndex((candidate) => candidate.name === name);
+    chosen.push(...rest.splice(index, 1));
+  }
+  return chosen;
+};
+
+/**
+ * The relays in the order in which a node asks them: those of its zone first, the rest in an order of its own, so that
+ * the nodes spread over the relays. Empty when the node is a relay itself.
+ */
+export const relaysFor = <T extends RelayCandidate>(self: T, peers: readonly T[]): T[] => {
+  const relays = chooseRelays([self, ...peers]);
+  if (relays.includes(self)) return [];
+  const first = preferredNode(
+    self.name,
+    relays.map(({ name }) => name),
+  );
+  const rank = (relay: T): number =>
+    Number(relay.availabilityZone === self.availabilityZone) * 2 + Number(relay.name === first);
+  return relays.sort((left, right) => rank(right) - rank(left));
+};
--- /dev/null
+++ b/src/node/decisions/workerShares.ts
@@ -0,0 +1,71 @@
+/** A worker that serves several models, each under its own weight version. */
+export interface SharedWorker {
+  readonly id: string;
+  /** What the worker is worth beside one with the usual pace: 1, less when it is slow, 0 when it does not answer. */
+  readonly capacity: number;
+  /** Runs of each model. */
+  readonly runningOf: (model: string) => number;
+}
+
+/** Difference of capacity between two models from which a worker changes sides: just over one worker. */
+const MAX_IMBALANCE = 1.05;
+
+const capacityOf = (
+  model: string,
+  workers: readonly SharedWorker[],
+  shares: ReadonlyMap<string, string>,
+): number =>
+  workers
+    .filter(({ id }) => shares.get(id) === model)
+    .reduce((sum, { capacity }) => sum + capacity, 0);
+
+/** The models with the least and with the most capacity. */
+const extremes = (
+  models: readonly string[],
+  workers: readonly SharedWorker[],
+  shares: ReadonlyMap<string, string>,
+) => {
+  const sorted = models
+    .map((model) => ({ model, capacity: capacityOf(model, workers, shares) }))
+    .sort((left, right) => left.capacity - right.capacity);
+  return { poorest: sorted[0], richest: sorted.at(-1) };
+};
+
+/**
+ * Shares a pool's workers among the models that are trained, alike. A worker keeps the newest weights of its own model
+ * only, so that a new version needs a share of the pool's loads. Workers stay where they are unless the shares have
+ * become uneven, because a change costs a load.
+ *
+ * @param before - shares so far
+ * @returns the model of each worker
+ */
+export const shareWorkers = (
+  models: readonly string[],
+  workers: readonly SharedWorker[],
+  before: ReadonlyMap<string, string>,
+): Map<string, string> => {
+  const shares = new Map<string, string>();
+  if (models.length === 0) return shares;
+  for (const { id } of workers) {
+    const model = before.get(id);
+    if (model !== undefined && models.includes(model)) shares.set(id, model);
+  }
+  for (const { id } of workers) {
+    const { poorest } = extremes(models, workers, shares);
+    if (!shares.has(id) && poorest !== undefined) shares.set(id, poorest.model);
+  }
+  for (let moves = 0; moves < workers.length; moves += 1) {
+    const { poorest, richest } = extremes(models, workers, shares);
+    if (poorest === undefined || richest === undefined) break;
+    const gap = richest.capacity - poorest.capacity;
+    if (gap <= MAX_IMBALANCE) break;
+    const [moved] = workers
+      .filter(
+        ({ id, capacity }) => shares.get(id) === richest.model && capacity > 0 && capacity < gap,
+      )
+      .sort((left, right) => left.runningOf(richest.model) - right.runningOf(richest.model));
+    if (moved === undefined) break;
+    shares.set(moved.id, poorest.model);
+  }
+  return shares;
+};
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -2,6 +2,7 @@
 import { NEVER } from 'rxjs';
 import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { NodeIdentitySchema, PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import { TablesSchema } from '../../gen/hyssoppulley/v1/tables_pb.ts';
 import { type Clock, Stopwatch, systemClock } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
@@ -18,7 +19,6 @@
 import { createLogger, type Logger } from '../observability/logger.ts';
 import { createMetrics } from '../observability/metrics.ts';
 import { createPlatformClient } from '../platform/createPlatformClient.ts';
-import { ObjectFollower } from '../platform/objectFollower.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import { PlatformHealth } from '../platform/platformHealth.ts';
 import { RequestTracker } from '../requestTracker.ts';
@@ -29,15 +29,13 @@
 import { Forwarder } from './forwarder.ts';
 import type { GatewayServices } from './gatewayServices.ts';
 import { PeerServer } from './peerServer.ts';
+import { PlatformFollowers } from './platformFollowers.ts';
 import { TablesFollower } from './tablesFollower.ts';
 import { WorkerChooser } from './workerChooser.ts';
 import { WorkerRegistry } from './workerRegistry.ts';
 
-/** Wait of a call for changes, in ms, on the node that looks out for changes that others miss. */
-const SENTINEL_WAIT_MS = 2500;
-
-/** Wait of a call for changes on other nodes, in ms. Their heartbeats tell them when they have missed one. */
-const QUIET_WAIT_MS = 25_000;
+/** Wait of a dispatcher's calls for changes, in ms; also bounds how long a silent connection goes unnoticed. */
+const DISPATCHER_WAIT_MS = 2500;
 
 /** Time that news of a change may take by the platform before a node that has not got it reads again, in ms. */
 const NEWS_GRACE_MS = 400;
@@ -104,9 +102,12 @@
   });
 
   let membership: Membership;
-  const isSentinel = (): boolean =>
-    membership.peers().every(({ identity, suspected }) => suspected || identity.name > self.name);
-  const waitMs = () => (isSentinel() ? SENTINEL_WAIT_MS : QUIET_WAIT_MS);
+  const followers = new PlatformFollowers({
+    ...{ platform, clock, random, logger },
+    view: () => membership,
+    platformLost: () => health.lost,
+    client: (address) => peerClients.relay(address),
+  });
   const registry = store.add(
     new WorkerRegistry({
       ...{ clock, logger },
@@ -117,8 +118,7 @@
   );
   let workersVersion = 0;
   const workers = store.add(
-    new ObjectFollower({
-      ...{ platform, clock, random, logger, waitMs },
+    followers.follow({
       prefix: adapter.workers.prefix,
       onEvent: (event) => {
         workersVersion = Math.max(workersVersion, event.object.version);
@@ -129,7 +129,7 @@
   );
   const tables = store.add(
     new TablesFollower({
-      ...{ platform, clock, random, logger, waitMs },
+      ...{ logger, followers },
       kind: adapter.tables,
       // eslint-disable-next-line @typescript-eslint/no-use-before-define
       onChange: () => batches.tablesChanged(),
@@ -185,7 +185,7 @@
       maxValueBytes: gateway.maxValueBytes,
       maxLoading: gateway.maxLoadingWorkers,
       retentionMs: gateway.resultRetentionMs,
-      waitMs: SENTINEL_WAIT_MS,
+      waitMs: DISPATCHER_WAIT_MS,
     }),
   );
   const requests = new RequestTracker();
@@ -214,6 +214,7 @@
           BatchService,
           createBatchHandlers(() => batches.coordinators()),
         );
+        router.service(RelayService, followers.handlers());
       },
     }),
   );
--- /dev/null
+++ b/src/node/gateway/platformFollowers.ts
@@ -0,0 +1,103 @@
+import type { Client, ServiceImpl } from '@connectrpc/connect';
+import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import type { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
+import type { Clock } from '../../shared/clock.ts';
+import type { Random } from '../../shared/random.ts';
+import { relaysFor } from '../decisions/relayNodes.ts';
+import type { Peer } from '../membership/membershipView.ts';
+import type { PeerAddress } from '../membership/peerClients.ts';
+import type { Logger } from '../observability/logger.ts';
+import { ObjectFollower, type ObjectFollowerOptions } from '../platform/objectFollower.ts';
+import { createRelayHandlers, ObjectRelay } from '../platform/objectRelay.ts';
+import type { PlatformObjects } from '../platform/platformClient.ts';
+import { RelayedObjects } from '../platform/relayedObjects.ts';
+
+/** Wait of a relay's call for changes at the platform, in ms. A silent connection shows within it and its margin. */
+const RELAY_WAIT_MS = 1000;
+
+/** Wait of other nodes' calls for changes at a relay, in ms. */
+const RELAYED_WAIT_MS = 3000;
+
+/** The nodes as the choice of relays sees them. */
+export interface FollowersView {
+  readonly self: NodeIdentity;
+  readonly leaving: boolean;
+  peers(): readonly Peer[];
+}
+
+export interface PlatformFollowersOptions {
+  readonly platform: PlatformObjects;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly view: () => FollowersView;
+  readonly platformLost: () => boolean;
+  readonly client: (address: PeerAddress) => Client<typeof RelayService>;
+}
+
+const nodeOf = (identity: NodeIdentity, able: boolean) => ({
+  name: identity.name,
+  availabilityZone: identity.availabilityZone,
+  incarnation: identity.incarnation,
+  host: identity.host,
+  peerPort: identity.peerPort,
+  able,
+});
+
+/** Follows kinds of objects that every node needs, through the few nodes that watch the platform for all. */
+export class PlatformFollowers {
+  readonly #options: PlatformFollowersOptions;
+
+  readonly #source: RelayedObjects;
+
+  /** By prefix. */
+  readonly #followed = new Map<string, { follower: ObjectFollower; relay: ObjectRelay }>();
+
+  constructor(options: PlatformFollowersOptions) {
+    this.#options = options;
+    const { platform, clock, logger, client } = options;
+    this.#source = new RelayedObjects({
+      ...{ platform, clock, logger, client },
+      relays: () => this.#relays(),
+    });
+  }
+
+  /** Follows a kind; the caller starts and disposes of the follower. */
+  follow({
+    prefix,
+    onEvent,
+    onRegained,
+  }: Pick<ObjectFollowerOptions, 'prefix' | 'onEvent' | 'onRegained'>): ObjectFollower {
+    const { clock, random, logger } = this.#options;
+    const relay = new ObjectRelay(clock);
+    const follower = new ObjectFollower({
+      ...{ clock, random, logger, prefix, onRegained },
+      platform: this.#source,
+      waitMs: () => (this.#source.isDirect ? RELAY_WAIT_MS : RELAYED_WAIT_MS),
+      onEvent: (event) => {
+        relay.take(event);
+        onEvent(event);
+      },
+      onAdvanced: (version) => relay.advanced(version),
+    });
+    this.#followed.set(prefix, { follower, relay });
+    return follower;
+  }
+
+  /** Answers other nodes. */
+  handlers(): ServiceImpl<typeof RelayService> {
+    return createRelayHandlers((prefix) => {
+      const followed = this.#followed.get(prefix);
+      return followed && { ...followed, isDirect: () => this.#source.isDirect };
+    });
+  }
+
+  #relays() {
+    const { view, platformLost } = this.#options;
+    const { self, leaving } = view();
+    const peers = view()
+      .peers()
+      .map((peer) => nodeOf(peer.identity, !peer.suspected && !peer.leaving && !peer.platformLost));
+    return relaysFor(nodeOf(self, !leaving && !platformLost()), peers);
+  }
+}
--- a/src/node/gateway/tablesFollower.ts
+++ b/src/node/gateway/tablesFollower.ts
@@ -1,19 +1,15 @@
-import { type Clock } from '../../shared/clock.ts';
-import type { Random } from '../../shared/random.ts';
 import type { Logger } from '../observability/logger.ts';
-import { ObjectFollower } from '../platform/objectFollower.ts';
-import type { PlatformEvent, PlatformObjects } from '../platform/platformClient.ts';
+import type { ObjectFollower } from '../platform/objectFollower.ts';
+import type { PlatformEvent } from '../platform/platformClient.ts';
 import type { ForeignKind } from './adapter.ts';
 import type { GatewayTables } from './gatewayTables.ts';
+import type { PlatformFollowers } from './platformFollowers.ts';
 import { RouteIndex } from './routeIndex.ts';
 
 export interface TablesFollowerOptions {
-  readonly platform: PlatformObjects;
-  readonly clock: Clock;
-  readonly random: Random;
   readonly logger: Logger;
   readonly kind: ForeignKind<GatewayTables>;
-  readonly waitMs: () => number;
+  readonly followers: Pick<PlatformFollowers, 'follow'>;
   readonly onChange: () => void;
 }
 
@@ -32,9 +28,8 @@
 
   constructor(options: TablesFollowerOptions) {
     this.#options = options;
-    const { platform, clock, random, logger, kind, waitMs } = options;
-    this.#follower = new ObjectFollower({
-      ...{ platform, clock, random, logger, prefix: kind.prefix, waitMs },
+    this.#follower = options.followers.follow({
+      prefix: options.kind.prefix,
       onEvent: (event) => this.#take(event),
     });
   }
--- a/src/node/membership/peerClients.ts
+++ b/src/node/membership/peerClients.ts
@@ -2,6 +2,7 @@
 import { type Client, createClient } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import { type NodeIdentity, PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 
 export type PeerClient = Client<typeof PeerService>;
@@ -13,6 +14,7 @@
 interface ClientsOfPeer {
   readonly peer: PeerClient;
   readonly batch: BatchClient;
+  readonly relay: Client<typeof RelayService>;
 }
 
 /** Largest number of peers for which a client is kept; the least recently made is dropped first. */
@@ -40,6 +42,11 @@
     return this.#of(address).batch;
   }
 
+  /** Calls by which objects of the platform are followed. */
+  relay(address: PeerAddress): Client<typeof RelayService> {
+    return this.#of(address).relay;
+  }
+
   [Symbol.dispose](): void {
     this.#agent.destroy();
   }
@@ -58,6 +65,7 @@
     const clients = {
       peer: createClient(PeerService, transport),
       batch: createClient(BatchService, transport),
+      relay: createClient(RelayService, transport),
     };
     const [oldest] = this.#clients.keys();
     if (this.#clients.size >= MAX_CLIENTS && oldest !== undefined) this.#clients.delete(oldest);
--- a/src/node/platform/objectFollower.ts
+++ b/src/node/platform/objectFollower.ts
@@ -11,7 +11,7 @@
 } from './platformClient.ts';
 
 /** Added to the wait of a call before its connection counts as silent, in ms: a slow platform answers within it. */
-const SILENCE_MARGIN_MS = 1000;
+const SILENCE_MARGIN_MS = 600;
 
 /** Bounds of the delay between attempts while the platform does not answer, in ms. */
 const RETRY = { baseMs: 50, maxMs: 500 };
@@ -27,6 +27,8 @@
   readonly waitMs: () => number;
   /** Told of each change, also of those found by listing again. */
   readonly onEvent: (event: PlatformEvent) => void;
+  /** Told when everything up to a version was taken in. */
+  readonly onAdvanced?: (version: number) => void;
   /** Told when the platform answers after it did not, with the time for which it was away, in ms. */
   readonly onRegained?: (awayMs: number) => void;
 }
@@ -47,6 +49,9 @@
 
   #version: number | undefined;
 
+  /** Largest version reached so far: a list must not fall behind it. */
+  #highestVersion = 0;
+
   /** Started when the last answered call was sent. */
   #confirmed: Stopwatch | undefined;
 
@@ -144,7 +149,9 @@
 
   async #list(): Promise<void> {
     const { platform, prefix } = this.#options;
-    const { objects, version } = await platform.snapshot(prefix);
+    const { objects, version } = await platform.snapshot(prefix, {
+      minVersion: this.#highestVersion,
+    });
     const listed = new Map(objects.map((object) => [object.key, object]));
     for (const [key, object] of this.#objects) {
       if (!listed.has(key)) this.#take({ type: 'removed', object });
@@ -154,7 +161,7 @@
         this.#take({ type: 'written', object });
       }
     }
-    this.#version = version;
+    this.#advance(version);
   }
 
   async #follow(sinceVersion: number): Promise<void> {
@@ -170,12 +177,18 @@
       });
       if (this.#version === undefined) return;
       for (const event of changes.events) this.#take(event);
-      this.#version = Math.max(sinceVersion, changes.version);
+      this.#advance(Math.max(sinceVersion, changes.version));
     } finally {
       timer[Symbol.dispose]();
     }
   }
 
+  #advance(version: number): void {
+    this.#version = version;
+    this.#highestVersion = Math.max(this.#highestVersion, version);
+    this.#options.onAdvanced?.(version);
+  }
+
   #take(event: PlatformEvent): void {
     const { key } = event.object;
     if (event.type === 'removed') this.#objects.delete(key);
--- a/src/node/platform/platformClient.ts
+++ b/src/node/platform/platformClient.ts
@@ -86,10 +86,15 @@
   readonly signal: AbortSignal;
 }
 
+export interface SnapshotOptions {
+  /** Version that the answer must have reached; matters only where another node answers for the platform. */
+  readonly minVersion?: number;
+}
+
 /** The calls by which objects are followed without a gap, and status is written to objects of others. */
 export interface PlatformObjects extends PlatformClient {
   /** @throws PlatformError when no answer arrived in time */
-  snapshot(prefix: string): Promise<PlatformSnapshot>;
+  snapshot(prefix: string, options?: SnapshotOptions): Promise<PlatformSnapshot>;
   /**
    * @throws PlatformHistoryError when the changes since `version` are gone
    * @throws PlatformError when no answer arrived in time
--- a/src/node/settings/resolveSettings.ts
+++ b/src/node/settings/resolveSettings.ts
@@ -23,7 +23,7 @@
   orderLeaseMs: gateway.orderLeaseMs ?? 3000,
   ordersFenced: gateway.ordersFenced ?? false,
   resultRetentionMs: gateway.resultRetentionMs ?? 120_000,
-  maxLoadingWorkers: gateway.maxLoadingWorkers ?? 2,
+  maxLoadingWorkers: gateway.maxLoadingWorkers,
 });
 
 /** Settings of a node on the users' platform with every default filled in. */
