feat(batches): keep long texts at the platform, notice an ended dispatcher at once, repeat lost orders sooner

Ruled out: a copy at another node (lost when all machines lose power); keeping every text (bytes between zones). Change: texts of 24 events and more are kept every 1.5 s by their new events; the first two candidates hold a connection to the dispatcher, and a refused one is its end; orders time out after 250 ms and are given again with the same count of orders, so that a late copy does nothing.

--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -17,7 +17,14 @@
 import type { OrderCalls } from '../weights/orderCalls.ts';
 import { WeightLoads } from '../weights/weightLoads.ts';
 import type { BatchAcceptor } from './batchAcceptor.ts';
-import { BATCHES_PREFIX, decodeBatch, decodeItems, itemsKey, logPrefix } from './batchObjects.ts';
+import {
+  BATCHES_PREFIX,
+  decodeBatch,
+  decodeItems,
+  itemsKey,
+  logPrefix,
+  progressPrefix,
+} from './batchObjects.ts';
 import { LOAD_RETRY_MS, RETENTION_SWEEP_MS } from './constants.ts';
 import { DispatcherElection, type ElectionView } from './dispatcherElection.ts';
 import { EarlierTexts } from './earlierTexts.ts';
@@ -253,8 +260,8 @@
       try {
         await platform.remove(key, { ifVersion: version });
         dispatcher.forget(record.id);
-        for (const entry of await platform.list(logPrefix(record.id))) {
-          await platform.remove(entry.key);
+        for (const prefix of [logPrefix(record.id), progressPrefix(record.id)]) {
+          for (const entry of await platform.list(prefix)) await platform.remove(entry.key);
         }
         for (let part = 0; part < record.partCount; part += 1) {
           await platform.remove(itemsKey(record.id, part));
--- a/src/node/batches/batchObjects.ts
+++ b/src/node/batches/batchObjects.ts
@@ -31,6 +31,13 @@
 export const logKey = (batchId: string, number: number): string =>
   `${logPrefix(batchId)}${String(number).padStart(8, '0')}`;
 
+/** Checkpoints of a batch; like the log they have a kind of their own. */
+export const progressPrefix = (batchId: string): string => `batch-progress-${batchId}/`;
+
+/** Names sort by term and number. */
+export const progressKey = (batchId: string, term: number, number: number): string =>
+  `${progressPrefix(batchId)}${String(term).padStart(8, '0')}.${String(number).padStart(6, '0')}`;
+
 export const dispatcherKey = (pool: string): string => `${DISPATCHERS_PREFIX}${pool}`;
 
 export const encodeBatch = (record: BatchRecord): JsonValue => toJson(BatchRecordSchema, record);
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -60,5 +60,8 @@
 /** Share of a pool that loads weights at full speed; the weight store serves more of them more slowly. */
 export const LOADING_SHARE = 0.25;
 
+/** Between looks for texts that are worth keeping at the platform, in ms: what a killed dispatcher loses of each item. */
+export const CHECKPOINT_INTERVAL_MS = 1500;
+
 /** Rank of items at engines: behind the streams of callers, which have the default of 5 or less. */
 export const ITEM_RANK = 5;
--- a/src/node/batches/dispatcherElection.ts
+++ b/src/node/batches/dispatcherElection.ts
@@ -8,8 +8,13 @@
 import { messageOf } from '../../shared/errors.ts';
 import { newId } from '../../shared/random.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
-import { claimDelayMs, type DispatcherCandidate } from '../decisions/dispatcherClaim.ts';
+import {
+  CLAIM_STEP_MS,
+  claimDelayMs,
+  type DispatcherCandidate,
+} from '../decisions/dispatcherClaim.ts';
 import type { Peer } from '../membership/membershipView.ts';
+import { HolderWatch } from './holderWatch.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import { decodeDispatcher, dispatcherKey, encodeDispatcher } from './batchObjects.ts';
@@ -23,6 +28,9 @@
 /** Between reads of the record while its holder seems sound, in ms; a change usually shows in heartbeats. */
 const REREAD_INTERVAL_MS = 15_000;
 
+/** Nodes that watch a holder's process, those that would claim the pool first. */
+const WATCHERS = 2;
+
 /** What the election sees of the nodes. */
 export interface ElectionView {
   readonly self: NodeIdentity;
@@ -43,6 +51,12 @@
   readonly onElected: (term: number, former: DispatcherRecord | undefined) => void;
   /** This node is no longer the dispatcher. */
   readonly onLost: () => void;
+  /**
+   * Watches whether a holder's process ends.
+   *
+   * @default a connection to it
+   */
+  readonly watchHolder?: (holder: DispatcherRecord, onRefused: () => void) => Disposable;
 }
 
 const candidateOf = (identity: NodeIdentity, able: boolean): DispatcherCandidate => ({
@@ -75,6 +89,11 @@
 
   #heldTerm: number | undefined;
 
+  /** Incarnation of a holder whose process has ended. */
+  #endedHolder: string | undefined;
+
+  #watch: { readonly incarnation: string; readonly disposable: Disposable } | undefined;
+
   #busy = false;
 
   #disposed = false;
@@ -129,6 +148,7 @@
   [Symbol.dispose](): void {
     this.#disposed = true;
     this.#timer[Symbol.dispose]();
+    this.#watch?.disposable[Symbol.dispose]();
   }
 
   async #look(): Promise<void> {
@@ -147,6 +167,7 @@
   async #step(): Promise<void> {
     const { platformLost } = this.#options;
     if (this.#mustRead()) await this.#read();
+    this.#watchHolder();
     if (this.#isHolderAble()) {
       this.#goneSince = undefined;
       return;
@@ -180,6 +201,7 @@
     if (record === undefined) return false;
     const { view, platformLost } = this.#options;
     if (record.incarnation === view.self.incarnation) return this.#heldTerm !== undefined;
+    if (record.incarnation === this.#endedHolder) return false;
     const peer = view.peers().find(({ identity }) => identity.name === record.node);
     if (peer === undefined || peer.identity.incarnation !== record.incarnation) return false;
     if (peer.suspected || peer.leaving) return false;
@@ -187,14 +209,49 @@
     return !peer.platformLost || platformLost();
   }
 
-  #claimDelayMs(): number | undefined {
+  /** Watches the holder while this node is one of the first that would claim the pool after it. */
+  #watchHolder(): void {
+    const { view, clock, watchHolder } = this.#options;
+    const holder = this.#known?.record;
+    const isOther = holder !== undefined && holder.incarnation !== view.self.incarnation;
+    const isNext =
+      isOther && (this.#claimDelayMs(holder.node) ?? Infinity) < WATCHERS * CLAIM_STEP_MS;
+    const wanted = isNext ? holder : undefined;
+    if (this.#watch?.incarnation === wanted?.incarnation) return;
+    this.#watch?.disposable[Symbol.dispose]();
+    this.#watch = undefined;
+    if (wanted === undefined) return;
+    const { incarnation, host, peerPort } = wanted;
+    const onRefused = () => this.#holderEnded(wanted);
+    const disposable =
+      watchHolder?.(wanted, onRefused) ?? new HolderWatch({ clock, host, peerPort, onRefused });
+    this.#watch = { incarnation, disposable };
+  }
+
+  #holderEnded({ incarnation, node }: DispatcherRecord): void {
+    if (this.#endedHolder === incarnation) return;
+    this.#endedHolder = incarnation;
+    const { logger, pool } = this.#options;
+    logger.info('dispatcher-ended', { pool, node, incarnation });
+    void this.#look();
+  }
+
+  /** @param without - node that is not waited for */
+  #claimDelayMs(without = ''): number | undefined {
     const { view, pool, platformLost } = this.#options;
     const { self, leaving } = view;
     const own = candidateOf(self, !leaving && !platformLost());
     const peers = view
       .peers()
       .map((peer) =>
-        candidateOf(peer.identity, !peer.suspected && !peer.leaving && !peer.platformLost),
+        candidateOf(
+          peer.identity,
+          !peer.suspected &&
+            !peer.leaving &&
+            !peer.platformLost &&
+            peer.identity.name !== without &&
+            peer.identity.incarnation !== this.#endedHolder,
+        ),
       );
     return claimDelayMs(pool, own, peers);
   }
--- a/src/node/batches/earlierTexts.ts
+++ b/src/node/batches/earlierTexts.ts
@@ -31,13 +31,11 @@
     for (const state of batch.items.values()) {
       const earlier = this.#items.get(state.item.id);
       if (earlier === undefined) continue;
-      const { events, versions } = earlier.text;
+      const events = [...earlier.text.events];
+      const eventVersions = [...earlier.text.eventVersions];
+      const { whole } = earlier;
       // Attempts that failed in the earlier batch do not count in this one.
-      if (
-        !state.adopt({ events: [...events], versions, whole: earlier.whole, failedAttempts: 0 })
-      ) {
-        continue;
-      }
+      if (!state.adopt({ events, eventVersions, whole, failedAttempts: 0 })) continue;
       this.#items.delete(state.item.id);
       reused += 1;
     }
--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -2,6 +2,7 @@
 import { messageOf } from '../../shared/errors.ts';
 import type { EventVerdict } from '../decisions/itemText.ts';
 import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
+import type { LogFields } from '../observability/logger.ts';
 import { WorkerCallError } from '../dataPath/workerHttp.ts';
 import type { ItemState } from './itemState.ts';
 import { ITEM_RANK } from './constants.ts';
@@ -130,3 +131,25 @@
     return gapMs;
   }
 }
+
+/**
+ * A run as it is logged.
+ *
+ * @param begun - events of the item before the run
+ */
+export const describeRun = (
+  { state, worker, events, elapsedMs }: ItemRun,
+  end: RunEnd,
+  begun: number,
+): LogFields => ({
+  batch: state.batch.record.id,
+  item: state.item.id,
+  worker: worker.id,
+  begun,
+  events,
+  versions: state.text.versions.join(','),
+  tookMs: Math.round(elapsedMs),
+  end: end.kind,
+  status: end.kind === 'failed' ? end.statusCode : undefined,
+  reason: 'reason' in end ? end.reason : undefined,
+});
--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -85,10 +85,12 @@
    *
    * @returns whether the versions of the text fit
    */
-  adopt(earlier: Pick<ItemProgress, 'events' | 'versions' | 'whole' | 'failedAttempts'>): boolean {
+  adopt(
+    earlier: Pick<ItemProgress, 'events' | 'eventVersions' | 'whole' | 'failedAttempts'>,
+  ): boolean {
     if (this.#phase !== 'waiting') return false;
     this.#failedAttempts = Math.max(this.#failedAttempts, earlier.failedAttempts);
-    if (!this.text.adopt(earlier.events, earlier.versions)) return false;
+    if (!this.text.adopt(earlier.events, earlier.eventVersions)) return false;
     this.#whole = earlier.whole;
     return true;
   }
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -3,12 +3,12 @@
   type BatchItem,
   type BatchRecord,
   type ItemProgress,
-  ItemProgressSchema,
   ItemResultSchema,
   ItemState as ResultState,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type Clock, sleep } from '../../shared/clock.ts';
 import type { Random } from '../../shared/random.ts';
+import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import { type Placement, placeItems, type WaitingItem } from '../decisions/itemPlacement.ts';
 import { shareWorkers } from '../decisions/workerShares.ts';
@@ -21,6 +21,7 @@
 import { BatchState } from './batchState.ts';
 import {
   BROKEN_BACKOFF_MS,
+  CHECKPOINT_INTERVAL_MS,
   ITEM_FAILED,
   ITEM_IMPOSSIBLE,
   LOADING_SHARE,
@@ -30,9 +31,10 @@
 import { EngineWorkers } from './engineWorkers.ts';
 import type { EarlierTexts } from './earlierTexts.ts';
 import type { GenerationCalls } from './generationCalls.ts';
-import { ItemRun, type RunEnd } from './itemRun.ts';
+import { describeRun, ItemRun, type RunEnd } from './itemRun.ts';
 import type { ItemScorer } from './itemScorer.ts';
 import type { ItemState } from './itemState.ts';
+import { ProgressKeeper, progressOf } from './progressKeeper.ts';
 import { fitAnswer, ResultLog } from './resultLog.ts';
 
 export interface PoolDispatcherOptions {
@@ -77,6 +79,9 @@
   /** Runs in progress by item. */
   readonly #runs = new Map<ItemState, ItemRun>();
 
+  /** Keep the texts of long items, by batch. */
+  readonly #keepers = new Map<string, ProgressKeeper>();
+
   /** Scoring calls in progress by batch. */
   readonly #scoring = new Map<string, AbortController>();
 
@@ -85,7 +90,7 @@
   /** The model whose newest weights each worker keeps. */
   #shares: ReadonlyMap<string, string> = new Map();
 
-  readonly #ticks: Disposable;
+  readonly #ticks = new DisposableStore();
 
   #scheduled = false;
 
@@ -94,7 +99,8 @@
   constructor(options: PoolDispatcherOptions) {
     this.#options = options;
     this.#workers = new EngineWorkers(options);
-    this.#ticks = repeatEvery(options.clock, TICK_MS, () => this.#tick());
+    this.#ticks.add(repeatEvery(options.clock, TICK_MS, () => this.#tick()));
+    this.#ticks.add(repeatEvery(options.clock, CHECKPOINT_INTERVAL_MS, () => this.#keepProgress()));
   }
 
   get closed(): boolean {
@@ -124,12 +130,15 @@
       onAdopted: (results) => this.#batches.get(record.id)?.listed(results),
       onTaken: onReplaced,
     });
-    if (takeOver) await log.takeOver();
+    const keeper = new ProgressKeeper({ platform, logger, term, batchId: record.id });
+    const kept = takeOver ? (await Promise.all([keeper.read(), log.takeOver()]))[0] : [];
     if (this.#closed || this.#batches.has(record.id)) return;
     const batch = new BatchState(record, items, log);
+    this.#keepers.set(record.id, keeper);
     this.#batches.set(record.id, batch);
     this.#scoring.set(record.id, new AbortController());
-    for (const item of progress) batch.adopt(item);
+    // The former dispatcher itself knows more than it has kept.
+    for (const item of [...progress, ...kept]) batch.adopt(item);
     const reused = earlierTexts.reuse(batch);
     logger.info('batch-dispatched', {
       batch: record.id,
@@ -140,6 +149,7 @@
       listed: log.results.length,
       ended: batch.ended,
       reused,
+      continued: [...batch.items.values()].filter(({ text }) => text.events.length > 0).length,
       term,
     });
     for (const state of batch.items.values()) {
@@ -172,6 +182,7 @@
     this.end(batchId);
     this.#batches.get(batchId)?.log.close();
     this.#batches.delete(batchId);
+    this.#keepers.delete(batchId);
     this.#scoring.delete(batchId);
   }
 
@@ -197,16 +208,7 @@
         ? []
         : [...batch.items.values()]
             .filter(({ phase, text }) => phase !== 'listed' && text.events.length > 0)
-            .map(({ item, text, failedAttempts, whole }) =>
-              create(ItemProgressSchema, {
-                batchId: batch.record.id,
-                itemId: item.id,
-                events: [...text.events],
-                versions: text.versions,
-                failedAttempts,
-                whole,
-              }),
-            ),
+            .map((state) => progressOf(state)),
     );
     this[Symbol.dispose]();
     return progress;
@@ -231,7 +233,7 @@
   [Symbol.dispose](): void {
     if (this.#closed) return;
     this.#closed = true;
-    this.#ticks[Symbol.dispose]();
+    void this.#ticks[Symbol.asyncDispose]();
     this.#options.weights.close();
     for (const run of this.#runs.values()) run.stop('released');
     for (const abort of this.#scoring.values()) abort.abort();
@@ -300,26 +302,11 @@
     const begun = state.text.events.length;
     void run.finish().then((end) => {
       this.#runs.delete(state);
-      this.#logRun(run, end, begun);
+      this.#options.logger.info('item-run', describeRun(run, end, begun));
       if (!this.#closed) this.#ended(run, end);
     });
   }
 
-  #logRun({ state, worker, events, elapsedMs }: ItemRun, end: RunEnd, begun: number): void {
-    this.#options.logger.info('item-run', {
-      batch: state.batch.record.id,
-      item: state.item.id,
-      worker: worker.id,
-      begun,
-      events,
-      versions: state.text.versions.join(','),
-      tookMs: Math.round(elapsedMs),
-      end: end.kind,
-      status: end.kind === 'failed' ? end.statusCode : undefined,
-      reason: 'reason' in end ? end.reason : undefined,
-    });
-  }
-
   /** Decides what follows a run. */
   #ended(run: ItemRun, end: RunEnd): void {
     const { state, worker } = run;
@@ -437,6 +424,13 @@
     return running;
   }
 
+  #keepProgress(): void {
+    for (const batch of this.#openBatches()) {
+      const open = [...batch.items.values()].filter(({ closed }) => !closed);
+      void this.#keepers.get(batch.record.id)?.keep(open);
+    }
+  }
+
   /** Moves runs away from workers that are silent or slow, and gives up items whose time is over. */
   #tick(): void {
     const nowMs = this.#options.clock.monotonicMs();
--- /dev/null
+++ b/src/node/batches/progressKeeper.ts
@@ -0,0 +1,101 @@
+import { create, fromJson, type JsonValue, toJson } from '@bufbuild/protobuf';
+import {
+  type ItemProgress,
+  ItemProgressSchema,
+  ProgressCheckpointSchema,
+} from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { messageOf } from '../../shared/errors.ts';
+import { newId } from '../../shared/random.ts';
+import { Checkpoints, mergeProgress } from '../decisions/checkpoints.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformClient } from '../platform/platformClient.ts';
+import { progressKey, progressPrefix } from './batchObjects.ts';
+import type { ItemState } from './itemState.ts';
+
+export interface ProgressKeeperOptions {
+  readonly platform: PlatformClient;
+  readonly logger: Logger;
+  readonly batchId: string;
+  readonly term: number;
+}
+
+/** What an item has generated, from an event on. */
+export const progressOf = (
+  { batch, item, text, failedAttempts, whole }: ItemState,
+  eventOffset = 0,
+): ItemProgress =>
+  create(ItemProgressSchema, {
+    batchId: batch.record.id,
+    itemId: item.id,
+    events: text.events.slice(eventOffset),
+    eventVersions: text.eventVersions.slice(eventOffset),
+    failedAttempts,
+    whole,
+    eventOffset,
+  });
+
+/**
+ * Keeps the texts of a batch's long items at the platform while they grow, so that the next dispatcher continues them
+ * also when this one is killed. Losing a checkpoint loses no promise, only time.
+ */
+export class ProgressKeeper {
+  readonly #options: ProgressKeeperOptions;
+
+  readonly #checkpoints = new Checkpoints();
+
+  #count = 0;
+
+  #writing = false;
+
+  constructor(options: ProgressKeeperOptions) {
+    this.#options = options;
+  }
+
+  /** Reads what former dispatchers have kept. @throws PlatformError when the platform does not answer */
+  async read(): Promise<ItemProgress[]> {
+    const { platform, batchId } = this.#options;
+    const objects = await platform.list(progressPrefix(batchId));
+    const parts = [...objects]
+      .sort((left, right) => (left.key < right.key ? -1 : 1))
+      .flatMap(
+        ({ value }) =>
+          fromJson(ProgressCheckpointSchema, value as JsonValue, { ignoreUnknownFields: true })
+            .items,
+      );
+    const progress = [...mergeProgress(parts).values()];
+    for (const { itemId, events } of progress) this.#checkpoints.known(itemId, events.length);
+    return progress;
+  }
+
+  /** Keeps what has been generated since the last call, when that is worth it. */
+  async keep(items: readonly ItemState[]): Promise<void> {
+    if (this.#writing) return;
+    const due = this.#checkpoints.due(
+      items.map(({ item, text, whole }) => ({ id: item.id, events: text.events.length, whole })),
+    );
+    if (due.size === 0) return;
+    const { platform, logger, batchId, term } = this.#options;
+    const parts = items
+      .filter(({ item }) => due.has(item.id))
+      .map((state) => progressOf(state, due.get(state.item.id)));
+    this.#writing = true;
+    this.#count += 1;
+    try {
+      const checkpoint = create(ProgressCheckpointSchema, { term, items: parts });
+      const key = progressKey(batchId, term, this.#count);
+      const result = await platform.write(key, toJson(ProgressCheckpointSchema, checkpoint), {
+        ifVersion: 0,
+        operationId: newId(),
+      });
+      logger.info('progress-kept', { batch: batchId, items: parts.length, outcome: result.status });
+      if (result.status !== 'written') return;
+      for (const { itemId, eventOffset, events } of parts) {
+        this.#checkpoints.stored(itemId, eventOffset + events.length);
+      }
+    } catch (error) {
+      logger.warn('progress-not-kept', { batch: batchId, message: messageOf(error) });
+    } finally {
+      this.#writing = false;
+    }
+  }
+}
--- /dev/null
+++ b/src/node/decisions/__tests__/checkpoints.test.ts
@@ -0,0 +1,76 @@
+import { test } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { ItemProgressSchema } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
+import { Checkpoints, mergeProgress } from '../checkpoints.ts';
+
+const part = (eventOffset: number, events: string[], version = 1) =>
+  create(ItemProgressSchema, {
+    itemId: 'i',
+    eventOffset,
+    events,
+    eventVersions: events.map(() => version),
+  });
+
+const merged = (...parts: ReturnType<typeof part>[]) => mergeProgress(parts).get('i');
+
+// Guards against calls and bytes for texts that are generated again faster than they are kept.
+test('short texts and small additions are not kept', () => {
+  const checkpoints = new Checkpoints();
+  expect(checkpoints.due([{ id: 'i', events: 20, whole: false }]).size).toEqual(0);
+  expect(checkpoints.due([{ id: 'i', events: 30, whole: false }])).toEqual(new Map([['i', 0]]));
+  checkpoints.stored('i', 30);
+  expect(checkpoints.due([{ id: 'i', events: 40, whole: false }]).size).toEqual(0);
+  expect(checkpoints.due([{ id: 'i', events: 46, whole: false }])).toEqual(new Map([['i', 30]]));
+  expect(checkpoints.due([{ id: 'i', events: 32, whole: true }])).toEqual(new Map([['i', 30]]));
+});
+
+// Guards against a text that began anew and is continued from the old one.
+test('a text that is shorter than what was kept is kept from its start', () => {
+  const checkpoints = new Checkpoints();
+  checkpoints.stored('i', 60);
+  expect(checkpoints.due([{ id: 'i', events: 30, whole: false }])).toEqual(new Map([['i', 0]]));
+});
+
+// Guards against a text that joins the runs of two dispatchers: one was replaced, kept more, and the next had continued
+// from before that.
+test('what a replaced dispatcher kept late gives way to what the next one generated', () => {
+  const text = merged(part(0, ['a', 'b']), part(2, ['old', 'old'], 1), part(2, ['c'], 2));
+  expect(text?.events).toEqual(['a', 'b', 'c']);
+  expect(text?.eventVersions).toEqual([1, 1, 2]);
+});
+
+// Guards against a text with a gap after a checkpoint that was lost.
+test('a part after a gap is left out', () => {
+  expect(merged(part(0, ['a']), part(3, ['d']))?.events).toEqual(['a']);
+  expect(merged(part(2, ['c']))).toEqual(undefined);
+});
+
+// Guards against events that are lost or doubled between checkpoints of one dispatcher.
+test('the checkpoints of one dispatcher give its text', () => {
+  fc.assert(
+    fc.property(fc.array(fc.nat({ max: 40 }), { maxLength: 10 }), (growths) => {
+      const checkpoints = new Checkpoints();
+      const parts = [];
+      let events = 0;
+      let kept = 0;
+      for (const growth of growths) {
+        events += growth;
+        const offset = checkpoints.due([{ id: 'i', events, whole: false }]).get('i');
+        if (offset === undefined) continue;
+        parts.push(
+          part(
+            offset,
+            Array.from({ length: events - offset }, (_, at) => `${offset + at}`),
+          ),
+        );
+        checkpoints.stored('i', events);
+        kept = events;
+      }
+      const text = merged(...parts)?.events ?? [];
+      expect(text).toEqual(Array.from({ length: kept }, (_, at) => `${at}`));
+    }),
+    { seed: 20261204, numRuns: 300 },
+  );
+});
--- a/src/node/decisions/itemText.ts
+++ b/src/node/decisions/itemText.ts
@@ -33,7 +33,8 @@
 
   readonly #events: string[] = [];
 
-  readonly #versions = new Set<number>();
+  /** Version of each event. */
+  readonly #eventVersions: number[] = [];
 
   constructor(rules: VersionRules) {
     this.#rules = rules;
@@ -44,16 +45,21 @@
     return this.#events;
   }
 
+  /** Version of each event. */
+  get eventVersions(): readonly number[] {
+    return this.#eventVersions;
+  }
+
   /** Versions that generated the text, ascending. */
   get versions(): number[] {
-    return [...this.#versions].sort((left, right) => left - right);
+    return [...new Set(this.#eventVersions)].sort((left, right) => left - right);
   }
 
   /** Whether a run on this version may begin or continue the text. */
   allows(version: number): boolean {
     const { minVersion, singleVersion } = this.#rules;
     if (version < minVersion) return false;
-    return !singleVersion || this.#versions.size === 0 || this.#versions.has(version);
+    return !singleVersion || (this.#eventVersions[0] ?? version) === version;
   }
 
   accept({ number, data, version }: GenerationEvent): EventVerdict {
@@ -61,7 +67,7 @@
     if (number > this.#events.length + 1) return 'gap';
     if (!this.allows(version)) return 'wrong-version';
     this.#events.push(data);
-    this.#versions.add(version);
+    this.#eventVersions.push(version);
     invariant(this.#events.length === number, 'item-text-contiguous', { number });
     return 'taken';
   }
@@ -71,22 +77,23 @@
    *
    * @returns whether the versions fit; otherwise nothing is taken over
    */
-  adopt(events: readonly string[], versions: readonly number[]): boolean {
+  adopt(events: readonly string[], eventVersions: readonly number[]): boolean {
     const { minVersion, singleVersion } = this.#rules;
     const fits =
       this.#events.length === 0 &&
-      versions.length > 0 &&
-      versions.every((version) => version >= minVersion) &&
-      (!singleVersion || versions.length === 1);
+      events.length > 0 &&
+      eventVersions.length === events.length &&
+      eventVersions.every((version) => version >= minVersion) &&
+      (!singleVersion || new Set(eventVersions).size === 1);
     if (!fits) return false;
     this.#events.push(...events);
-    for (const version of versions) this.#versions.add(version);
+    this.#eventVersions.push(...eventVersions);
     return true;
   }
 
   /** Forgets everything, to begin anew under another version. */
   clear(): void {
     this.#events.length = 0;
-    this.#versions.clear();
+    this.#eventVersions.length = 0;
   }
 }
--- a/src/node/weights/weightLoads.ts
+++ b/src/node/weights/weightLoads.ts
@@ -8,14 +8,14 @@
 /** Expected time of a load before one was measured, in ms. */
 const FIRST_LOAD_MS = 950;
 
-/** Between reports while the result of an order is not known, in ms: reports are some hundred ms old. */
-const REPORT_INTERVAL_MS = 300;
+/** Between reports while the result of an order is not known, in ms: reports are up to 200 ms old. */
+const REPORT_INTERVAL_MS = 250;
 
-/** Reports after which an order that shows no effect is given again. */
-const MAX_REPORTS = 3;
+/** Orders of one load, the first included; a copy that arrives late does nothing once another was taken. */
+const MAX_ORDERS = 8;
 
-/** Time after a refused order in which the worker gets no other, in ms. */
-const REFUSED_PAUSE_MS = 400;
+/** Time after a failed load in which the worker gets no other order, in ms. */
+const FAILED_PAUSE_MS = 400;
 
 /** Longest wait for the end of a load that a worker reports, in ms. */
 const MAX_LOAD_MS = 10_000;
@@ -140,6 +140,7 @@
       tookMs: Math.round(started.elapsedMs()),
     });
     if (outcome === 'loaded') weights.observe(model, version);
+    else await sleep(this.#options.clock, FAILED_PAUSE_MS);
     weights.endLoad();
     if (!this.#closed) this.#options.onChange();
   }
@@ -149,45 +150,46 @@
     weights: WorkerWeights,
   ): Promise<'loaded' | 'failed' | 'not-holder'> {
     const { clock, calls, holder, fencing, verifyHold, onFenced } = this.#options;
-    if (weights.orders === undefined && !(await this.#readReport(worker, weights))) return 'failed';
-    if (!(await verifyHold()) || this.#closed) return 'not-holder';
-    const expectedOrders = weights.orders ?? 0;
-    const answer = await calls.order(worker, {
-      ...{ model, version, runs, holder, fencing, expectedOrders },
-    });
-    if (answer === 'holds') return 'loaded';
-    if (answer === 'accepted') {
-      weights.countedOrders(expectedOrders + 1);
-      await sleep(clock, FIRST_LOAD_MS);
-      return 'loaded';
-    }
-    if (answer === 'fenced') {
-      onFenced();
-      return 'not-holder';
-    }
-    if (answer === 'refused') {
-      await sleep(clock, REFUSED_PAUSE_MS);
-      return 'failed';
+    for (let attempt = 1; attempt <= MAX_ORDERS && !this.#closed; attempt += 1) {
+      if (weights.orders === undefined && !(await this.#readReport(worker, weights))) {
+        return 'failed';
+      }
+      if (!(await verifyHold()) || this.#closed) return 'not-holder';
+      const expectedOrders = weights.orders ?? 0;
+      const answer = await calls.order(worker, {
+        ...{ model, version, runs, holder, fencing, expectedOrders },
+      });
+      if (answer === 'holds') return 'loaded';
+      if (answer === 'accepted') {
+        weights.countedOrders(expectedOrders + 1);
+        await sleep(clock, FIRST_LOAD_MS);
+        return 'loaded';
+      }
+      if (answer === 'fenced') {
+        onFenced();
+        return 'not-holder';
+      }
+      if (answer === 'refused') return 'failed';
+      if (await this.#hasEffect(worker, { model, version }, weights)) return 'loaded';
     }
-    return this.#awaitEffect(worker, { model, version }, weights);
+    return 'failed';
   }
 
-  /** Finds out by the worker's reports what became of an order that had no answer, or met another one. */
-  async #awaitEffect(
+  /** Finds out by the worker's reports whether an order that had no answer, or met another one, took effect. */
+  async #hasEffect(
     worker: RegisteredWorker,
     { model, version }: Pick<Load, 'model' | 'version'>,
     weights: WorkerWeights,
-  ): Promise<'loaded' | 'failed'> {
+  ): Promise<boolean> {
     const { clock } = this.#options;
     const started = new Stopwatch(clock);
-    for (let quiet = 0; quiet < MAX_REPORTS && started.elapsedMs() < MAX_LOAD_MS;) {
+    do {
       await sleep(clock, REPORT_INTERVAL_MS);
       const report = await this.#readReport(worker, weights);
-      if (this.#closed) return 'failed';
-      if ((report?.versions.get(model) ?? 0) >= version) return 'loaded';
-      if (report === undefined || !report.busy) quiet += 1;
-    }
-    return 'failed';
+      if ((report?.versions.get(model) ?? 0) >= version) return true;
+      if (report === undefined || !report.busy) return false;
+    } while (!this.#closed && started.elapsedMs() < MAX_LOAD_MS);
+    return false;
   }
 
   async #readReport(worker: RegisteredWorker, weights: WorkerWeights) {
