fix(platform): a refresh during an outage no longer spins; relays tell each other of changes

A follower that was told to read again while the platform was down listed in a loop without a pause: the aborted controller of the call before made every failure look like a refresh (seen as a test that never ended). Ruled out: a longer wait of the relays' calls (5 s): with all connections silent both relays would miss a change for longer than the 3 s after which nodes count as in touch again.

--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -8,7 +8,7 @@
 export const MAX_KEPT_SUBMISSIONS = 16;
 
 /** Least time between two entries of a result log, in ms, unless a trainer waits for the results. */
-export const LOG_INTERVAL_MS = 250;
+export const LOG_INTERVAL_MS = 400;
 
 /** Time for finding out what became of an entry of a result log before it is tried anew, in ms. */
 export const LOG_WRITE_LIMIT_MS = 1000;
--- a/src/node/batches/dispatcherElection.ts
+++ b/src/node/batches/dispatcherElection.ts
@@ -26,7 +26,10 @@
 const SETTLE_MS = 600;
 
 /** Between reads of the record while its holder seems sound, in ms; a change usually shows in heartbeats. */
-const REREAD_INTERVAL_MS = 15_000;
+const REREAD_INTERVAL_MS = 60_000;
+
+/** Time for which a read of the record confirms the hold, in ms: well below the least time between two holders' orders. */
+const VERIFIED_FOR_MS = 500;
 
 /** Nodes that watch a holder's process, those that would claim the pool first. */
 const WATCHERS = 2;
@@ -115,11 +118,13 @@
   }
 
   /**
-   * Confirms at the platform that this node still holds the pool.
+   * Confirms at the platform that this node still holds the pool, or did a moment ago.
    *
    * @returns false also when the platform does not answer
    */
   async verify(): Promise<boolean> {
+    const verifiedMs = this.#readAt?.elapsedMs() ?? Infinity;
+    if (this.#heldTerm !== undefined && verifiedMs < VERIFIED_FOR_MS) return true;
     try {
       await this.#read();
     } catch (error) {
@@ -258,8 +263,9 @@
 
   async #read(): Promise<void> {
     const { platform, pool, view } = this.#options;
+    const sentAt = new Stopwatch(this.#options.clock);
     const object = await platform.read(dispatcherKey(pool));
-    this.#readAt = new Stopwatch(this.#options.clock);
+    this.#readAt = sentAt;
     const record = object && decodeDispatcher(object.value);
     this.#known = { record, version: object?.version ?? 0 };
     if (record !== undefined && record.incarnation !== view.self.incarnation) {
--- a/src/node/decisions/relayNodes.ts
+++ b/src/node/decisions/relayNodes.ts
@@ -26,6 +26,15 @@
   return chosen;
 };
 
+/** The other relays, when a node is one; undefined when it is none. */
+export const otherRelays = <T extends RelayCandidate>(
+  self: T,
+  peers: readonly T[],
+): T[] | undefined => {
+  const relays = chooseRelays([self, ...peers]);
+  return relays.includes(self) ? relays.filter((relay) => relay !== self) : undefined;
+};
+
 /**
  * The relays in the order in which a node asks them: those of its zone first, the rest in an order of its own, so that
  * the nodes spread over the relays. Empty when the node is a relay itself.
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -38,7 +38,7 @@
 const DISPATCHER_WAIT_MS = 2500;
 
 /** Time that news of a change may take by the platform before a node that has not got it reads again, in ms. */
-const NEWS_GRACE_MS = 400;
+const NEWS_GRACE_MS = 250;
 
 /** Between looks for state of workers that are gone, in ms. */
 const SWEEP_MS = 10_000;
@@ -139,11 +139,11 @@
   const catchUp = (peer: Peer) => {
     clock.schedule(NEWS_GRACE_MS, () => {
       const fields = { peer: peer.identity.name };
-      if (peer.acceptedRevision > tables.version) {
+      if (peer.acceptedRevision > tables.version && tables.connected) {
         logger.info('tables-change-missed', { ...fields, version: peer.acceptedRevision });
         tables.refresh();
       }
-      if (peer.workersVersion > workersVersion) {
+      if (peer.workersVersion > workersVersion && workers.connected) {
         logger.info('workers-change-missed', { ...fields, version: peer.workersVersion });
         workers.refresh();
       }
--- a/src/node/gateway/platformFollowers.ts
+++ b/src/node/gateway/platformFollowers.ts
@@ -3,7 +3,8 @@
 import type { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
 import type { Random } from '../../shared/random.ts';
-import { relaysFor } from '../decisions/relayNodes.ts';
+import { messageOf } from '../../shared/errors.ts';
+import { otherRelays, relaysFor } from '../decisions/relayNodes.ts';
 import type { Peer } from '../membership/membershipView.ts';
 import type { PeerAddress } from '../membership/peerClients.ts';
 import type { Logger } from '../observability/logger.ts';
@@ -12,11 +13,11 @@
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import { RelayedObjects } from '../platform/relayedObjects.ts';
 
-/** Wait of a relay's call for changes at the platform, in ms. A silent connection shows within it and its margin. */
-const RELAY_WAIT_MS = 1000;
+/** Wait of a relay's call for changes at the platform, in ms; a silent connection is noticed within it and a margin. */
+const RELAY_WAIT_MS = 2000;
 
 /** Wait of other nodes' calls for changes at a relay, in ms. */
-const RELAYED_WAIT_MS = 3000;
+const RELAYED_WAIT_MS = 2000;
 
 /** The nodes as the choice of relays sees them. */
 export interface FollowersView {
@@ -69,7 +70,16 @@
     onRegained,
   }: Pick<ObjectFollowerOptions, 'prefix' | 'onEvent' | 'onRegained'>): ObjectFollower {
     const { clock, random, logger } = this.#options;
-    const relay = new ObjectRelay(clock);
+    const relay: ObjectRelay = new ObjectRelay({
+      ...{ clock, logger, prefix },
+      announce: (...change) => this.#announce(...change),
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
+      refresh: () => follower.refresh(),
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
+      reachedVersion: () => follower.version,
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
+      isCurrent: () => this.#source.wasDirect(prefix) && follower.connected,
+    });
     const follower = new ObjectFollower({
       ...{ clock, random, logger, prefix, onRegained },
       platform: this.#source,
@@ -86,18 +96,32 @@
 
   /** Answers other nodes. */
   handlers(): ServiceImpl<typeof RelayService> {
-    return createRelayHandlers((prefix) => {
-      const followed = this.#followed.get(prefix);
-      return followed && { ...followed, isDirect: () => this.#source.isDirect };
-    });
+    return createRelayHandlers((prefix) => this.#followed.get(prefix));
+  }
+
+  /** Tells the other relays of a change, when this node is one itself. */
+  #announce(prefix: string, version: number): void {
+    const { client, logger } = this.#options;
+    const [self, peers] = this.#nodes();
+    for (const relay of otherRelays(self, peers) ?? []) {
+      client(relay)
+        .advanced({ prefix, version: BigInt(version) })
+        .catch((error: unknown) =>
+          logger.debug('relay-not-told', { relay: relay.name, message: messageOf(error) }),
+        );
+    }
   }
 
   #relays() {
+    return relaysFor(...this.#nodes());
+  }
+
+  #nodes() {
     const { view, platformLost } = this.#options;
     const { self, leaving } = view();
     const peers = view()
       .peers()
       .map((peer) => nodeOf(peer.identity, !peer.suspected && !peer.leaving && !peer.platformLost));
-    return relaysFor(nodeOf(self, !leaving && !platformLost()), peers);
+    return [nodeOf(self, !leaving && !platformLost()), peers] as const;
   }
 }
--- a/src/node/gateway/tablesFollower.ts
+++ b/src/node/gateway/tablesFollower.ts
@@ -47,6 +47,11 @@
     return this.#version;
   }
 
+  /** Whether the last call for changes was answered. */
+  get connected(): boolean {
+    return this.#follower.connected;
+  }
+
   start(): Promise<void> {
     return this.#follower.start();
   }
--- a/src/node/membership/drains.ts
+++ b/src/node/membership/drains.ts
@@ -5,7 +5,7 @@
 import type { PlatformClient, PlatformObject } from '../platform/platformClient.ts';
 
 /** Key of the object that holds the drained workers and nodes. */
-export const DRAINS_KEY = 'drains';
+export const DRAINS_KEY = 'drains/all';
 
 /** Bound of the drain list in names; a fleet that is drained further is better taken out of the tables. */
 const MAX_DRAINED = 4096;
--- a/src/node/platform/objectFollower.ts
+++ b/src/node/platform/objectFollower.ts
@@ -149,9 +149,13 @@
 
   async #list(): Promise<void> {
     const { platform, prefix } = this.#options;
+    this.#call = new AbortController();
+    const { signal } = this.#call;
     const { objects, version } = await platform.snapshot(prefix, {
       minVersion: this.#highestVersion,
     });
+    // A refresh during the call may be about a change that the answer does not show yet.
+    if (signal.aborted) return;
     const listed = new Map(objects.map((object) => [object.key, object]));
     for (const [key, object] of this.#objects) {
       if (!listed.has(key)) this.#take({ type: 'removed', object });
--- a/src/node/platform/relayedObjects.ts
+++ b/src/node/platform/relayedObjects.ts
@@ -50,6 +50,9 @@
 export class RelayedObjects implements Pick<PlatformObjects, 'snapshot' | 'changesSince'> {
   readonly #options: RelayedObjectsOptions;
 
+  /** Prefixes whose last answer came from the platform itself. */
+  readonly #direct = new Set<string>();
+
   /** Relays that failed, by incarnation, since when. */
   readonly #avoided = new Map<string, Stopwatch>();
 
@@ -62,21 +65,27 @@
     return this.#relay() === undefined;
   }
 
+  /** Whether the last answer for a prefix came from the platform itself, so that this node may answer others. */
+  wasDirect(prefix: string): boolean {
+    return this.#direct.has(prefix);
+  }
+
   async snapshot(prefix: string, options: SnapshotOptions = {}): Promise<PlatformSnapshot> {
-    const { platform, client } = this.#options;
+    const { client } = this.#options;
     const relay = this.#relay();
-    if (relay === undefined) return platform.snapshot(prefix, options);
+    if (relay === undefined) return this.#snapshotDirect(prefix, options);
     const { minVersion = 0 } = options;
     try {
       const answer = await client(relay).snapshot({ prefix, minVersion: BigInt(minVersion) });
       if (answer.status === RelayStatus.OK) {
+        this.#direct.delete(prefix);
         return { objects: answer.objects.map(decodeObject), version: Number(answer.version) };
       }
       this.#avoid(relay, 'it cannot answer for the platform');
     } catch (error) {
       this.#avoid(relay, messageOf(error));
     }
-    return platform.snapshot(prefix, options);
+    return this.#snapshotDirect(prefix, options);
   }
 
   async changesSince(
@@ -86,7 +95,11 @@
   ): Promise<PlatformChanges> {
     const { platform, client } = this.#options;
     const relay = this.#relay();
-    if (relay === undefined) return platform.changesSince(prefix, version, options);
+    if (relay === undefined) {
+      const changes = await platform.changesSince(prefix, version, options);
+      this.#direct.add(prefix);
+      return changes;
+    }
     const { waitMs, signal } = options;
     const answer = await client(relay)
       .changes(
@@ -104,6 +117,7 @@
       this.#avoid(relay, 'it cannot answer for the platform');
       throw new PlatformError(`relay ${relay.host} cannot answer for the platform`);
     }
+    this.#direct.delete(prefix);
     return {
       events: answer.events.flatMap(({ removed, object }) =>
         object === undefined
@@ -114,6 +128,12 @@
     };
   }
 
+  async #snapshotDirect(prefix: string, options: SnapshotOptions): Promise<PlatformSnapshot> {
+    const snapshot = await this.#options.platform.snapshot(prefix, options);
+    this.#direct.add(prefix);
+    return snapshot;
+  }
+
   #relay(): RelayNode | undefined {
     for (const [incarnation, since] of this.#avoided) {
       if (since.elapsedMs() > AVOID_MS) this.#avoided.delete(incarnation);
