feat(observability): lines on standard output without blocking, metrics of batches and orders, and orders that wait where fences are ignored

Cause: log lines went to standard error by blocking writes; the gateway counted no request, batch or load; lines of requests did not name the tables that decided; the settings orderLeaseMs and ordersFenced were read and enforced nowhere, so where workers ignore fences a new holder could order a worker within the lease of the former one. Ruled out: winston's console transport on standard output (a pipe whose reader stands still blocks the loop). Change: BoundedLines writes in the background, bounded in rate and bytes, and tells what it left out; observeServices logs and counts requests and batch calls with the revision and age of the tables; metrics on an address of their own; a new holder waits for lease and transit where workers ignore fences.

--- a/playground/membership/__tests__/plannedStop.test.ts
+++ b/playground/membership/__tests__/plannedStop.test.ts
@@ -81,7 +81,7 @@
   const { stopped, other } = await startServing(group, 150, drainDeadlineMs);
   const callers = new Callers(stopped, other, 8);
   await waitUntil('callers are answered', () => callers.answered >= 16);
-  const { child, errorLines } = stopped.process;
+  const { child, lines } = stopped.process;
   const exited = once(child, 'exit') as Promise<[number | null]>;
   child.kill('SIGTERM');
   const [exitCode] = await exited;
@@ -89,9 +89,9 @@
   await waitUntil('the other node answers', () => callers.answered >= before + 16);
   await callers.end();
   await waitUntil('the last log line', () =>
-    errorLines.some((line) => line.includes('event=node-stopped')),
+    lines.some((line) => line.includes('event=node-stopped')),
   );
-  const lastLine = errorLines.find((line) => line.includes('event=node-stopped')) ?? '';
+  const lastLine = lines.find((line) => line.includes('event=node-stopped')) ?? '';
   return { exitCode, failures: callers.failures, lastLine };
 };
 
@@ -123,7 +123,7 @@
   async () => {
     await using group = new ProcessGroup();
     const { stopped, other } = await startServing(group, 0, 60_000);
-    const { child, errorLines } = stopped.process;
+    const { child, lines } = stopped.process;
     child.kill('SIGTERM');
     await waitUntil(
       'not ready',
@@ -136,7 +136,7 @@
     child.kill('SIGINT');
     expect((await exited)[0]).toEqual(1);
     await waitUntil('the last log line', () =>
-      errorLines.some((line) => /event=node-stopped .*reason=second-signal/.test(line)),
+      lines.some((line) => /event=node-stopped .*reason=second-signal/.test(line)),
     );
   },
 );
--- a/playground/processes.ts
+++ b/playground/processes.ts
@@ -8,13 +8,16 @@
 
 const ROOT = fileURLToPath(new URL('..', import.meta.url));
 
+/** Lines of a process's output that are kept. */
+const MAX_KEPT_LINES = 2000;
+
 /** A process that a test or the demo started. */
 export interface StartedProcess {
   readonly child: ChildProcess;
-  /** First line of its standard output that `ready` accepted. */
+  /** First line of its output that `ready` accepted. */
   readonly firstLine: string;
-  /** Lines of standard error so far, the newest last; at most 2,000. */
-  readonly errorLines: string[];
+  /** Lines of its output so far, the newest last; at most `MAX_KEPT_LINES`. */
+  readonly lines: string[];
 }
 
 /** Starts and ends the processes of one test or demo run. */
@@ -36,13 +39,11 @@
     });
     this.#children.add(child);
     child.once('exit', () => this.#children.delete(child));
-    const errorLines: string[] = [];
+    const lines: string[] = [];
     const firstLine = await new Promise<string>((resolve, reject) => {
       const timer = setTimeout(
         () =>
-          reject(
-            new Error(`${file} was not ready within ${timeoutMs} ms\n${errorLines.join('\n')}`),
-          ),
+          reject(new Error(`${file} was not ready within ${timeoutMs} ms\n${lines.join('\n')}`)),
         timeoutMs,
       );
       const onLine = (line: string) => {
@@ -50,20 +51,19 @@
         clearTimeout(timer);
         resolve(line);
       };
-      if (child.stdout) createInterface(child.stdout).on('line', onLine);
-      if (child.stderr) {
-        createInterface(child.stderr).on('line', (line) => {
-          errorLines.push(line);
-          if (errorLines.length > 2000) errorLines.shift();
+      for (const output of [child.stdout, child.stderr]) {
+        createInterface(output).on('line', (line) => {
+          lines.push(line);
+          if (lines.length > MAX_KEPT_LINES) lines.shift();
           onLine(line);
         });
       }
       child.once('exit', (code) => {
         clearTimeout(timer);
-        reject(new Error(`${file} ended with code ${code}\n${errorLines.join('\n')}`));
+        reject(new Error(`${file} ended with code ${code}\n${lines.join('\n')}`));
       });
     });
-    return { child, firstLine, errorLines };
+    return { child, firstLine, lines };
   }
 
   /** Starts a stand-in. Returns its address. */
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -4,14 +4,16 @@
   DispatcherRecord,
   ItemProgress,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
-import { type Clock, sleep } from '../../shared/clock.ts';
+import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { messageOf } from '../../shared/errors.ts';
 import type { Random } from '../../shared/random.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
+import { firstOrderDelayMs, type OrderRight } from '../decisions/orderRight.ts';
 import type { GatewayTables } from '../gateway/gatewayTables.ts';
 import type { WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { Logger } from '../observability/logger.ts';
+import type { Metrics } from '../observability/metrics.ts';
 import { ObjectFollower } from '../platform/objectFollower.ts';
 import type { PlatformEvent, PlatformObjects } from '../platform/platformClient.ts';
 import type { OrderCalls } from '../weights/orderCalls.ts';
@@ -25,8 +27,8 @@
   logPrefix,
   progressPrefix,
 } from './batchObjects.ts';
-import { LOAD_RETRY_MS, RETENTION_SWEEP_MS } from './constants.ts';
-import { DispatcherElection, type ElectionView } from './dispatcherElection.ts';
+import { LOAD_RETRY_MS, ORDER_TRANSIT_MS, RETENTION_SWEEP_MS } from './constants.ts';
+import { DispatcherElection, type ElectionView, VERIFIED_FOR_MS } from './dispatcherElection.ts';
 import { EarlierTexts } from './earlierTexts.ts';
 import type { GenerationCalls } from './generationCalls.ts';
 import type { ItemScorer } from './itemScorer.ts';
@@ -58,6 +60,9 @@
   readonly followWeights: (onChange: () => void) => PublishedWeights & Disposable;
   /** How long a waiting call for changes waits on a dispatcher, in ms. */
   readonly waitMs: number;
+  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds' | 'weightLoads'>;
+  /** Rules for the first order of a new holder. */
+  readonly orderRules: Pick<OrderRight, 'fenced' | 'leaseMs'>;
   /** Results can be read for this long after the submission, in ms. */
   readonly retentionMs: number;
   /** Asks the former dispatcher to stop and to pass its progress on; none when it does not answer. */
@@ -110,16 +115,25 @@
   }
 
   #begin(term: number, former: DispatcherRecord | undefined): void {
-    const { clock, logger, view, orders, followWeights, pool } = this.#options;
+    const { clock, logger, metrics, view, orders, followWeights, pool } = this.#options;
     const duty = new DisposableStore();
     this.#duty = duty;
+    const elected = new Stopwatch(clock);
+    const firstOrderMs = firstOrderDelayMs({
+      ...this.#options.orderRules,
+      formerNode: former?.node,
+      ownNode: view.self.name,
+      latestOrderMs: VERIFIED_FOR_MS + ORDER_TRANSIT_MS,
+    });
     const weights = new WeightLoads({
       ...{ clock, logger, calls: orders },
       holder: view.self.name,
       fencing: term,
       verifyHold: () => this.election.verify(),
+      mayOrder: () => elected.certainlyElapsedMs() >= firstOrderMs,
       onFenced: () => this.election.resign('a worker knows a later term'),
       onChange: () => this.#dispatcher?.schedule(),
+      onLoad: (outcome) => metrics.weightLoads.inc({ pool, outcome }),
     });
     const published = duty.add(followWeights(() => this.#dispatcher?.schedule()));
     const dispatcher = new PoolDispatcher({
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -7,10 +7,15 @@
 import type { WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { PeerClients } from '../membership/peerClients.ts';
 import type { Logger } from '../observability/logger.ts';
+import type { Metrics } from '../observability/metrics.ts';
 import { ObjectFollower } from '../platform/objectFollower.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import { type AcceptResult, BatchAcceptor, type BatchSubmission } from './batchAcceptor.ts';
-import { BatchCoordinator, type PublishedWeights } from './batchCoordinator.ts';
+import {
+  BatchCoordinator,
+  type BatchCoordinatorOptions,
+  type PublishedWeights,
+} from './batchCoordinator.ts';
 import { BatchReader, type BatchRead, type ItemRead } from './batchReader.ts';
 import { endBatch, type EndResult, releaseFormer } from './batchService.ts';
 import { dispatcherLease, type ElectionView } from './dispatcherElection.ts';
@@ -21,6 +26,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly view: ElectionView;
   readonly platformLost: () => boolean;
   readonly registry: WorkerRegistry;
@@ -31,6 +37,7 @@
   readonly maxValueBytes: number;
   readonly maxLoading?: number;
   readonly retentionMs: number;
+  readonly orderRules: BatchCoordinatorOptions['orderRules'];
   /** How long a waiting call for changes waits on a dispatcher, in ms. */
   readonly waitMs: number;
 }
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -38,6 +38,9 @@
 /** Between attempts to load a batch while the platform does not answer, in ms. */
 export const LOAD_RETRY_MS = 250;
 
+/** Longest way of an order to its worker, in ms: a holder that waits longer for an answer has given the order up. */
+export const ORDER_TRANSIT_MS = 250;
+
 /** Between looks for batches whose results need no longer be kept, in ms. */
 export const RETENTION_SWEEP_MS = 30_000;
 
--- a/src/node/batches/dispatcherElection.ts
+++ b/src/node/batches/dispatcherElection.ts
@@ -29,7 +29,7 @@
 const REREAD_INTERVAL_MS = 60_000;
 
 /** Time for which a read of the record confirms the hold, in ms: well below the least time between two holders' orders. */
-const VERIFIED_FOR_MS = 500;
+export const VERIFIED_FOR_MS = 500;
 
 /** Nodes that watch a holder's process, those that would claim the pool first. */
 const WATCHERS = 2;
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -16,6 +16,7 @@
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { Logger } from '../observability/logger.ts';
+import type { Metrics } from '../observability/metrics.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
 import { BatchState } from './batchState.ts';
@@ -46,6 +47,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds'>;
   readonly registry: WorkerRegistry;
   readonly engine: () => EnginePool | undefined;
   readonly calls: GenerationCalls;
@@ -302,7 +304,10 @@
     const begun = state.text.events.length;
     void run.finish().then((end) => {
       this.#runs.delete(state);
-      this.#options.logger.info('item-run', describeRun(run, end, begun));
+      const { logger, metrics, pool } = this.#options;
+      logger.info('item-run', describeRun(run, end, begun));
+      metrics.itemRuns.inc({ pool, end: end.kind });
+      metrics.itemRunSeconds.observe({ pool }, run.elapsedMs / 1000);
       if (!this.#closed) this.#ended(run, end);
     });
   }
--- a/src/node/cli.ts
+++ b/src/node/cli.ts
@@ -1,4 +1,5 @@
 import { Command } from 'commander';
+import { systemClock } from '../shared/clock.ts';
 import { registerOperatorCommands } from './cliOperator.ts';
 import { PROGRAM_VERSION } from './constants.ts';
 import { describeFailure } from './operator/cliErrors.ts';
@@ -30,8 +31,8 @@
       gateway === undefined
         ? await startNode(settings, { platform: (logger) => connectPlatform(settings, logger) })
         : await startPlatformGateway({ ...settings, gateway });
-    stopOnSignals(node.shutdown);
-    const { logger, applySettings } = node;
+    const { shutdown, logger, applySettings } = node;
+    stopOnSignals(shutdown, logger, systemClock);
     reloadOnHangup({ file: options.config, settings, logger, apply: applySettings });
   });
 
--- /dev/null
+++ b/src/node/decisions/__tests__/orderRight.test.ts
@@ -0,0 +1,59 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { VirtualClock } from '../../../shared/virtualClock.ts';
+import { silentLogger } from '../../observability/logger.ts';
+import { WeightLoads } from '../../weights/weightLoads.ts';
+import { firstOrderDelayMs } from '../orderRight.ts';
+
+const right = { fenced: false, formerNode: 'a', ownNode: 'b', leaseMs: 3000, latestOrderMs: 750 };
+
+// Guards against two nodes that take turns in ordering workers which take orders from anyone.
+test('a new holder waits for the lease of another one only where workers ignore fences', () => {
+  expect(firstOrderDelayMs(right)).toEqual(3750);
+  expect(firstOrderDelayMs({ ...right, fenced: true })).toEqual(0);
+  expect(firstOrderDelayMs({ ...right, formerNode: undefined })).toEqual(0);
+  expect(firstOrderDelayMs({ ...right, formerNode: 'b' })).toEqual(0);
+});
+
+// Guards against a setting of the lease that nothing enforces: an order given before its holder may give one.
+test('no order is given before the holder may give one', async () => {
+  const clock = new VirtualClock();
+  const orders: number[] = [];
+  let mayOrder = false;
+  const weights = new WeightLoads({
+    ...{ clock, logger: silentLogger, holder: 'b', fencing: 2 },
+    calls: {
+      order: () => {
+        orders.push(clock.monotonicMs());
+        return Promise.resolve('accepted');
+      },
+      report: () =>
+        Promise.resolve({ busy: false, orders: 0, startedAtMs: 1, versions: new Map([['m', 1]]) }),
+    },
+    verifyHold: () => Promise.resolve(true),
+    mayOrder: () => mayOrder,
+    onFenced() {},
+    onChange() {},
+    onLoad() {},
+  });
+  const worker = {
+    ...{ id: 'w1', pool: 'p', address: '127.0.0.1:1', availabilityZone: 'z', slots: 1 },
+    ...{ draining: false, startedAtMs: 1, heartbeatCount: 1 },
+    models: [{ name: 'm', version: 1 }],
+  };
+  weights.registered(worker);
+  const refresh = () =>
+    weights.refresh(
+      [worker],
+      'm',
+      { newestVersion: 2, neededVersion: 2, hasWaiting: true, maxLoading: 1, singleVersion: false },
+      () => 0,
+    );
+  refresh();
+  await clock.advanceAsync(1000);
+  expect(orders).toEqual([]);
+  mayOrder = true;
+  refresh();
+  await clock.advanceAsync(1000);
+  expect(orders.length).toEqual(1);
+});
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -18,6 +18,7 @@
 import { splitAddress } from '../membership/splitAddress.ts';
 import { createLogger, type Logger } from '../observability/logger.ts';
 import { createMetrics } from '../observability/metrics.ts';
+import { MetricsServer } from './metricsServer.ts';
 import { createPlatformClient } from '../platform/createPlatformClient.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import { PlatformHealth } from '../platform/platformHealth.ts';
@@ -28,6 +29,7 @@
 import { entryAddresses } from './entryAddresses.ts';
 import { Forwarder } from './forwarder.ts';
 import type { GatewayServices } from './gatewayServices.ts';
+import { observeServices } from './observedServices.ts';
 import { PeerServer } from './peerServer.ts';
 import { PlatformFollowers } from './platformFollowers.ts';
 import { TablesFollower } from './tablesFollower.ts';
@@ -179,17 +181,19 @@
   const forwarder = new Forwarder({ clock, logger, chooser, calls: adapter.workerCalls });
   const batches = store.add(
     new BatchSubsystem({
-      ...{ platform, clock, random, logger, registry, tables, forwarder, adapter, peerClients },
+      ...{ platform, clock, random, logger, metrics, registry, tables, forwarder, adapter },
+      peerClients,
       view: membership,
       platformLost: () => health.lost,
       maxValueBytes: gateway.maxValueBytes,
+      orderRules: { fenced: gateway.ordersFenced, leaseMs: gateway.orderLeaseMs },
       maxLoading: gateway.maxLoadingWorkers,
       retentionMs: gateway.resultRetentionMs,
       waitMs: DISPATCHER_WAIT_MS,
     }),
   );
   const requests = new RequestTracker();
-  const services: GatewayServices = {
+  const gatewayServices: GatewayServices = {
     ready: () => tables.tables !== undefined && !membership.leaving,
     entryAddresses: (zone) => entryAddresses(membership, zone, { platformLost: health.lost }),
     bounds: () => tables.tables?.bounds,
@@ -204,10 +208,15 @@
     readItem: (...read) => batches.readItem(...read),
     endBatch: (batchId) => batches.end(batchId),
   };
+  const services = observeServices(gatewayServices, {
+    ...{ clock, logger, metrics },
+    tables: () => ({ revision: tables.tables?.revision ?? 0, ageMs: tables.ageMs }),
+  });
+
   const servers = store.add(adapter.createServers(services, requests));
   const peerServer = store.add(
     new PeerServer({
-      ...{ logger, metrics },
+      logger,
       routes: (router) => {
         router.service(PeerService, { heartbeat: (request) => membership.heartbeat(request) });
         router.service(
@@ -232,6 +241,10 @@
   const started = new Stopwatch(clock);
   await peerServer.listen(peerAddress);
   await servers.listen();
+  if (gateway.metricsAddress !== undefined) {
+    const metricsServer = store.add(new MetricsServer(metrics, logger));
+    await metricsServer.listen(splitAddress(gateway.metricsAddress));
+  }
   await membership.start();
   store.add(membership);
   await Promise.all([tables.start(), workers.start()]);
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -17,7 +17,8 @@
   /** Addresses at which callers reach the nodes that take requests, those of the caller's zone first. */
   entryAddresses(availabilityZone: string): readonly string[];
   bounds(): CallerBounds | undefined;
-  match(host: string, path: string): RouteMatch;
+  /** @param request - id of the request, for the log */
+  match(host: string, path: string, request: string): RouteMatch;
   forward(
     request: ForwardedRequest,
     route: GatewayRoute,
--- /dev/null
+++ b/src/node/gateway/observedServices.ts
@@ -0,0 +1,88 @@
+import type { Clock } from '../../shared/clock.ts';
+import { Stopwatch } from '../../shared/clock.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { Metrics } from '../observability/metrics.ts';
+import type { ForwardOutcome } from './forwarder.ts';
+import type { GatewayServices } from './gatewayServices.ts';
+
+/** What the lines of requests tell of the tables that decided. */
+export interface TablesInForce {
+  readonly revision: number;
+  /** Time since this node last knew them to be current, in ms. */
+  readonly ageMs: number;
+}
+
+export interface ObservedServicesOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly tables: () => TablesInForce;
+}
+
+const reasonOf = (outcome: ForwardOutcome): string | undefined =>
+  outcome.kind === 'answer' ? undefined : outcome.reason;
+
+/** Logs and counts what a gateway decides about the requests of callers and trainers. */
+export const observeServices = (
+  services: GatewayServices,
+  { clock, logger, metrics, tables }: ObservedServicesOptions,
+): GatewayServices => {
+  let wasReady: boolean | undefined;
+  const decidedBy = () => {
+    const { revision, ageMs } = tables();
+    return { revision, tablesAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined };
+  };
+  const count = async <T extends { readonly kind: string } | string>(
+    call: string,
+    run: () => Promise<T>,
+  ): Promise<T> => {
+    const started = new Stopwatch(clock);
+    const result = await run();
+    const outcome = typeof result === 'string' ? result : result.kind;
+    metrics.batchCalls.inc({ call, outcome });
+    metrics.batchCallSeconds.observe({ call }, started.elapsedMs() / 1000);
+    return result;
+  };
+  return {
+    ...services,
+    ready() {
+      const ready = services.ready();
+      if (ready !== wasReady) logger.info('readiness-changed', { ready, ...decidedBy() });
+      wasReady = ready;
+      return ready;
+    },
+    match(host, path, request) {
+      const match = services.match(host, path, request);
+      if (match.kind === 'route') return match;
+      metrics.requests.inc({ route: '', outcome: match.kind });
+      logger.info('request-answered', { request, host, path, outcome: match.kind, ...decidedBy() });
+      return match;
+    },
+    async forward(request, route, signal) {
+      const outcome = await services.forward(request, route, signal);
+      const ended = signal.aborted && outcome.kind !== 'answer' ? 'caller-gone' : outcome.kind;
+      const tookMs = request.arrived.elapsedMs();
+      metrics.requests.inc({ route: route.name, outcome: ended });
+      metrics.requestSeconds.observe({ route: route.name }, tookMs / 1000);
+      logger.info('request-answered', {
+        request: request.id,
+        route: route.name,
+        outcome: ended,
+        status: outcome.kind === 'answer' ? outcome.statusCode : undefined,
+        reason: reasonOf(outcome),
+        budgetMs: Math.round(request.budgetMs),
+        tookMs: Math.round(tookMs),
+        ...decidedBy(),
+      });
+      return outcome;
+    },
+    submitBatch: (...batch) => count('submit', () => services.submitBatch(...batch)),
+    readBatch: (...read) => count('read', () => services.readBatch(...read)),
+    async readItem(batchId, itemId) {
+      const read = await count('read-item', () => services.readItem(batchId, itemId));
+      logger.info('item-read', { batch: batchId, item: itemId, outcome: read.kind });
+      return read;
+    },
+    endBatch: (batchId) => count('end', () => services.endBatch(batchId)),
+  };
+};
--- a/src/node/gateway/peerServer.ts
+++ b/src/node/gateway/peerServer.ts
@@ -2,32 +2,26 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { messageOf } from '../../shared/errors.ts';
-import { createHttpServer, listen, pathOf } from '../dataPath/httpServer.ts';
+import { createHttpServer, listen } from '../dataPath/httpServer.ts';
 import type { Logger } from '../observability/logger.ts';
-import type { Metrics } from '../observability/metrics.ts';
+import { closeServer } from './closeServer.ts';
 
 export interface PeerServerOptions {
   readonly logger: Logger;
-  readonly metrics: Metrics;
   /** Adds the services that other nodes call. */
   readonly routes: (router: ConnectRouter) => void;
 }
 
-/** Answers other nodes, and serves the metrics. */
+/** Answers other nodes. */
 export class PeerServer implements AsyncDisposable {
   readonly #server: http.Server;
 
-  constructor({ logger, metrics, routes }: PeerServerOptions) {
+  constructor({ logger, routes }: PeerServerOptions) {
     const services = connectNodeAdapter({ routes });
     this.#server = createHttpServer(
       [
-        async (request, response) => {
-          if (pathOf(request) === '/metrics') {
-            response.setHeader('content-type', metrics.registry.contentType);
-            response.end(await metrics.registry.metrics());
-          } else {
-            services(request, response);
-          }
+        (request, response) => {
+          services(request, response);
           return true;
         },
       ],
@@ -43,9 +37,6 @@
   }
 
   [Symbol.asyncDispose](): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.close(() => resolve());
-      this.#server.closeAllConnections();
-    });
+    return closeServer(this.#server);
   }
 }
--- a/src/node/gateway/tablesFollower.ts
+++ b/src/node/gateway/tablesFollower.ts
@@ -47,6 +47,11 @@
     return this.#version;
   }
 
+  /** Time in ms since the tables were last known to be current; Infinity before the first list. */
+  get ageMs(): number {
+    return this.#follower.ageMs;
+  }
+
   /** Whether the last call for changes was answered. */
   get connected(): boolean {
     return this.#follower.connected;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -37,7 +37,7 @@
   readonly clock?: Clock;
   /** @default the system's random source */
   readonly random?: Random;
-  /** @default lines on standard error */
+  /** @default lines on standard output */
   readonly logger?: Logger;
 }
 
--- a/src/node/observability/logger.ts
+++ b/src/node/observability/logger.ts
@@ -1,4 +1,10 @@
+import { Writable } from 'node:stream';
 import winston from 'winston';
+import { type Clock, systemClock } from '../../shared/clock.ts';
+import { BoundedLines, type WriteBytes, writeToDescriptor } from './boundedLines.ts';
+
+/** Standard output. */
+const STDOUT = 1;
 
 /** Fields of a log event. Names carry their unit as a suffix. */
 export type LogFields = Record<string, string | number | boolean | undefined>;
@@ -9,6 +15,8 @@
   warn(event: string, fields?: LogFields): void;
   info(event: string, fields?: LogFields): void;
   debug(event: string, fields?: LogFields): void;
+  /** Resolves when every line so far has been written or left out. */
+  drained(): Promise<void>;
 }
 
 const logfmtValue = (value: string | number | boolean): string => {
@@ -30,18 +38,41 @@
     .join(' ');
 };
 
-/** Makes the logger of a process; lines go to standard error. */
-export const createLogger = (level: string, common: LogFields): Logger => {
+export interface LoggerOptions {
+  /** @default standard output */
+  readonly write?: WriteBytes;
+  /** @default the system's clock */
+  readonly clock?: Clock;
+}
+
+/** Makes the logger of a process; lines go to standard output, and never block the process. */
+export const createLogger = (
+  level: string,
+  common: LogFields,
+  { clock = systemClock, write: writeBytes = writeToDescriptor(STDOUT, clock) }: LoggerOptions = {},
+): Logger => {
+  const timeOf = () => new Date(clock.nowMs()).toISOString();
+  const lines = new BoundedLines({
+    clock,
+    write: writeBytes,
+    describeLoss: (count) =>
+      `${formatLogLine(timeOf(), 'warn', 'log-lines-left-out', { ...common, count })}\n`,
+  });
   const logger = winston.createLogger({
     level,
-    format: winston.format.combine(
-      winston.format.timestamp(),
-      winston.format.printf(({ timestamp, level: eventLevel, message, fields }) =>
-        formatLogLine(String(timestamp), eventLevel, String(message), fields as LogFields),
-      ),
+    format: winston.format.printf(({ level: eventLevel, message, fields }) =>
+      formatLogLine(timeOf(), eventLevel, String(message), fields as LogFields),
     ),
     transports: [
-      new winston.transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] }),
+      new winston.transports.Stream({
+        stream: new Writable({
+          decodeStrings: false,
+          write(line: string, _encoding, done) {
+            lines.add(line);
+            done();
+          },
+        }),
+      }),
     ],
   });
   const write =
@@ -49,8 +80,20 @@
     (event: string, fields: LogFields = {}) => {
       logger.log(eventLevel, event, { fields: { ...common, ...fields } });
     };
-  return { error: write('error'), warn: write('warn'), info: write('info'), debug: write('debug') };
+  return {
+    error: write('error'),
+    warn: write('warn'),
+    info: write('info'),
+    debug: write('debug'),
+    drained: () => lines.drained(),
+  };
 };
 
 /** Discards every event. */
-export const silentLogger: Logger = { error() {}, warn() {}, info() {}, debug() {} };
+export const silentLogger: Logger = {
+  error() {},
+  warn() {},
+  info() {},
+  debug() {},
+  drained: () => Promise.resolve(),
+};
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -68,6 +68,38 @@
       help: 'Revision of the tables that this node serves',
       registers,
     }),
+    batchCalls: new Counter({
+      name: 'hyssoppulley_batch_calls_total',
+      help: 'Calls about batches, by call (submit, read, read-item, end) and outcome',
+      labelNames: ['call', 'outcome'],
+      registers,
+    }),
+    batchCallSeconds: new Histogram({
+      name: 'hyssoppulley_batch_call_seconds',
+      help: 'Time until a call about a batch is answered, waits for results included',
+      labelNames: ['call'],
+      buckets: [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5],
+      registers,
+    }),
+    itemRuns: new Counter({
+      name: 'hyssoppulley_item_runs_total',
+      help: 'Runs of items on workers, by pool and end',
+      labelNames: ['pool', 'end'],
+      registers,
+    }),
+    itemRunSeconds: new Histogram({
+      name: 'hyssoppulley_item_run_seconds',
+      help: 'Time of one run of an item on one worker',
+      labelNames: ['pool'],
+      buckets: [0.1, 0.25, 0.5, 1, 2, 3, 4, 6, 8, 12],
+      registers,
+    }),
+    weightLoads: new Counter({
+      name: 'hyssoppulley_weight_loads_total',
+      help: 'Loads of weights, by pool and outcome',
+      labelNames: ['pool', 'outcome'],
+      registers,
+    }),
     invariantViolations: new Counter({
       name: 'hyssoppulley_invariant_violations_total',
       help: 'Violated invariants, by name; any increase is a fault of the product',
--- a/src/node/settings/resolveSettings.ts
+++ b/src/node/settings/resolveSettings.ts
@@ -24,6 +24,7 @@
   ordersFenced: gateway.ordersFenced ?? false,
   resultRetentionMs: gateway.resultRetentionMs ?? 120_000,
   maxLoadingWorkers: gateway.maxLoadingWorkers,
+  metricsAddress: gateway.metricsAddress,
 });
 
 /** Settings of a node on the users' platform with every default filled in. */
--- a/src/node/shutdown.ts
+++ b/src/node/shutdown.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../shared/clock.ts';
+import { type Clock, sleep } from '../shared/clock.ts';
 import { messageOf } from '../shared/errors.ts';
 import { PlannedStop, type PlannedStopOptions, type StopAction } from './decisions/plannedStop.ts';
 import type { Logger } from './observability/logger.ts';
@@ -120,9 +120,15 @@
   }
 }
 
+/** Time for the last lines of the log when the process ends, in ms; a reader that stands still must not keep it alive. */
+const LAST_LINES_MS = 200;
+
 /** Begins a planned stop at SIGTERM or SIGINT, and ends the process with its exit code. */
-export const stopOnSignals = (shutdown: Shutdown): void => {
+export const stopOnSignals = (shutdown: Shutdown, logger: Logger, clock: Clock): void => {
   for (const name of ['SIGTERM', 'SIGINT'] as const) process.on(name, () => shutdown.signal());
-  // eslint-disable-next-line n/no-process-exit
-  void shutdown.finished.then(({ exitCode }) => process.exit(exitCode));
+  void shutdown.finished.then(async ({ exitCode }) => {
+    await Promise.race([logger.drained(), sleep(clock, LAST_LINES_MS)]);
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(exitCode);
+  });
 };
--- a/src/node/weights/weightLoads.ts
+++ b/src/node/weights/weightLoads.ts
@@ -30,12 +30,19 @@
   readonly fencing: number;
   /** Confirms at the platform that this node still is the holder; asked directly before each order. */
   readonly verifyHold: () => Promise<boolean>;
+  /** Whether orders of a former holder can no longer arrive. */
+  readonly mayOrder: () => boolean;
   /** Told when a worker knows a later holder. */
   readonly onFenced: () => void;
   /** Told when a worker may have become usable. */
   readonly onChange: () => void;
+  /** Told how each load ended. */
+  readonly onLoad: (outcome: LoadOutcome) => void;
 }
 
+/** How a load ended. */
+export type LoadOutcome = 'loaded' | 'failed' | 'not-holder';
+
 /** What a load is about to do. */
 interface Load {
   readonly worker: RegisteredWorker;
@@ -95,7 +102,7 @@
     needs: RefreshNeeds & { readonly singleVersion: boolean },
     runningOf: (worker: string) => number,
   ): void {
-    if (this.#closed) return;
+    if (this.#closed || !this.#options.mayOrder()) return;
     const chosen = workersToRefresh(
       workers.map(({ id }) => ({
         id,
@@ -139,6 +146,7 @@
       outcome,
       tookMs: Math.round(started.elapsedMs()),
     });
+    this.#options.onLoad(outcome);
     if (outcome === 'loaded') weights.observe(model, version);
     else await sleep(this.#options.clock, FAILED_PAUSE_MS);
     weights.endLoad();
@@ -148,7 +156,7 @@
   async #order(
     { worker, model, version, runs }: Load,
     weights: WorkerWeights,
-  ): Promise<'loaded' | 'failed' | 'not-holder'> {
+  ): Promise<LoadOutcome> {
     const { clock, calls, holder, fencing, verifyHold, onFenced } = this.#options;
     for (let attempt = 1; attempt <= MAX_ORDERS && !this.#closed; attempt += 1) {
       if (weights.orders === undefined && !(await this.#readReport(worker, weights))) {
