--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -11,8 +11,6 @@
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import { type Placement, placeItems, type WaitingItem } from '../decisions/itemPlacement.ts';
-import { shareWorkers } from '../decisions/workerShares.ts';
-import { runsToRelocate } from '../decisions/runRelocation.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { Logger } from '../observability/logger.ts';
@@ -25,7 +23,6 @@
   CHECKPOINT_INTERVAL_MS,
   ITEM_FAILED,
   ITEM_IMPOSSIBLE,
-  LOADING_SHARE,
   REFUSAL_BACKOFF_MS,
   TICK_MS,
 } from './constants.ts';
@@ -36,6 +33,8 @@
 import type { ItemScorer } from './itemScorer.ts';
 import type { ItemState } from './itemState.ts';
 import { ProgressKeeper, progressOf } from './progressKeeper.ts';
+import { leaveSlowWorkers, stopStalled } from './runWatch.ts';
+import { WeightRefresher } from './weightRefresher.ts';
 import { fitAnswer, ResultLog } from './resultLog.ts';
 
 export interface PoolDispatcherOptions {
@@ -89,8 +88,7 @@
 
   readonly #workers: EngineWorkers;
 
-  /** The model whose newest weights each worker keeps. */
-  #shares: ReadonlyMap<string, string> = new Map();
+  readonly #refresher: WeightRefresher;
 
   readonly #ticks = new DisposableStore();
 
@@ -101,7 +99,8 @@
   constructor(options: PoolDispatcherOptions) {
     this.#options = options;
     this.#workers = new EngineWorkers(options);
-    this.#ticks.add(repeatEvery(options.clock, TICK_MS, () => this.#tick()));
+    this.#refresher = new WeightRefresher({ ...options, workers: this.#workers });
+    this.#ticks.add(repeatEvery(options.clock, TICK_MS, () => this.#watchRuns()));
     this.#ticks.add(repeatEvery(options.clock, CHECKPOINT_INTERVAL_MS, () => this.#keepProgress()));
   }
 
@@ -270,7 +269,7 @@
     );
     const workers = this.#workers.registered();
     for (const placement of placements) this.#start(placement, waiting, workers);
-    this.#refreshWeights(workers);
+    this.#refresher.refresh(workers, this.#openBatches(), [...this.#runs.values()]);
   }
 
   #waitingItem(key: string, state: ItemState): WaitingItem {
@@ -366,6 +365,14 @@
   #finish(state: ItemState, score: string | undefined): void {
     const { batch, item, text } = state;
     if (batch.ended || state.closed) return;
+    if (score === undefined) {
+      this.#options.logger.info('item-given-up', {
+        batch: batch.record.id,
+        item: item.id,
+        scoring: state.whole ? item.scoring?.id : undefined,
+        failedRuns: state.failedAttempts,
+      });
+    }
     const isGroupDone = batch.finish(state);
     batch.log.append(
       create(ItemResultSchema, {
@@ -393,46 +400,12 @@
     return running;
   }
 
-  /** Orders the loads that are due. Each model keeps its newest weights on its share of the workers. */
-  #refreshWeights(workers: readonly RegisteredWorker[]): void {
-    const { weights, newestVersion, engine, maxLoading } = this.#options;
-    const open = this.#openBatches();
-    const trained = (engine()?.models ?? []).filter(
-      (model) => newestVersion(model) > 0 || open.some(({ record }) => record.model === model),
-    );
-    const running = this.#runningByModel();
-    const runningOf = (worker: string) => (model: string) => running.get(`${worker}/${model}`) ?? 0;
-    this.#shares = shareWorkers(trained, this.#workers.forSharing(runningOf), this.#shares);
-    const atOnce = maxLoading ?? Math.ceil(workers.length * LOADING_SHARE);
-    const loadsForOthers = ({ id }: RegisteredWorker, model: string) =>
-      weights.isLoading(id) && this.#shares.get(id) !== model;
-    for (const model of trained) {
-      const ofModel = open.filter(({ record }) => record.model === model);
-      weights.refresh(
-        workers.filter(({ id }) => this.#shares.get(id) === model),
-        model,
-        {
-          newestVersion: newestVersion(model),
-          neededVersion: Math.max(0, ...ofModel.map(({ record }) => record.minVersion)),
-          hasWaiting: ofModel.some((batch) =>
-            [...batch.items.values()].some(({ phase }) => phase === 'waiting'),
-          ),
-          maxLoading: atOnce - workers.filter((worker) => loadsForOthers(worker, model)).length,
-          singleVersion: ofModel.some(({ record }) => record.singleVersion),
-        },
-        (worker) => runningOf(worker)(model),
-      );
-    }
-  }
-
-  /** Runs of each model on each worker, by `WORKER/MODEL`. */
-  #runningByModel(): Map<string, number> {
-    const running = new Map<string, number>();
-    for (const { worker, state } of this.#runs.values()) {
-      const key = `${worker.id}/${state.batch.record.model}`;
-      running.set(key, (running.get(key) ?? 0) + 1);
-    }
-    return running;
+  /** Moves runs away from workers that are silent or slow. */
+  #watchRuns(): void {
+    const { clock, weights } = this.#options;
+    stopStalled([...this.#runs.values()], this.#workers.stallMs, clock.monotonicMs());
+    leaveSlowWorkers([...this.#runs.values()], this.#runningByWorker(), this.#workers, weights);
+    this.schedule();
   }
 
   #keepProgress(): void {
@@ -441,32 +414,4 @@
       void this.#keepers.get(batch.record.id)?.keep(open);
     }
   }
-
-  /** Moves runs away from workers that are silent or slow, and gives up items whose time is over. */
-  #tick(): void {
-    const nowMs = this.#options.clock.monotonicMs();
-    const { stallMs } = this.#workers;
-    for (const run of this.#runs.values()) {
-      if (run.silentMs(nowMs) > stallMs) run.stop('stalled');
-    }
-    this.#leaveSlowWorkers();
-    this.schedule();
-  }
-
-  #leaveSlowWorkers(): void {
-    const { weights } = this.#options;
-    const running = this.#runningByWorker();
-    const isSlow = (id: string) => this.#workers.isSlow(id);
-    if (![...running.keys()].some(isSlow)) return;
-    const runs = [...this.#runs.values()].map((run) => ({
-      run,
-      worker: run.worker.id,
-      mayGoTo: (id: string) => {
-        const version = weights.versionOf(id, run.state.batch.record.model);
-        return version !== undefined && run.state.text.allows(version);
-      },
-    }));
-    const free = this.#workers.freeSlots(running);
-    for (const { run } of runsToRelocate(runs, isSlow, free)) run.stop('slow-worker');
-  }
 }
--- /dev/null
+++ b/src/node/batches/weightRefresher.ts
@@ -0,0 +1,75 @@
+import { shareWorkers } from '../decisions/workerShares.ts';
+import type { EnginePool } from '../gateway/gatewayTables.ts';
+import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
+import type { WeightLoads } from '../weights/weightLoads.ts';
+import type { BatchState } from './batchState.ts';
+import { LOADING_SHARE } from './constants.ts';
+import type { EngineWorkers } from './engineWorkers.ts';
+import type { ItemRun } from './itemRun.ts';
+
+export interface WeightRefresherOptions {
+  readonly engine: () => EnginePool | undefined;
+  readonly weights: WeightLoads;
+  readonly workers: Pick<EngineWorkers, 'forSharing'>;
+  /** Newest published weight version of a model. */
+  readonly newestVersion: (model: string) => number;
+  /** Workers that may load weights at once. @default `LOADING_SHARE` of the pool */
+  readonly maxLoading?: number;
+}
+
+/** Runs of each model on each worker, by `WORKER/MODEL`. */
+const countByModel = (runs: readonly ItemRun[]): Map<string, number> => {
+  const running = new Map<string, number>();
+  for (const { worker, state } of runs) {
+    const key = `${worker.id}/${state.batch.record.model}`;
+    running.set(key, (running.get(key) ?? 0) + 1);
+  }
+  return running;
+};
+
+/** Orders the loads that are due. Each model keeps its newest weights on its share of the workers. */
+export class WeightRefresher {
+  readonly #options: WeightRefresherOptions;
+
+  /** The model whose newest weights each worker keeps. */
+  #shares: ReadonlyMap<string, string> = new Map();
+
+  constructor(options: WeightRefresherOptions) {
+    this.#options = options;
+  }
+
+  /** @param open - batches that have not ended */
+  refresh(
+    workers: readonly RegisteredWorker[],
+    open: readonly BatchState[],
+    runs: readonly ItemRun[],
+  ): void {
+    const { weights, newestVersion, engine, maxLoading } = this.#options;
+    const trained = (engine()?.models ?? []).filter(
+      (model) => newestVersion(model) > 0 || open.some(({ record }) => record.model === model),
+    );
+    const running = countByModel(runs);
+    const runningOf = (worker: string) => (model: string) => running.get(`${worker}/${model}`) ?? 0;
+    this.#shares = shareWorkers(trained, this.#options.workers.forSharing(runningOf), this.#shares);
+    const atOnce = maxLoading ?? Math.ceil(workers.length * LOADING_SHARE);
+    const loadsForOthers = ({ id }: RegisteredWorker, model: string) =>
+      weights.isLoading(id) && this.#shares.get(id) !== model;
+    for (const model of trained) {
+      const ofModel = open.filter(({ record }) => record.model === model);
+      weights.refresh(
+        workers.filter(({ id }) => this.#shares.get(id) === model),
+        model,
+        {
+          newestVersion: newestVersion(model),
+          neededVersion: Math.max(0, ...ofModel.map(({ record }) => record.minVersion)),
+          hasWaiting: ofModel.some((batch) =>
+            [...batch.items.values()].some(({ phase }) => phase === 'waiting'),
+          ),
+          maxLoading: atOnce - workers.filter((worker) => loadsForOthers(worker, model)).length,
+          singleVersion: ofModel.some(({ record }) => record.singleVersion),
+        },
+        (worker) => runningOf(worker)(model),
+      );
+    }
+  }
+}
