fix(training): a late write of the former owner no longer ends the next one

Ruled out: the random source (its values are sound), the trainer's network faults (fails without them), a lost lease (held). Change: an owner whose ledger changed before it was taken over reads it again; afterwards only a later owner can write it.

--- /dev/null
+++ b/playground/training/__tests__/lateLedgerWrite.test.ts
@@ -0,0 +1,17 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { violationsOf } from '../model/scheduleArbitrary.ts';
+
+// Guards against an owner that holds the lease and does nothing: a write of the former owner took effect after the next
+// one had read the ledger, and the conflict looked as if a later owner had taken it (npm run soak -- --seed 4426356).
+test('a late write of the former owner does not end the next one', async () => {
+  const faults = [
+    { kind: 'slow-platform', atMs: 4221, durationMs: 488, node: 0 },
+    { kind: 'publish', atMs: 2897, durationMs: 2821, node: 2 },
+    { kind: 'pause', atMs: 920, durationMs: 2795, node: 0 },
+    { kind: 'outage', atMs: 142, durationMs: 2934, node: 1 },
+    { kind: 'engine-failures', atMs: 3218, durationMs: 920, node: 0 },
+    { kind: 'crash', atMs: 3735, durationMs: 5864, node: 1 },
+  ] as const;
+  expect(await violationsOf({ seed: 2147483621, faults })).toEqual([]);
+});
--- a/src/node/training/jobOwner.ts
+++ b/src/node/training/jobOwner.ts
@@ -123,15 +123,16 @@
 
   /** Takes the ledger over and works until `stop`. */
   async run(): Promise<void> {
-    while (!this.#stopped && this.#ledger === undefined) {
+    while (!this.#stopped) {
       try {
         await this.#takeOver();
       } catch (error) {
         this.#options.logger.warn('ledger-take-over-failed', { message: messageOf(error) });
         await this.#changes.wait(READ_RETRY_MS);
       }
+      // Ends when this owner stops, or when the ledger changed before it was taken over.
+      if (this.#ledger !== undefined) await this.#work();
     }
-    if (!this.#stopped) await Promise.all([this.#writer?.run(), this.#scheduler?.run()]);
   }
 
   /** Ends all work at once and frees what it holds. */
@@ -144,6 +145,25 @@
     this.#changes.notify();
   }
 
+  async #work(): Promise<void> {
+    if (!this.#stopped) await Promise.all([this.#writer?.run(), this.#scheduler?.run()]);
+  }
+
+  /**
+   * Somebody else has written the ledger. Before it was taken over that may have been a late write of the former owner,
+   * and the ledger is read again; afterwards only a later owner can write it.
+   */
+  #lost(ledger: SampleLedger<KeptSample>): void {
+    if (ledger.takenOver) {
+      this.stop();
+      return;
+    }
+    this.#options.logger.info('ledger-changed-before-take-over', { fencing: this.#fencing });
+    this.#writer?.stop();
+    this.#scheduler?.stop();
+    this.#ledger = undefined;
+  }
+
   /** Takes a step, or recognises a repeat. Resolves once later owners will know of the step. */
   async submit(step: StepSubmission): Promise<{ readonly state: 'accepted' | 'finished' }> {
     const ledger = this.#owned();
@@ -247,7 +267,7 @@
       ledger,
       minIntervalMs: commitIntervalMs,
       onConfirmed: (change) => this.#confirmed(ledger, change),
-      onLost: () => this.stop(),
+      onLost: () => this.#lost(ledger),
     });
   }
 
