test(playground): a soak of real processes under faults from outside

Change: npm run fault-soak starts four nodes, the platform's stand-in and workers as separate processes and servers; loopback proxies delay, silence, cut one way and reset; signals pause, kill, stop and reload; the platform is down, silent, slow and loses answers; tables change. Callers and trainers check whole and own answers, at most one run, true refusals, batches that stay as accepted, tables that do not revert, planned stops that cut nothing off. Clocks are not made to misbehave: the nodes' clocks cannot be set from outside without privileges.

--- /dev/null
+++ b/playground/faultSoak/faultSoak.ts
@@ -0,0 +1,64 @@
+import { pathToFileURL } from 'node:url';
+import { Command } from 'commander';
+import { seededRandom } from '../../src/shared/random.ts';
+import { sleepMs } from '../standIns/standInServer.ts';
+import { SoakClients } from './soakClients.ts';
+import { SoakDeployment } from './soakDeployment.ts';
+import { drawFaults, SoakFaults } from './soakFaults.ts';
+
+/** Time after the last fault in which the nodes find each other and the platform again, in ms. */
+const RECOVERY_MS = 5000;
+
+export interface SoakResult {
+  readonly seed: number;
+  readonly violations: readonly string[];
+  readonly answered: number;
+  readonly batches: number;
+  readonly faults: number;
+  readonly logs: readonly string[];
+}
+
+/** Runs one seed on real processes. The faults follow from the seed; their interleaving with the load does not. */
+export const runSeed = async (seed: number, durationMs: number): Promise<SoakResult> => {
+  const deployment = new SoakDeployment();
+  try {
+    await deployment.start();
+    const faults = drawFaults(seededRandom(seed), durationMs);
+    const injector = new SoakFaults(deployment);
+    const clients = new SoakClients(deployment, injector.stopping);
+    const load = clients.run();
+    await injector.run(faults);
+    await sleepMs(RECOVERY_MS);
+    clients.end();
+    await load;
+    await clients.checkRecovered();
+    const { violations, answered, batches } = clients;
+    return { seed, violations, answered, batches, faults: faults.length, logs: deployment.logs };
+  } finally {
+    await deployment[Symbol.asyncDispose]();
+  }
+};
+
+const main = async (): Promise<void> => {
+  const program = new Command('fault-soak')
+    .description('runs real processes under faults from outside; npm run fault-soak -- --seed 1')
+    .option('--seed <number>', 'first seed', '1')
+    .option('--seeds <number>', 'number of seeds', '1')
+    .option('--seconds <number>', 'time of each in which faults begin', '15')
+    .option('--logs', 'print the lines of the nodes of a seed that failed');
+  program.parse();
+  const options = program.opts<{ seed: string; seeds: string; seconds: string; logs?: true }>();
+  let failed = 0;
+  for (let index = 0; index < Number(options.seeds); index += 1) {
+    const result = await runSeed(Number(options.seed) + index, Number(options.seconds) * 1000);
+    const { logs, ...summary } = result;
+    console.log(JSON.stringify(summary));
+    if (result.violations.length > 0) {
+      failed += 1;
+      if (options.logs) console.log(logs.join('\n'));
+    }
+  }
+  process.exitCode = failed > 0 ? 1 : 0;
+};
+
+if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) await main();
