fix(cli): a node that cannot start ends instead of staying without its servers

Ruled out: a slow start (the process lived for 30 s after the error). Change: the command exits with its code after a failure; the soak takes ports that the kernel does not give to outgoing connections, which is how its ports were taken.

--- a/playground/faultSoak/soakDeployment.ts
+++ b/playground/faultSoak/soakDeployment.ts
@@ -12,6 +12,10 @@
 const WORKERS = 4;
 const ZONES = 2;
 
+/** Ports that nodes listen on. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+
 /** Time between attempts of the operator while the platform is away, in ms. */
 const WRITE_RETRY_MS = 200;
 
@@ -53,21 +57,20 @@
     request.end(body);
   });
 
+const isFree = (port: number): Promise<boolean> =>
+  new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+
+/** Free ports below those that the kernel gives to outgoing connections, so that a node that is down keeps its own. */
 const freePorts = async (count: number): Promise<number[]> => {
-  const servers = Array.from({ length: count }, () => net.createServer());
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve) => {
-          server.listen(0, '127.0.0.1', () => resolve((server.address() as net.AddressInfo).port));
-        }),
-    ),
-  );
-  const close = (server: net.Server) =>
-    new Promise<void>((resolve) => {
-      server.close(() => resolve());
-    });
-  await Promise.all(servers.map(close));
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (!ports.includes(port) && (await isFree(port))) ports.push(port);
+  }
   return ports;
 };
 
--- a/src/node/cli.ts
+++ b/src/node/cli.ts
@@ -63,5 +63,6 @@
 program.parseAsync().catch((error: unknown) => {
   const { exitCode, text } = describeFailure(error);
   if (text !== undefined) console.error(text);
-  process.exitCode = exitCode;
+  // A node that could not start may hold servers and timers that would keep its process alive.
+  process.exit(exitCode);
 });
