--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -10,7 +10,7 @@
 import type { Random } from '../../shared/random.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
-import { type Placement, placeItems, type WaitingItem } from '../decisions/itemPlacement.ts';
+import { type Placement, placeItems } from '../decisions/itemPlacement.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { Logger } from '../observability/logger.ts';
@@ -34,6 +34,7 @@
 import type { ItemState } from './itemState.ts';
 import { ProgressKeeper, progressOf } from './progressKeeper.ts';
 import { leaveSlowWorkers, stopStalled } from './runWatch.ts';
+import { promptOf, waitingItem } from './waitingItem.ts';
 import { WeightRefresher } from './weightRefresher.ts';
 import { fitAnswer, ResultLog } from './resultLog.ts';
 
@@ -67,10 +68,6 @@
   readonly results: BatchState['log']['results'];
 }
 
-/** Name of the part of a prompt that a group shares. */
-const promptOf = ({ promptParts }: BatchItem): string =>
-  (promptParts.length > 1 ? promptParts.slice(0, -1) : promptParts).map(({ id }) => id).join('/');
-
 /** Runs the items of a pool's batches on its workers. One node at a time does so for a pool. */
 export class PoolDispatcher implements Disposable {
   readonly #options: PoolDispatcherOptions;
@@ -264,7 +261,9 @@
   #place(): void {
     const waiting = this.#waiting();
     const placements = placeItems(
-      [...waiting].map(([key, state]) => this.#waitingItem(key, state)),
+      [...waiting].map(([key, state]) =>
+        waitingItem(key, state, this.#options.engine()?.tokensPerEvent ?? 1),
+      ),
       this.#workers.forPlacement(this.#runningByWorker()),
     );
     const workers = this.#workers.registered();
@@ -272,22 +271,6 @@
     this.#refresher.refresh(workers, this.#openBatches(), [...this.#runs.values()]);
   }
 
-  #waitingItem(key: string, state: ItemState): WaitingItem {
-    const { item, text, batch, avoid } = state;
-    const done = text.events.length * (this.#options.engine()?.tokensPerEvent ?? 1);
-    const expected = item.expectedOutputTokens || item.maxOutputTokens;
-    return {
-      key,
-      batchRank: Number(batch.record.submittedAtMs),
-      // An item that is longer than was expected is likely to be one of the longest.
-      expectedTokens: done < expected ? expected - done : done / 2,
-      prompt: promptOf(item),
-      model: batch.record.model,
-      allows: (version) => text.allows(version),
-      avoid,
-    };
-  }
-
   #start(
     { item: key, worker: workerId }: Placement,
     waiting: ReadonlyMap<string, ItemState>,
--- /dev/null
+++ b/src/node/batches/waitingItem.ts
@@ -0,0 +1,27 @@
+import type { BatchItem } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import type { WaitingItem } from '../decisions/itemPlacement.ts';
+import type { ItemState } from './itemState.ts';
+
+/** Name of the part of a prompt that a group shares. */
+export const promptOf = ({ promptParts }: BatchItem): string =>
+  (promptParts.length > 1 ? promptParts.slice(0, -1) : promptParts).map(({ id }) => id).join('/');
+
+/** An item as the placement sees it. */
+export const waitingItem = (
+  key: string,
+  { item, text, batch, avoid }: ItemState,
+  tokensPerEvent: number,
+): WaitingItem => {
+  const done = text.events.length * tokensPerEvent;
+  const expected = item.expectedOutputTokens || item.maxOutputTokens;
+  return {
+    key,
+    batchRank: Number(batch.record.submittedAtMs),
+    // An item that is longer than was expected is likely to be one of the longest.
+    expectedTokens: done < expected ? expected - done : done / 2,
+    prompt: promptOf(item),
+    model: batch.record.model,
+    allows: (version) => text.allows(version),
+    avoid,
+  };
+};
