fix(dataPath): half an answer without a length no longer passes for a whole one

Ruled out: a wrong length or chunks (the answer had neither); a clean end (the connection was reset). Change: an error of the request destroys its answer, whoever reads it gets the error, and the request is tried elsewhere.

--- a/src/node/dataPath/workerHttp.ts
+++ b/src/node/dataPath/workerHttp.ts
@@ -86,6 +86,7 @@
   ): Promise<http.IncomingMessage> {
     return new Promise((resolve, reject) => {
       let connected = false;
+      let answer: http.IncomingMessage | undefined;
       const request = http.request(
         {
           ...workerAddress(worker.address),
@@ -95,7 +96,12 @@
           signal,
           agent: newConnection ? false : this.#agent,
         },
-        resolve,
+        (response) => {
+          answer = response;
+          // Whoever reads the answer gets the error; one that nobody reads any more must not end the process.
+          response.on('error', () => {});
+          resolve(response);
+        },
       );
       request.once('socket', (socket) => {
         connected = !socket.connecting;
@@ -111,14 +117,16 @@
         });
         socket.once('close', () => timer[Symbol.dispose]());
       });
-      request.on('error', (error) =>
+      request.on('error', (error) => {
+        // Node would take a reset for the end of an answer without a length.
+        answer?.destroy(error);
         reject(
           new WorkerCallError(messageOf(error), {
             cause: error,
             props: { notConnected: !connected },
           }),
-        ),
-      );
+        );
+      });
       if (body === undefined || typeof body === 'string' || Buffer.isBuffer(body)) {
         request.end(body);
       } else {
