fix(batches): an item whose result was adopted stays listed, and a take-over survives a list without an answer

After all nodes had been killed the new dispatcher's first list got no answer, so it took the batch for a new one and ran all items; at its first write it adopted 12 stored results, 8 of them of items that were running here; the end of each run opened its item again, and it was listed a second time, from position 12 on, as the bench saw. Ruled out: a stale list, colliding operation ids, two loads of one batch (all lead to a conflict that is read back). Change: a closed item is not opened again; batches of the first answered list count as taken over.

--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -202,7 +202,7 @@
       itemsPassedOn: progress.length,
     });
     if (dispatcher.closed) return;
-    // Batches that the first list shows may have run under the former dispatcher.
+    // Batches that the first answered list shows may have run under the former dispatcher.
     let listing = true;
     const follower = new ObjectFollower({
       ...{ platform, clock, random, logger, prefix: BATCHES_PREFIX },
@@ -211,12 +211,14 @@
         const takeOver = listing && former !== undefined;
         this.#onBatch(dispatcher, event, takeOver, byBatch);
       },
+      onAdvanced: () => {
+        listing = false;
+      },
     });
     duty.add(follower);
     this.#batches = follower;
     duty.add(repeatEvery(clock, RETENTION_SWEEP_MS, () => this.#sweep(follower, dispatcher)));
     await follower.start();
-    listing = false;
   }
 
   #onBatch(
--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -57,12 +57,14 @@
 
   /** The item waits for a worker, if possible another than the one that it leaves. */
   wait(leaves: string | undefined): void {
+    if (this.closed) return;
     this.#phase = 'waiting';
     this.#avoid = leaves;
   }
 
   /** The text is whole. */
   score(): void {
+    if (this.closed) return;
     this.#phase = 'scoring';
     this.#whole = true;
   }
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -303,6 +303,11 @@
   /** Decides what follows a run. */
   #ended(run: ItemRun, end: RunEnd): void {
     const { state, worker } = run;
+    // Its result may have been adopted from the former dispatcher meanwhile.
+    if (state.closed) {
+      this.schedule();
+      return;
+    }
     state.wait(worker.id);
     const isStopped = end.kind === 'stopped';
     if (end.kind === 'complete' || (end.kind === 'uncertain' && run.events === 0)) {
