--- a/src/node/platform/__tests__/objectFollower.test.ts
+++ b/src/node/platform/__tests__/objectFollower.test.ts
@@ -85,3 +85,24 @@
   expect(follower.objects.size).toEqual(0);
   follower[Symbol.dispose]();
 });
+
+// Guards against a dispatcher that takes its first batches for new ones: a refresh during the first list discards its answer,
+// and what the next list shows is still the first that is known (czujka-ops, scale-1, seed 585031733952).
+test('a list that a refresh discards does not count as taken in', async () => {
+  const platform = new MemoryPlatform();
+  const clock = new VirtualClock();
+  await platform.write('config/main', 1);
+  const seen: string[] = [];
+  const follower = new ObjectFollower({
+    ...{ platform, clock, random: seededRandom(1), logger: silentLogger, prefix: 'config/' },
+    waitMs: () => 25_000,
+    onEvent: ({ object }) => seen.push(object.key),
+    onAdvanced: (version) => seen.push(`advanced to ${version}`),
+  });
+  const started = follower.start();
+  follower.refresh();
+  await started;
+  await clock.advanceAsync(10);
+  expect(seen).toEqual(['config/main', 'advanced to 1']);
+  follower[Symbol.dispose]();
+});
