--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -12,6 +12,10 @@
 import { createBatchHandlers } from '../batches/batchService.ts';
 import { BatchSubsystem } from '../batches/batchSubsystem.ts';
 import { RightToServe } from '../decisions/rightToServe.ts';
+import {
+  HeartbeatDatagrams,
+  type HeartbeatDatagramsOptions,
+} from '../membership/heartbeatDatagrams.ts';
 import { Membership } from '../membership/membership.ts';
 import type { Peer, TablesView } from '../membership/membershipView.ts';
 import { PeerClients } from '../membership/peerClients.ts';
@@ -101,9 +105,23 @@
     region: settings.region,
     availabilityZone: settings.availabilityZone,
     capacityMillicores: gateway.capacityMillicores,
+    datagramPort:
+      gateway.datagramAddress === undefined ? 0 : splitAddress(gateway.datagramAddress).port,
   });
 
   let membership: Membership;
+  const call: HeartbeatDatagramsOptions['call'] = (target, request, timeoutMs) =>
+    peerClients.get(target).heartbeat(request, { timeoutMs });
+  const datagrams =
+    gateway.datagramAddress === undefined
+      ? undefined
+      : store.add(
+          new HeartbeatDatagrams({
+            ...{ clock, random, logger, call },
+            answer: (request) => membership.heartbeat(request),
+            timeoutMs: timing.peerTimeoutMs,
+          }),
+        );
   const followers = new PlatformFollowers({
     ...{ platform, clock, random, logger },
     view: () => membership,
@@ -164,7 +182,7 @@
     ...{ self, timing, platform, clock, random, logger },
     seedPeers: settings.seedPeers,
     tables: heartbeatTables,
-    send: (target, request) => peerClients.get(target).heartbeat(request),
+    send: datagrams?.send ?? ((target, request) => call(target, request, timing.peerTimeoutMs)),
     rightToServe: new RightToServe(timing.isolationMs),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
     heldLeases: () => batches.heldLeases(),
@@ -240,6 +258,9 @@
 
   const started = new Stopwatch(clock);
   await peerServer.listen(peerAddress);
+  if (gateway.datagramAddress !== undefined) {
+    await datagrams?.listen(splitAddress(gateway.datagramAddress));
+  }
   await servers.listen();
   if (gateway.metricsAddress !== undefined) {
     const metricsServer = store.add(new MetricsServer(metrics, logger));
--- a/src/node/membership/heartbeats.ts
+++ b/src/node/membership/heartbeats.ts
@@ -31,9 +31,13 @@
 /** Heartbeats in progress while a planned stop is announced to every peer. */
 const ANNOUNCE_CONCURRENCY = 16;
 
+/** Where a heartbeat goes. A node that is known by its address only gets a call. */
+export type HeartbeatTarget = Pick<NodeIdentity, 'host' | 'peerPort'> &
+  Partial<Pick<NodeIdentity, 'datagramPort'>>;
+
 /** Sends one heartbeat; rejects when no answer came in time. */
 export type SendHeartbeat = (
-  target: Pick<NodeIdentity, 'host' | 'peerPort'>,
+  target: HeartbeatTarget,
   request: HeartbeatRequest,
 ) => Promise<HeartbeatResponse>;
 
@@ -218,10 +222,7 @@
     this.#learn(digest, 'list');
   }
 
-  async #exchange(
-    target: Pick<NodeIdentity, 'host' | 'peerPort'>,
-    request: HeartbeatRequest,
-  ): Promise<boolean> {
+  async #exchange(target: HeartbeatTarget, request: HeartbeatRequest): Promise<boolean> {
     const { send, clock, drains, onAnswered } = this.#options;
     const sentAt = new Stopwatch(clock);
     try {
--- a/src/node/settings/resolveSettings.ts
+++ b/src/node/settings/resolveSettings.ts
@@ -25,6 +25,7 @@
   resultRetentionMs: gateway.resultRetentionMs ?? 120_000,
   maxLoadingWorkers: gateway.maxLoadingWorkers,
   metricsAddress: gateway.metricsAddress,
+  datagramAddress: gateway.datagramAddress,
 });
 
 /** Settings of a node on the users' platform with every default filled in. */
