--- /dev/null
+++ b/src/node/decisions/__tests__/relayNodes.test.ts
@@ -0,0 +1,45 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { chooseRelays, type RelayCandidate, relaysFor } from '../relayNodes.ts';
+
+const node = (name: string, state: Partial<RelayCandidate> = {}): RelayCandidate => ({
+  name,
+  availabilityZone: 'z',
+  capacityMillicores: 300,
+  reachable: true,
+  platformLost: false,
+  ...state,
+});
+const names = (nodes: readonly RelayCandidate[]) => nodes.map(({ name }) => name);
+const small = ['a', 'b', 'c', 'd'].map((name) => node(name));
+
+// Guards against relays on the smallest VMs, which answer every other node.
+test('nodes with the most processor time are relays', () => {
+  const large = [node('e', { capacityMillicores: 1350 }), node('f', { capacityMillicores: 1350 })];
+  expect(names(chooseRelays([...small, ...large])).sort()).toEqual(['e', 'f']);
+  const oneLarge = chooseRelays([...small, large[0] as RelayCandidate]);
+  expect(names(oneLarge)[0]).toEqual('e');
+  expect(oneLarge.length).toEqual(2);
+});
+
+// Guards against relays that cannot reach the platform while others can.
+test('nodes that the platform does not answer, or that do not answer, are no relays', () => {
+  const mixed = small.map((each, index) =>
+    node(each.name, { platformLost: index === 0, reachable: index !== 1 }),
+  );
+  expect(names(chooseRelays(mixed)).sort()).toEqual(['c', 'd']);
+});
+
+// Guards against an outage in which every node calls the platform because nobody may be a relay.
+test('while the platform answers nobody the same two nodes stay relays', () => {
+  const lost = small.map(({ name }) => node(name, { platformLost: true }));
+  expect(names(chooseRelays(lost))).toEqual(names(chooseRelays(small)));
+  const followers = lost.filter(
+    (each) =>
+      relaysFor(
+        each,
+        lost.filter((other) => other !== each),
+      ).length > 0,
+  );
+  expect(followers.length).toEqual(2);
+});
--- a/src/node/decisions/relayNodes.ts
+++ b/src/node/decisions/relayNodes.ts
@@ -7,18 +7,35 @@
 export interface RelayCandidate {
   readonly name: string;
   readonly availabilityZone: string;
-  /** It answers its peers, is not leaving, and the platform answers it. */
-  readonly able: boolean;
+  /** Processor time in thousandths of a core. */
+  readonly capacityMillicores: number;
+  /** It answers its peers and is not leaving. */
+  readonly reachable: boolean;
+  /** The platform does not answer it. */
+  readonly platformLost: boolean;
 }
 
-/** Chooses the nodes that watch the platform, the same at all nodes that see the same candidates. */
+/** Nodes that could be relays. While the platform answers none, the same few go on asking for all. */
+const ableNodes = <T extends RelayCandidate>(candidates: readonly T[]): T[] => {
+  const reachable = candidates.filter((candidate) => candidate.reachable);
+  const able = reachable.filter(({ platformLost }) => !platformLost);
+  return able.length > 0 ? able : reachable;
+};
+
+/**
+ * Chooses the nodes that watch the platform, the same at all nodes that see the same candidates. They answer all others,
+ * so those with the most processor time come first.
+ */
 export const chooseRelays = <T extends RelayCandidate>(candidates: readonly T[]): T[] => {
-  const rest = candidates.filter(({ able }) => able);
+  const rest = ableNodes(candidates);
   const chosen: T[] = [];
   while (chosen.length < RELAY_COUNT && rest.length > 0) {
+    const largest = Math.max(...rest.map(({ capacityMillicores }) => capacityMillicores));
     const name = preferredNode(
       'relay',
-      rest.map((candidate) => candidate.name),
+      rest
+        .filter(({ capacityMillicores }) => capacityMillicores === largest)
+        .map((candidate) => candidate.name),
     );
     const index = rest.findIndex((candidate) => candidate.name === name);
     chosen.push(...rest.splice(index, 1));
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -6,6 +6,7 @@
 import { TablesSchema } from '../../gen/hyssoppulley/v1/tables_pb.ts';
 import { type Clock, Stopwatch, systemClock } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
+import { messageOf } from '../../shared/errors.ts';
 import { onInvariantViolation } from '../../shared/invariants.ts';
 import { newId, type Random, systemRandom } from '../../shared/random.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
@@ -19,6 +20,7 @@
 import { Membership } from '../membership/membership.ts';
 import type { Peer, TablesView } from '../membership/membershipView.ts';
 import { PeerClients } from '../membership/peerClients.ts';
+import { NODES_PREFIX } from '../membership/registration.ts';
 import { splitAddress } from '../membership/splitAddress.ts';
 import { createLogger, type Logger } from '../observability/logger.ts';
 import { createMetrics } from '../observability/metrics.ts';
@@ -46,6 +48,9 @@
 /** Time that news of a change may take by the platform before a node that has not got it reads again, in ms. */
 const NEWS_GRACE_MS = 250;
 
+/** Between looks whether a platform that was lost answers again, in ms. */
+const PROBE_MS = 1000;
+
 /** Between looks for state of workers that are gone, in ms. */
 const SWEEP_MS = 10_000;
 
@@ -187,6 +192,7 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
     heldLeases: () => batches.heldLeases(),
     preparedRevision: () => 0,
+    hasDrains: false,
     platformLost: () => health.lost,
     workersVersion: () => workersVersion,
     onHigherRevision: catchUp,
@@ -256,6 +262,17 @@
     dispose: () => store[Symbol.asyncDispose](),
   });
 
+  // A node that follows the platform through relays calls it so rarely that it would not notice its return.
+  const probePlatform = async () => {
+    if (!health.lost) return;
+    try {
+      await platform.read(`${NODES_PREFIX}${settings.name}`, { mayBeStale: true });
+      logger.info('platform-answers-again');
+    } catch (error) {
+      logger.debug('platform-probe-failed', { message: messageOf(error) });
+    }
+  };
+
   const started = new Stopwatch(clock);
   await peerServer.listen(peerAddress);
   if (gateway.datagramAddress !== undefined) {
@@ -270,6 +287,7 @@
   store.add(membership);
   await Promise.all([tables.start(), workers.start()]);
   store.add(repeatEvery(clock, SWEEP_MS, () => chooser.sweep()));
+  store.add(repeatEvery(clock, PROBE_MS, () => probePlatform()));
   logger.info('node-started', {
     incarnation: self.incarnation,
     front: gateway.frontAddress,
--- a/src/node/gateway/platformFollowers.ts
+++ b/src/node/gateway/platformFollowers.ts
@@ -36,13 +36,15 @@
   readonly client: (address: PeerAddress) => Client<typeof RelayService>;
 }
 
-const nodeOf = (identity: NodeIdentity, able: boolean) => ({
+const nodeOf = (identity: NodeIdentity, reachable: boolean, platformLost: boolean) => ({
   name: identity.name,
   availabilityZone: identity.availabilityZone,
   incarnation: identity.incarnation,
   host: identity.host,
   peerPort: identity.peerPort,
-  able,
+  capacityMillicores: identity.capacityMillicores,
+  reachable,
+  platformLost,
 });
 
 /** Follows kinds of objects that every node needs, through the few nodes that watch the platform for all. */
@@ -83,7 +85,7 @@
     const follower = new ObjectFollower({
       ...{ clock, random, logger, prefix, onRegained },
       platform: this.#source,
-      waitMs: () => (this.#source.isDirect ? RELAY_WAIT_MS : RELAYED_WAIT_MS),
+      waitMs: () => (this.#source.isRelay ? RELAY_WAIT_MS : RELAYED_WAIT_MS),
       onEvent: (event) => {
         relay.take(event);
         onEvent(event);
@@ -121,7 +123,7 @@
     const { self, leaving } = view();
     const peers = view()
       .peers()
-      .map((peer) => nodeOf(peer.identity, !peer.suspected && !peer.leaving && !peer.platformLost));
-    return [nodeOf(self, !leaving && !platformLost()), peers] as const;
+      .map((peer) => nodeOf(peer.identity, !peer.suspected && !peer.leaving, peer.platformLost));
+    return [nodeOf(self, !leaving, platformLost()), peers] as const;
   }
 }
--- /dev/null
+++ b/src/node/membership/__tests__/registration.test.ts
@@ -0,0 +1,34 @@
+import { test } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import { expect } from 'earl';
+import { MemoryPlatform } from '../../../../playground/memoryPlatform.ts';
+import { NodeIdentitySchema } from '../../../gen/hyssoppulley/v1/peer_pb.ts';
+import { VirtualClock } from '../../../shared/virtualClock.ts';
+import { Registration } from '../registration.ts';
+
+const register = async (platform: MemoryPlatform, clock: VirtualClock, incarnation: string) => {
+  const identity = create(NodeIdentitySchema, { name: 'node', incarnation });
+  const registration = new Registration(platform, clock, identity);
+  const result = await registration.register(true);
+  return { result, registration, identity };
+};
+
+// Guards against starts of a large deployment that cost the platform more calls than they need.
+test('a new node registers with one call', async () => {
+  const platform = new MemoryPlatform();
+  const { result, registration } = await register(platform, new VirtualClock(), 'first');
+  expect(result).toEqual('registered');
+  expect(platform.callCount).toEqual(1);
+  expect(registration.hasPredecessor).toEqual(false);
+});
+
+// Guards against a restarted node that passes for its predecessor, or moves behind it.
+test('a restarted node registers after its predecessor', async () => {
+  const platform = new MemoryPlatform();
+  const clock = new VirtualClock();
+  const first = await register(platform, clock, 'first');
+  const second = await register(platform, clock, 'second');
+  expect(second.result).toEqual('registered');
+  expect(second.registration.hasPredecessor).toEqual(true);
+  expect(second.identity.generation > first.identity.generation).toEqual(true);
+});
--- a/src/node/membership/heartbeatDatagrams.ts
+++ b/src/node/membership/heartbeatDatagrams.ts
@@ -48,6 +48,9 @@
   readonly settle: (response: HeartbeatResponse | undefined) => void;
 }
 
+const encode = (sequence: number, content: HeartbeatDatagram['content']): Uint8Array =>
+  toBinary(HeartbeatDatagramSchema, create(HeartbeatDatagramSchema, { sequence, content }));
+
 /**
  * Exchanges heartbeats as UDP datagrams. A heartbeat by HTTP costs both nodes about twenty times the processor time,
  * and a kept connection for each pair of nodes. What does not fit, and what gets no answer, goes as a call.
@@ -84,7 +87,7 @@
     if (datagramPort === 0 || request.wantsAllPeers) return call(target, request, timeoutMs);
     this.#sequence = (this.#sequence + 1) % SEQUENCE_LIMIT;
     const sequence = this.#sequence;
-    const bytes = this.#encode(sequence, { case: 'request', value: request });
+    const bytes = encode(sequence, { case: 'request', value: request });
     if (bytes.length > MAX_DATAGRAM_BYTES) return call(target, request, timeoutMs);
     const response = await this.#exchange(sequence, bytes, target.host, datagramPort);
     return response ?? call(target, request, timeoutMs - CALL_AFTER_MS);
@@ -126,10 +129,10 @@
     const { sequence, content } = datagram;
     if (content.case === 'request') {
       const response = this.#options.answer(content.value);
-      const whole = this.#encode(sequence, { case: 'response', value: response });
+      const whole = encode(sequence, { case: 'response', value: response });
       const answer =
         whole.length > MAX_DATAGRAM_BYTES
-          ? this.#encode(sequence, { case: 'tooLarge', value: true })
+          ? encode(sequence, { case: 'tooLarge', value: true })
           : whole;
       this.#transmit(answer, from.port, from.address);
       return;
@@ -149,18 +152,11 @@
     }
   }
 
-  #encode(sequence: number, content: HeartbeatDatagram['content']): Uint8Array {
-    return toBinary(
-      HeartbeatDatagramSchema,
-      create(HeartbeatDatagramSchema, { sequence, content }),
-    );
-  }
-
   /** A datagram that cannot be sent counts as lost. */
   #transmit(bytes: Uint8Array, port: number, host: string): void {
     this.#socket.send(bytes, port, host, (error) => {
-      if (error)
-        this.#options.logger.debug('datagram-not-sent', { to: host, message: error.message });
+      if (error === null) return;
+      this.#options.logger.debug('datagram-not-sent', { to: host, message: error.message });
     });
   }
 }
--- a/src/node/membership/membership.ts
+++ b/src/node/membership/membership.ts
@@ -14,7 +14,7 @@
 import { isLater, type PeerRecord, PeerTable } from '../decisions/peerTable.ts';
 import type { WorkerFailureKind } from '../decisions/workerHealth.ts';
 import type { Logger } from '../observability/logger.ts';
-import type { PlatformClient } from '../platform/platformClient.ts';
+import type { PlatformClient, ReadOptions } from '../platform/platformClient.ts';
 import type { ResolvedTiming } from '../settings/resolveSettings.ts';
 import { splitAddress } from './splitAddress.ts';
 import { type DrainKind, Drains } from './drains.ts';
@@ -58,6 +58,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  /** Whether operators drain nodes and workers by this program's own commands. @default true */
+  readonly hasDrains?: boolean;
   /** Leases that this node holds, such as `job/draft`. */
   readonly heldLeases: () => readonly string[];
   /** Highest revision that this node prepared. */
@@ -146,12 +148,15 @@
     const listIntervalMs = () =>
       (MIN_LIST_INTERVAL_MS + this.#table.size * LIST_INTERVAL_PER_PEER_MS) * (0.5 + random() / 2);
     const refresh = async () => {
-      await this.#refreshNodes();
+      await this.#refreshNodes({ mayBeStale: true });
     };
-    // The second read comes soon: it shows the nodes that started at the same time as this one.
-    const secondReadMs = heartbeatIntervalMs * (3 + 2 * random());
-    const list = repeatEvery(clock, listIntervalMs, refresh, secondReadMs);
+    const list = repeatEvery(clock, listIntervalMs, refresh);
     for (const timer of [beats, probes, vms, list]) this.#store.add(timer);
+    if (!this.#registration.hasPredecessor) {
+      // This list shows the nodes that started at the same time as this one. The nodes of a restart are listed before.
+      const secondListMs = heartbeatIntervalMs * (3 + 2 * random());
+      this.#store.add(clock.schedule(secondListMs, () => void this.#refreshNodes()));
+    }
     if (!this.#registration.registered) this.#retryJoin();
   }
 
@@ -321,13 +326,14 @@
   }
 
   /** Learns peers and drains from the platform. Returns whether it answered. */
-  async #refreshNodes(): Promise<boolean> {
+  async #refreshNodes(options?: ReadOptions): Promise<boolean> {
+    const { hasDrains = true } = this.#options;
     try {
-      const nodes = await this.#registration.list();
+      const nodes = await this.#registration.list(options);
       for (const { identity, deregistered } of nodes) {
         if (!deregistered) this.#heartbeats.learn(create(PeerDigestSchema, { identity }));
       }
-      await this.#drains.refresh();
+      if (hasDrains) await this.#drains.refresh();
       return true;
     } catch (error) {
       this.#options.logger.debug('node-list-failed', { message: messageOf(error) });
--- a/src/node/membership/registration.ts
+++ b/src/node/membership/registration.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../../shared/clock.ts';
 import { newId } from '../../shared/random.ts';
 import { isLater } from '../decisions/peerTable.ts';
-import type { PlatformClient, PlatformObject } from '../platform/platformClient.ts';
+import type { PlatformClient, PlatformObject, ReadOptions } from '../platform/platformClient.ts';
 
 /** Prefix of the objects by which nodes register. */
 export const NODES_PREFIX = 'nodes/';
@@ -40,6 +40,11 @@
 
   #version: number | undefined;
 
+  /** Whether the object may exist: the first attempt creates it without reading, as a new node has none. */
+  #mayExist = false;
+
+  #hasPredecessor = false;
+
   constructor(platform: PlatformClient, clock: Clock, self: NodeIdentity) {
     this.#platform = platform;
     this.#clock = clock;
@@ -51,6 +56,11 @@
     return this.#version !== undefined;
   }
 
+  /** Whether an earlier incarnation of the name was registered. */
+  get hasPredecessor(): boolean {
+    return this.#hasPredecessor;
+  }
+
   /** Makes this incarnation later than another one of the same name. Only before any node knows of this one. */
   raiseAbove(other: NodeIdentity): void {
     this.#self.generation = Math.max(this.#self.generation, other.generation + 1);
@@ -65,9 +75,10 @@
     const key = `${NODES_PREFIX}${this.#self.name}`;
     const operationId = newId();
     try {
-      const found = await this.#platform.read(key);
+      const found = this.#mayExist ? await this.#platform.read(key) : undefined;
       const before = found && parseRegistration(found);
       if (before && before.identity.incarnation !== this.#self.incarnation) {
+        this.#hasPredecessor = true;
         if (mayRaise) this.raiseAbove(before.identity);
         else if (isLater(before.identity, this.#self)) return 'replaced';
       }
@@ -76,6 +87,11 @@
         operationId,
       });
       if (result.status === 'written') this.#version = result.version;
+      if (result.status === 'conflict' && !this.#mayExist) {
+        this.#mayExist = true;
+        return await this.register(mayRaise);
+      }
+      this.#mayExist = true;
       if (result.status === 'unknown') await this.#resolve(key, operationId);
       // After a conflict or without an answer the next attempt reads the object again.
       return this.registered ? 'registered' : 'unreachable';
@@ -97,8 +113,8 @@
   }
 
   /** Every registered node. @throws PlatformError when no answer arrived in time */
-  async list(): Promise<RegisteredNode[]> {
-    const objects = await this.#platform.list(NODES_PREFIX);
+  async list(options?: ReadOptions): Promise<RegisteredNode[]> {
+    const objects = await this.#platform.list(NODES_PREFIX, options);
     return objects.map(parseRegistration).filter((node) => node !== undefined);
   }
 
--- a/src/node/platform/budgetedPlatformClient.ts
+++ b/src/node/platform/budgetedPlatformClient.ts
@@ -11,6 +11,7 @@
   type PlatformObject,
   type PlatformObjects,
   type PlatformSnapshot,
+  type ReadOptions,
   type VmEntry,
   type WriteOptions,
   type WriteResult,
@@ -54,12 +55,12 @@
     return this.#budget.available;
   }
 
-  read(key: string): Promise<PlatformObject | undefined> {
-    return this.#repeat('read', () => this.#options.platform.read(key));
+  read(key: string, options?: ReadOptions): Promise<PlatformObject | undefined> {
+    return this.#repeat('read', () => this.#options.platform.read(key, options));
   }
 
-  list(prefix: string): Promise<readonly PlatformObject[]> {
-    return this.#repeat('list', () => this.#options.platform.list(prefix));
+  list(prefix: string, options?: ReadOptions): Promise<readonly PlatformObject[]> {
+    return this.#repeat('list', () => this.#options.platform.list(prefix, options));
   }
 
   listVms(): Promise<readonly VmEntry[]> {
--- a/src/node/platform/platformClient.ts
+++ b/src/node/platform/platformClient.ts
@@ -51,12 +51,17 @@
   readonly object: PlatformObject;
 }
 
+export interface ReadOptions {
+  /** Whether the answer may be seconds old, which costs the platform less. @default false */
+  readonly mayBeStale?: boolean;
+}
+
 /** Client of the platform's object API. Each call is counted against the node's call budget. */
 export interface PlatformClient {
   /** @throws PlatformError when no answer arrived in time */
-  read(key: string): Promise<PlatformObject | undefined>;
+  read(key: string, options?: ReadOptions): Promise<PlatformObject | undefined>;
   /** @throws PlatformError when no answer arrived in time */
-  list(prefix: string): Promise<readonly PlatformObject[]>;
+  list(prefix: string, options?: ReadOptions): Promise<readonly PlatformObject[]>;
   write(key: string, value: unknown, options?: WriteOptions): Promise<WriteResult>;
   remove(key: string, options?: WriteOptions): Promise<WriteResult>;
   /**
