feat(batches): learn a pool's dispatcher from its heartbeats

Change: heartbeats carry the term of a held pool, and the other nodes take the holder's word for it. A claim still reads the record before it writes. A node that starts reads it only when it comes to claim. Test: a node learns the dispatcher without a call and keeps the higher term.

--- a/src/node/batches/__tests__/dispatcherElection.test.ts
+++ b/src/node/batches/__tests__/dispatcherElection.test.ts
@@ -7,7 +7,7 @@
 import { VirtualClock } from '../../../shared/virtualClock.ts';
 import type { Peer } from '../../membership/membershipView.ts';
 import { silentLogger } from '../../observability/logger.ts';
-import { DispatcherElection } from '../dispatcherElection.ts';
+import { DispatcherElection, dispatcherLease } from '../dispatcherElection.ts';
 
 const identityOf = (name: string) =>
   create(NodeIdentitySchema, { name, incarnation: `${name}-1`, capacityMillicores: 675 });
@@ -55,6 +55,32 @@
   for (const election of elections) election[Symbol.dispose]();
 });
 
+// Guards against a read of the record by every node after each change of the dispatcher.
+test('a node learns the dispatcher from its heartbeats', async () => {
+  const clock = new VirtualClock();
+  const platform = new MemoryPlatform();
+  let leases = [dispatcherLease('p', 3)];
+  using election = new DispatcherElection({
+    ...{ pool: 'p', platform, clock, random: seededRandom(1), logger: silentLogger },
+    view: {
+      self: identityOf('a'),
+      leaving: false,
+      peers: () => [{ identity: identityOf('b'), leases } as unknown as Peer],
+    },
+    health: { lost: false },
+    onElected: () => {},
+    onLost: () => {},
+    watchHolder: () => ({ [Symbol.dispose]() {} }),
+  });
+  await clock.advanceAsync(3000);
+  expect(election.holder?.node).toEqual('b');
+  expect(election.holder?.term).toEqual(3);
+  expect(platform.callCount).toEqual(0);
+  leases = [dispatcherLease('p', 2)];
+  await clock.advanceAsync(1000);
+  expect(election.holder?.term).toEqual(3);
+});
+
 // Guards against a pool that moves at the end of an outage because one node notices the end before the holder's word
 // does (czujka-ops, own day platform-faults).
 test('a holder that was without the platform for a moment keeps the pool', async () => {
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -80,9 +80,9 @@
 
   /** Names, for heartbeats, of the pools that this node dispatches. */
   heldLeases(): string[] {
-    return this.coordinators()
-      .filter(({ election }) => election.heldTerm !== undefined)
-      .map(({ pool }) => dispatcherLease(pool));
+    return this.coordinators().flatMap(({ pool, election: { heldTerm } }) =>
+      heldTerm === undefined ? [] : [dispatcherLease(pool, heldTerm)],
+    );
   }
 
   /** Takes part in the election of each pool that a route of batches names. */
--- a/src/node/batches/dispatcherElection.ts
+++ b/src/node/batches/dispatcherElection.ts
@@ -77,6 +77,8 @@
   readonly watchHolder?: (holder: DispatcherRecord, onRefused: () => void) => Disposable;
 }
 
+const dispatcherLeasePrefix = (pool: string): string => `dispatcher/${pool}#`;
+
 const candidateOf = (identity: NodeIdentity, able: boolean): DispatcherCandidate => ({
   name: identity.name,
   incarnation: identity.incarnation,
@@ -84,8 +86,16 @@
   able,
 });
 
-/** Name under which heartbeats tell that a node dispatches a pool. */
-export const dispatcherLease = (pool: string): string => `dispatcher/${pool}`;
+/** Name under which heartbeats tell that a node dispatches a pool, and in which term. */
+export const dispatcherLease = (pool: string, term: number): string =>
+  `${dispatcherLeasePrefix(pool)}${term}`;
+
+/** The term in which a peer tells that it dispatches a pool; 0: it does not. */
+const termOf = ({ leases }: Peer, pool: string): number => {
+  const prefix = dispatcherLeasePrefix(pool);
+  const lease = leases.find((held) => held.startsWith(prefix));
+  return lease === undefined ? 0 : Number(lease.slice(prefix.length)) || 0;
+};
 
 /**
  * Agrees with the other nodes on who dispatches a pool. A node claims the pool by a conditional write when the holder
@@ -98,10 +108,14 @@
 
   readonly #timer: Disposable;
 
+  /** The record as it was read or told by its holder; undefined: neither yet. */
   #known: { readonly record: DispatcherRecord | undefined; readonly version: number } | undefined;
 
   #readAt: Stopwatch | undefined;
 
+  /** Whether the record must be read before the next decision. */
+  #outdated = false;
+
   /** Since when the holder has been seen to be gone. */
   #goneSince: Stopwatch | undefined;
 
@@ -161,7 +175,7 @@
 
   /** The holder may have changed: the record is read again. */
   recheck(): void {
-    this.#readAt = undefined;
+    this.#outdated = true;
     void this.#look();
   }
 
@@ -186,6 +200,7 @@
 
   async #step(): Promise<void> {
     const { health } = this.#options;
+    this.#learnHolder();
     if (this.#mustRead()) await this.#read();
     this.#watchHolder();
     const state = this.#holderState();
@@ -202,20 +217,23 @@
   }
 
   #mustRead(): boolean {
-    if (this.#known === undefined || this.#readAt === undefined) return true;
-    if (this.#readAt.elapsedMs() > REREAD_INTERVAL_MS) return true;
-    // Another node tells that it dispatches the pool.
+    return this.#outdated || (this.#readAt ?? this.#started).elapsedMs() > REREAD_INTERVAL_MS;
+  }
+
+  /** Takes the holder's own word for it, so that not every node reads the record after each change. */
+  #learnHolder(): void {
     const { view, pool } = this.#options;
-    const holder = this.#known.record?.incarnation;
-    return view
-      .peers()
-      .some(
-        ({ identity, leases, suspected }) =>
-          !suspected &&
-          identity.incarnation !== holder &&
-          leases.includes(dispatcherLease(pool)) &&
-          (this.#readAt?.elapsedMs() ?? Infinity) > LOOK_INTERVAL_MS * 4,
-      );
+    for (const peer of view.peers()) {
+      const term = termOf(peer, pool);
+      if (peer.suspected || term <= (this.#known?.record?.term ?? 0)) continue;
+      const { name, incarnation, host, peerPort } = peer.identity;
+      const record = create(DispatcherRecordSchema, {
+        ...{ node: name, incarnation, host, peerPort, term },
+      });
+      // A claim reads the record before it writes, so the version is not needed.
+      this.#known = { record, version: 0 };
+      this.resign(`${name} tells of term ${term}`);
+    }
   }
 
   #holderState(): HolderState {
@@ -285,6 +303,7 @@
     const sentAt = new Stopwatch(this.#options.clock);
     const object = await platform.read(dispatcherKey(pool));
     this.#readAt = sentAt;
+    this.#outdated = false;
     const record = object && decodeDispatcher(object.value);
     this.#known = { record, version: object?.version ?? 0 };
     if (record !== undefined && record.incarnation !== view.self.incarnation) {
@@ -318,7 +337,7 @@
       outcome: result.status,
     });
     // Without an answer the next look reads the record, which then names this node or another one.
-    this.#readAt = undefined;
+    this.#outdated = result.status !== 'written';
     if (result.status !== 'written') return;
     this.#known = { record, version: result.version };
     this.#readAt = new Stopwatch(this.#options.clock);
