perf(cli): load the product's own node only where it is used

Cause: a start of a gateway loads modules that it does not use; a start after a kill is charged in full.

--- a/src/node/cli.ts
+++ b/src/node/cli.ts
@@ -21,15 +21,19 @@
   .requiredOption('--config <file>', 'settings of the node, YAML')
   .action(async (options: { config: string }) => {
     const { loadSettings } = await import('./settings/resolveSettings.ts');
-    const { startNode } = await import('./node.ts');
     const { stopOnSignals } = await import('./shutdown.ts');
     const { reloadOnHangup } = await import('./settings/settingsReload.ts');
     const { connectPlatform, startPlatformGateway } = await import('../../platform/gateway.ts');
     const settings = await loadSettings(options.config);
     const { gateway } = settings;
+    // Loaded by need: modules that a node does not use make its start longer.
+    const startOwn = async () => {
+      const { startNode } = await import('./node.ts');
+      return startNode(settings, { platform: (logger) => connectPlatform(settings, logger) });
+    };
     const node =
       gateway === undefined
-        ? await startNode(settings, { platform: (logger) => connectPlatform(settings, logger) })
+        ? await startOwn()
         : await startPlatformGateway({ ...settings, gateway });
     const { shutdown, logger, applySettings } = node;
     stopOnSignals(shutdown, logger, systemClock);
