--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -201,7 +201,9 @@
   ): Promise<void> {
     const { platform, clock, random, logger, release, view } = this.#options;
     const isOther = former !== undefined && former.incarnation !== view.self.incarnation;
-    const progress = isOther ? await release(former, term) : [];
+    const released = isOther ? release(former, term) : [];
+    // A former dispatcher that is out of reach is told all the same, but its answer is not waited for.
+    const progress = this.#isReachable(former) ? await released : [];
     const byBatch = Map.groupBy(progress, ({ batchId }) => batchId);
     logger.info('dispatcher-began', {
       pool: this.pool,
@@ -229,6 +231,13 @@
     await follower.start();
   }
 
+  #isReachable(node: DispatcherRecord | undefined): boolean {
+    const peers = this.#options.view.peers();
+    return peers.some(
+      ({ identity, suspected }) => identity.incarnation === node?.incarnation && !suspected,
+    );
+  }
+
   #onBatch(
     dispatcher: PoolDispatcher,
     { type, object }: PlatformEvent,
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -96,8 +96,7 @@
   const health = new PlatformHealth(clock);
   const platform = createPlatformClient(settings.platform, {
     platform: dependencies.platform(logger),
-    ...{ clock, random, metrics },
-    onResult: (answered) => health.record(answered),
+    ...{ clock, random, metrics, health },
   });
   const peerClients = store.add(new PeerClients(timing.peerTimeoutMs));
   const peerAddress = splitAddress(gateway.peerAddress);
--- a/src/node/platform/budgetedPlatformClient.ts
+++ b/src/node/platform/budgetedPlatformClient.ts
@@ -2,6 +2,7 @@
 import type { Random } from '../../shared/random.ts';
 import { backoffMs } from './backoff.ts';
 import { CallBudget } from './callBudget.ts';
+import type { PlatformHealth } from './platformHealth.ts';
 import {
   type ChangesOptions,
   type PlatformChanges,
@@ -33,8 +34,8 @@
   readonly onCall?: (operation: PlatformOperation) => void;
   /** Told of each call that the budget refused. */
   readonly onRefused?: (operation: PlatformOperation) => void;
-  /** Told whether the platform answered a call. */
-  readonly onResult?: (answered: boolean) => void;
+  /** Told of calls and of whether the platform answers them. */
+  readonly health?: Pick<PlatformHealth, 'begin' | 'end' | 'record'>;
 }
 
 const OVER_BUDGET = 'the call budget of this node is used up (platform.callsPerSecond)';
@@ -77,7 +78,7 @@
     options: ChangesOptions,
   ): Promise<PlatformChanges> {
     if (!(await this.#mayCall('changes'))) throw new PlatformError(OVER_BUDGET);
-    return this.#counted(() => this.#options.platform.changesSince(prefix, version, options));
+    return this.#judged(() => this.#options.platform.changesSince(prefix, version, options));
   }
 
   write(key: string, value: unknown, options?: WriteOptions): Promise<WriteResult> {
@@ -103,7 +104,7 @@
     for (let attempt = 1; ; attempt += 1) {
       if (!(await this.#mayCall(operation))) throw new PlatformError(OVER_BUDGET);
       try {
-        return await this.#counted(call);
+        return await this.#tracked(() => this.#judged(call));
       } catch (error) {
         if (attempt >= readAttempts) throw error;
         await sleep(clock, backoffMs(attempt, random));
@@ -116,20 +117,30 @@
     call: () => Promise<WriteResult>,
   ): Promise<WriteResult> {
     if (!(await this.#mayCall(operation))) return { status: 'unavailable', reason: OVER_BUDGET };
-    const result = await call();
+    const result = await this.#tracked(call);
     // An answer to a write may be lost on a sound path; reads and calls for changes show whether the path is.
-    if (result.status !== 'unknown') this.#options.onResult?.(result.status !== 'unavailable');
+    if (result.status !== 'unknown') this.#options.health?.record(result.status !== 'unavailable');
     return result;
   }
 
-  async #counted<T>(call: () => Promise<T>): Promise<T> {
-    const { onResult } = this.#options;
+  async #tracked<T>(call: () => Promise<T>): Promise<T> {
+    const { health } = this.#options;
+    health?.begin();
+    try {
+      return await call();
+    } finally {
+      health?.end();
+    }
+  }
+
+  async #judged<T>(call: () => Promise<T>): Promise<T> {
+    const { health } = this.#options;
     try {
       const result = await call();
-      onResult?.(true);
+      health?.record(true);
       return result;
     } catch (error) {
-      onResult?.(error instanceof PlatformHistoryError);
+      health?.record(error instanceof PlatformHistoryError);
       throw error;
     }
   }
--- a/src/node/platform/createPlatformClient.ts
+++ b/src/node/platform/createPlatformClient.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from '../observability/metrics.ts';
 import { BudgetedPlatformClient, type PlatformOperation } from './budgetedPlatformClient.ts';
 import type { PlatformObjects } from './platformClient.ts';
+import type { PlatformHealth } from './platformHealth.ts';
 
 export interface PlatformDependencies {
   /** Client without a budget. */
@@ -10,17 +11,17 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly metrics: Metrics;
-  /** Told whether the platform answered a call. */
-  readonly onResult?: (answered: boolean) => void;
+  /** Told of calls and of whether the platform answers them. */
+  readonly health?: PlatformHealth;
 }
 
 /** Makes the client of a node: within the call budget, counted. */
 export const createPlatformClient = (
   { callsPerSecond }: { readonly callsPerSecond: number },
-  { platform, clock, random, metrics, onResult }: PlatformDependencies,
+  { platform, clock, random, metrics, health }: PlatformDependencies,
 ): PlatformObjects => {
   const client: BudgetedPlatformClient = new BudgetedPlatformClient({
-    ...{ platform, clock, random, callsPerSecond, onResult },
+    ...{ platform, clock, random, callsPerSecond, health },
     onCall: (operation: PlatformOperation) => {
       metrics.platformCalls.inc({ operation });
       metrics.platformCallsAvailable.set(client.availableCalls);
--- /dev/null
+++ b/src/node/weights/__tests__/weightLoads.test.ts
@@ -0,0 +1,59 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { VirtualClock } from '../../../shared/virtualClock.ts';
+import type { RegisteredWorker } from '../../gateway/workerRegistry.ts';
+import { silentLogger } from '../../observability/logger.ts';
+import type { LoadOrder, OrderAnswer } from '../orderCalls.ts';
+import { type LoadOutcome, WeightLoads } from '../weightLoads.ts';
+
+const WORKER: RegisteredWorker = {
+  ...{ id: 'w', pool: 'p', address: '127.0.0.1:1', availabilityZone: 'z', slots: 8 },
+  ...{ draining: false, startedAtMs: 1, heartbeatCount: 1, models: [{ name: 'm', version: 1 }] },
+};
+const NEEDS = { newestVersion: 2, neededVersion: 2, hasWaiting: true, maxLoading: 1 };
+
+/** Loads of one worker that answers orders as told, the last answer again and again. */
+const startLoad = (answers: readonly OrderAnswer[]) => {
+  const clock = new VirtualClock();
+  const orders: LoadOrder[] = [];
+  const outcomes: LoadOutcome[] = [];
+  const loads = new WeightLoads({
+    ...{ clock, logger: silentLogger, holder: 'n', fencing: 1 },
+    calls: {
+      order: (_worker, order) => {
+        orders.push(order);
+        return Promise.resolve(answers[orders.length - 1] ?? (answers.at(-1) as OrderAnswer));
+      },
+      report: () =>
+        Promise.resolve({ busy: false, orders: 3, startedAtMs: 1, versions: new Map([['m', 1]]) }),
+    },
+    ...{ verifyHold: () => Promise.resolve(true), mayOrder: () => true },
+    ...{ onFenced() {}, onChange() {} },
+    onLoad: (outcome) => outcomes.push(outcome),
+  });
+  loads.registered(WORKER);
+  loads.refresh([WORKER], 'm', { ...NEEDS, singleVersion: false }, () => 0);
+  return { clock, loads, orders, outcomes };
+};
+
+// Guards against workers that stay on old weights for seconds because each lost answer of an order is waited out (own day
+// late-orders: nine of ten orders get no answer).
+test('an order without an answer is repeated at once, under the same condition', async () => {
+  const { clock, loads, orders, outcomes } = startLoad([
+    ...Array.from({ length: 6 }, () => 'unknown' as const),
+    'accepted',
+  ]);
+  await clock.advanceAsync(1300);
+  expect(outcomes).toEqual(['loaded']);
+  expect(loads.versionOf('w', 'm')).toEqual(2);
+  expect(new Set(orders.map(({ expectedOrders }) => expectedOrders))).toEqual(new Set([3]));
+});
+
+// Guards against orders without end to a worker that answers none.
+test('a worker that answers no order is given up for a while', async () => {
+  const { clock, loads, orders, outcomes } = startLoad(['unknown']);
+  await clock.advanceAsync(1500);
+  expect(outcomes).toEqual(['failed']);
+  expect(orders.length).toEqual(16);
+  expect(loads.versionOf('w', 'm')).toEqual(1);
+});
--- a/src/node/weights/weightLoads.ts
+++ b/src/node/weights/weightLoads.ts
@@ -11,8 +11,14 @@
 /** Between reports while the result of an order is not known, in ms: reports are up to 200 ms old. */
 const REPORT_INTERVAL_MS = 250;
 
-/** Orders of one load, the first included; a copy that arrives late does nothing once another was taken. */
-const MAX_ORDERS = 8;
+/**
+ * Orders of one load, the first included. A copy that arrives late does nothing once another was taken, so an order
+ * without an answer is repeated at once.
+ */
+const MAX_ORDERS = 16;
+
+/** Orders in a row without an answer after which the worker is asked for its state. */
+const ORDERS_BEFORE_REPORT = 4;
 
 /** Time after a failed load in which the worker gets no other order, in ms. */
 const FAILED_PAUSE_MS = 400;
@@ -179,6 +185,7 @@
         return 'not-holder';
       }
       if (answer === 'refused') return 'failed';
+      if (answer === 'unknown' && attempt % ORDERS_BEFORE_REPORT !== 0) continue;
       if (await this.#hasEffect(worker, { model, version }, weights)) return 'loaded';
     }
     return 'failed';
