fix(batches): no moves to failing workers, loads past workers that leave orders unanswered, shares by work

Between 24.7 s and 27.8 s two workers that left their orders unanswered kept every other worker from loading. Tests fail without the change.

--- a/src/node/batches/engineWorkers.ts
+++ b/src/node/batches/engineWorkers.ts
@@ -59,7 +59,7 @@
     const nowMs = clock.monotonicMs();
     return this.#trust
       .usable(this.registered(), nowMs)
-      .filter(({ id }) => (this.#pausedUntilMs.get(id) ?? -Infinity) <= nowMs)
+      .filter(({ id }) => !this.#isPaused(id, nowMs))
       .map((worker) => ({
         id: worker.id,
         freeSlots: this.#roomOf(worker, running),
@@ -84,11 +84,15 @@
     return this.#pace.isSlow(worker, this.#options.clock.monotonicMs());
   }
 
-  /** Free slots of workers that could take over a slow worker's runs. */
+  /** Free slots of workers that could take over a slow worker's runs: none of those that failed lately. */
   freeSlots(running: ReadonlyMap<string, number>): FreeSlots[] {
     const nowMs = this.#options.clock.monotonicMs();
+    const isDoubtful = (id: string) =>
+      this.#trust.isSuspended(id, nowMs) ||
+      this.#trust.isUntrusted(id, nowMs) ||
+      this.#isPaused(id, nowMs);
     return this.registered()
-      .filter(({ id }) => !this.isSlow(id) && !this.#trust.isSuspended(id, nowMs))
+      .filter(({ id }) => !this.isSlow(id) && !isDoubtful(id))
       .map((worker) => ({ id: worker.id, room: this.#roomOf(worker, running) }));
   }
 
@@ -119,6 +123,10 @@
     this.#pausedUntilMs.set(worker, this.#options.clock.monotonicMs() + forMs);
   }
 
+  #isPaused(worker: string, nowMs: number): boolean {
+    return (this.#pausedUntilMs.get(worker) ?? -Infinity) > nowMs;
+  }
+
   #roomOf(worker: RegisteredWorker, running: ReadonlyMap<string, number>): number {
     const slots = this.#options.engine()?.slots ?? worker.slots;
     return slots - (running.get(worker.id) ?? 0);
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -146,6 +146,7 @@
     const batch = new BatchState(record, items, log);
     this.#keepers.set(record.id, keeper);
     this.#batches.set(record.id, batch);
+    this.#refresher.added(batch);
     this.#scoring.set(record.id, new AbortController());
     // The former dispatcher itself knows more than it has kept.
     for (const item of [...progress, ...kept]) batch.adopt(item);
--- a/src/node/batches/runWatch.ts
+++ b/src/node/batches/runWatch.ts
@@ -8,6 +8,9 @@
   for (const run of runs) if (run.silentMs(nowMs) > stallMs) run.stop('stalled');
 };
 
+/** Time for which a run stays where it began, in ms: reading its prompt again and again would slow every worker down. */
+const MIN_STAY_MS = 500;
+
 /** Stops runs on slow workers whose items would be done sooner at another worker with a free slot. */
 export const leaveSlowWorkers = (
   runs: readonly ItemRun[],
@@ -17,7 +20,8 @@
 ): void => {
   const isSlow = (id: string) => workers.isSlow(id);
   if (![...running.keys()].some(isSlow)) return;
-  const movable = runs.map((run) => ({
+  const settled = runs.filter(({ elapsedMs }) => elapsedMs >= MIN_STAY_MS);
+  const movable = settled.map((run) => ({
     run,
     worker: run.worker.id,
     mayGoTo: (id: string) => {
--- a/src/node/batches/weightRefresher.ts
+++ b/src/node/batches/weightRefresher.ts
@@ -1,3 +1,4 @@
+import { ModelWork } from '../decisions/modelWork.ts';
 import { shareWorkers } from '../decisions/workerShares.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
@@ -6,6 +7,7 @@
 import { LOADING_SHARE } from './constants.ts';
 import type { EngineWorkers } from './engineWorkers.ts';
 import type { ItemRun } from './itemRun.ts';
+import { expectedTokens } from './waitingItem.ts';
 
 export interface WeightRefresherOptions {
   readonly engine: () => EnginePool | undefined;
@@ -34,10 +36,18 @@
   /** The model whose newest weights each worker keeps. */
   #shares: ReadonlyMap<string, string> = new Map();
 
+  readonly #work = new ModelWork();
+
   constructor(options: WeightRefresherOptions) {
     this.#options = options;
   }
 
+  /** Takes a new batch into account when workers are shared. */
+  added({ record, items }: BatchState): void {
+    const tokens = [...items.values()].reduce((sum, { item }) => sum + expectedTokens(item), 0);
+    this.#work.record(record.model, tokens);
+  }
+
   /** @param open - batches that have not ended */
   refresh(
     workers: readonly RegisteredWorker[],
@@ -50,10 +60,15 @@
     );
     const running = countByModel(runs);
     const runningOf = (worker: string) => (model: string) => running.get(`${worker}/${model}`) ?? 0;
-    this.#shares = shareWorkers(trained, this.#options.workers.forSharing(runningOf), this.#shares);
+    this.#shares = shareWorkers(
+      trained,
+      this.#options.workers.forSharing(runningOf),
+      this.#shares,
+      (model) => this.#work.of(model),
+    );
     const atOnce = maxLoading ?? Math.ceil(workers.length * LOADING_SHARE);
     const loadsForOthers = ({ id }: RegisteredWorker, model: string) =>
-      weights.isLoading(id) && this.#shares.get(id) !== model;
+      weights.countsAsLoading(id) && this.#shares.get(id) !== model;
     for (const model of trained) {
       const ofModel = open.filter(({ record }) => record.model === model);
       weights.refresh(
--- a/src/node/decisions/__tests__/weightRefresh.test.ts
+++ b/src/node/decisions/__tests__/weightRefresh.test.ts
@@ -6,6 +6,7 @@
   id,
   version: 4,
   busy: false,
+  loading: false,
   running: 0,
   ...parts,
 });
@@ -15,7 +16,16 @@
 test('no more workers load than may load at once', () => {
   const workers = ['a', 'b', 'c'].map((id) => worker(id));
   expect(workersToRefresh(workers, needs).length).toEqual(2);
-  expect(workersToRefresh([worker('a', { busy: true }), ...workers], needs).length).toEqual(1);
+  const loading = worker('d', { busy: true, loading: true });
+  expect(workersToRefresh([loading, ...workers], needs).length).toEqual(1);
+});
+
+// Guards against a pool that waits for workers which leave their orders unanswered (own day late-orders: none of the others
+// was ordered for 3 s).
+test('a worker that does not answer its order leaves room for others', () => {
+  const unanswered = ['a', 'b'].map((id) => worker(id, { busy: true }));
+  const chosen = workersToRefresh([...unanswered, worker('c'), worker('d')], needs);
+  expect(chosen).toEqual(['c', 'd']);
 });
 
 // Guards against a load that takes a worker from a step that it could still serve.
--- a/src/node/decisions/__tests__/workerShares.test.ts
+++ b/src/node/decisions/__tests__/workerShares.test.ts
@@ -71,3 +71,23 @@
 test('one model has all workers', () => {
   expect(counts(shareWorkers(['a'], workersOf(6), new Map()))).toEqual(new Map([['a', 6]]));
 });
+
+// Guards against trainers that wait because a trainer with half of their work has as many workers (czujka-ops-grown).
+test('a model with more work gets more workers, and keeps them while its work stays about the same', () => {
+  const workers = Array.from({ length: 9 }, (_, index) => ({
+    id: `w${index}`,
+    capacity: 1,
+    runningOf: () => 0,
+  }));
+  const countOf = (shares: ReadonlyMap<string, string>, model: string) =>
+    [...shares.values()].filter((each) => each === model).length;
+  const weights = new Map([
+    ['long', 200],
+    ['short', 100],
+  ]);
+  const shares = shareWorkers(['long', 'short'], workers, new Map(), (m) => weights.get(m) ?? 0);
+  expect(countOf(shares, 'long')).toEqual(6);
+  weights.set('long', 215);
+  const later = shareWorkers(['long', 'short'], workers, shares, (m) => weights.get(m) ?? 0);
+  expect([...later]).toEqual([...shares]);
+});
--- a/src/node/decisions/weightRefresh.ts
+++ b/src/node/decisions/weightRefresh.ts
@@ -5,6 +5,8 @@
   readonly version: number | undefined;
   /** An order to this worker is in progress, or its result is not known yet. */
   readonly busy: boolean;
+  /** The worker loads weights, or has just been ordered to. */
+  readonly loading: boolean;
   /** Runs of the model that would wait for the load or go on under the new version. */
   readonly running: number;
 }
@@ -28,7 +30,7 @@
   workers: readonly WeightedWorker[],
   { newestVersion, neededVersion, hasWaiting, maxLoading }: RefreshNeeds,
 ): string[] => {
-  const room = maxLoading - workers.filter(({ busy }) => busy).length;
+  const room = maxLoading - workers.filter(({ loading }) => loading).length;
   if (room <= 0) return [];
   const behind = workers.filter(
     ({ version, busy }) => version !== undefined && version < newestVersion && !busy,
--- a/src/node/weights/weightLoads.ts
+++ b/src/node/weights/weightLoads.ts
@@ -8,6 +8,9 @@
 /** Expected time of a load before one was measured, in ms. */
 const FIRST_LOAD_MS = 950;
 
+/** Time after which a worker that has not answered its order leaves room for another's load, in ms. */
+const UNANSWERED_AFTER_MS = 300;
+
 /** Between reports while the result of an order is not known, in ms: reports are up to 200 ms old. */
 const REPORT_INTERVAL_MS = 250;
 
@@ -63,6 +66,9 @@
 
   readonly #workers = new Map<string, WorkerWeights>();
 
+  /** Since when a load is in progress, by worker. */
+  readonly #orderedAt = new Map<string, Stopwatch>();
+
   #closed = false;
 
   constructor(options: WeightLoadsOptions) {
@@ -81,6 +87,17 @@
     return this.#workers.get(worker)?.loading !== undefined;
   }
 
+  /**
+   * Whether a worker takes part in the limit of loads. One that has not answered its order for a while does not: others
+   * are ordered meanwhile.
+   */
+  countsAsLoading(worker: string): boolean {
+    const weights = this.#workers.get(worker);
+    if (weights?.loading === undefined) return false;
+    const orderedMs = this.#orderedAt.get(worker)?.elapsedMs() ?? 0;
+    return weights.accepted || orderedMs < UNANSWERED_AFTER_MS;
+  }
+
   /** Takes in a registration. It lags, so it never lowers a version of the same start. */
   registered(worker: RegisteredWorker): void {
     const { id, startedAtMs, models } = worker;
@@ -114,6 +131,7 @@
         id,
         version: this.#workers.get(id)?.versionOf(model),
         busy: this.isLoading(id),
+        loading: this.countsAsLoading(id),
         running: runningOf(id),
       })),
       needs,
@@ -144,6 +162,7 @@
     const from = weights.versionOf(model);
     weights.beginLoad(model);
     const started = new Stopwatch(this.#options.clock);
+    this.#orderedAt.set(worker.id, started);
     const outcome = await this.#order(load, weights);
     this.#options.logger.info('weights-load', {
       worker: worker.id,
@@ -157,6 +176,7 @@
     if (outcome === 'loaded') weights.observe(model, version);
     else await sleep(this.#options.clock, FAILED_PAUSE_MS);
     weights.endLoad();
+    this.#orderedAt.delete(worker.id);
     if (!this.#closed) this.#options.onChange();
   }
 
@@ -177,6 +197,7 @@
       if (answer === 'holds') return 'loaded';
       if (answer === 'accepted') {
         weights.countedOrders(expectedOrders + 1);
+        weights.acceptLoad();
         await sleep(clock, FIRST_LOAD_MS);
         return 'loaded';
       }
--- a/src/node/weights/workerWeights.ts
+++ b/src/node/weights/workerWeights.ts
@@ -10,6 +10,8 @@
 
   #loading: string | undefined;
 
+  #accepted = false;
+
   constructor({ startedAtMs, models }: RegisteredWorker) {
     this.startedAtMs = startedAtMs;
     this.#versions = new Map(models.map(({ name, version }) => [name, version]));
@@ -46,11 +48,21 @@
     this.#orders = orders;
   }
 
+  /** The worker has accepted the order of the load in progress. */
+  get accepted(): boolean {
+    return this.#accepted;
+  }
+
   beginLoad(model: string): void {
     this.#loading = model;
   }
 
+  acceptLoad(): void {
+    this.#accepted = true;
+  }
+
   endLoad(): void {
     this.#loading = undefined;
+    this.#accepted = false;
   }
 }
