perf(weights): send copies of an unanswered order every 60 ms

Ruled out: a shorter limit for each order, which would fail always between distant regions. Change: a copy every 60 ms under the same condition and a hold confirmed before each; the first answer counts. WakeUp moves to shared, as batches and platform use it.

--- a/src/node/batches/resultLog.ts
+++ b/src/node/batches/resultLog.ts
@@ -10,7 +10,7 @@
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import { writeResolved } from '../platform/resolveUnknown.ts';
-import { WakeUp } from '../training/wakeUp.ts';
+import { WakeUp } from '../../shared/wakeUp.ts';
 import { decodeLogEntry, encodeLogEntry, logKey, logPrefix } from './batchObjects.ts';
 import { LOG_INTERVAL_MS, LOG_WRITE_LIMIT_MS, MAX_READ_BYTES } from './constants.ts';
 
--- a/src/node/platform/objectRelay.ts
+++ b/src/node/platform/objectRelay.ts
@@ -11,7 +11,7 @@
 } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
 import type { Logger } from '../observability/logger.ts';
-import { WakeUp } from '../training/wakeUp.ts';
+import { WakeUp } from '../../shared/wakeUp.ts';
 import type { ObjectFollower } from './objectFollower.ts';
 import type { PlatformEvent, PlatformObject } from './platformClient.ts';
 
--- a/src/node/training/jobOwner.ts
+++ b/src/node/training/jobOwner.ts
@@ -19,7 +19,7 @@
 import { SampleGenerator, type SampleGeneratorOptions } from './sampleGenerator.ts';
 import { SampleScheduler } from './sampleScheduler.ts';
 import type { PullEnd, PullRequest, SampleContent, StepSubmission } from './trainerMessages.ts';
-import { WakeUp } from './wakeUp.ts';
+import { WakeUp } from '../../shared/wakeUp.ts';
 import type { WeightRecords } from './weightRecords.ts';
 
 export interface JobOwnerOptions extends Pick<
--- a/src/node/training/leaseKeeper.ts
+++ b/src/node/training/leaseKeeper.ts
@@ -1,7 +1,7 @@
 import { LeaseState, type LeaseStateOptions } from '../decisions/lease.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient, PlatformObject } from '../platform/platformClient.ts';
-import { WakeUp } from './wakeUp.ts';
+import { WakeUp } from '../../shared/wakeUp.ts';
 
 /** A lease as its users see it. */
 export interface Lease {
--- a/src/node/training/ledgerWriter.ts
+++ b/src/node/training/ledgerWriter.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient, PlatformObject } from '../platform/platformClient.ts';
 import type { Lease } from './leaseKeeper.ts';
-import { WakeUp } from './wakeUp.ts';
+import { WakeUp } from '../../shared/wakeUp.ts';
 
 /** The part of the ledger that is written. */
 export interface WritableLedger {
--- a/src/node/training/poolOwner.ts
+++ b/src/node/training/poolOwner.ts
@@ -12,7 +12,7 @@
 import type { Logger } from '../observability/logger.ts';
 import type { Lease } from './leaseKeeper.ts';
 import type { WeightRecords } from './weightRecords.ts';
-import { WakeUp } from './wakeUp.ts';
+import { WakeUp } from '../../shared/wakeUp.ts';
 
 export interface PoolOwnerOptions extends WeightRolloutOptions {
   readonly pool: string;
--- a/src/node/training/sampleScheduler.ts
+++ b/src/node/training/sampleScheduler.ts
@@ -4,7 +4,7 @@
 import type { WorkerEndpoint } from '../membership/membershipView.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { SampleContent, StepSubmission } from './trainerMessages.ts';
-import { WakeUp } from './wakeUp.ts';
+import { WakeUp } from '../../shared/wakeUp.ts';
 import type { WorkerSlots } from './workerSlots.ts';
 
 export interface SampleSchedulerOptions {
--- a/src/node/training/weightRecords.ts
+++ b/src/node/training/weightRecords.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient, PlatformObject } from '../platform/platformClient.ts';
 import type { WeightPublication } from './trainerMessages.ts';
-import { WakeUp } from './wakeUp.ts';
+import { WakeUp } from '../../shared/wakeUp.ts';
 
 /** Value of the object `weights/<pool>`. */
 export interface WeightRecord {
--- a/src/node/weights/weightLoads.ts
+++ b/src/node/weights/weightLoads.ts
@@ -1,8 +1,9 @@
 import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
+import { WakeUp } from '../../shared/wakeUp.ts';
 import { type RefreshNeeds, workersToRefresh } from '../decisions/weightRefresh.ts';
 import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
 import type { Logger } from '../observability/logger.ts';
-import type { LoadOrder, OrderCalls } from './orderCalls.ts';
+import type { LoadOrder, OrderAnswer, OrderCalls } from './orderCalls.ts';
 import { WorkerWeights } from './workerWeights.ts';
 
 /** Expected time of a load before one was measured, in ms. */
@@ -14,14 +15,14 @@
 /** Between reports while the result of an order is not known, in ms: reports are up to 200 ms old. */
 const REPORT_INTERVAL_MS = 250;
 
-/**
- * Orders of one load, the first included. A copy that arrives late does nothing once another was taken, so an order
- * without an answer is repeated at once.
- */
-const MAX_ORDERS = 16;
+/** Copies of an order, at most. One that arrives late does nothing once another was taken. */
+const MAX_ORDERS = 24;
 
-/** Orders in a row without an answer after which the worker is asked for its state. */
-const ORDERS_BEFORE_REPORT = 4;
+/** Between two copies of an order without an answer, in ms: several round trips within a region. */
+const ORDER_INTERVAL_MS = 60;
+
+/** Wait for an answer after the last copy, in ms. */
+const LAST_ANSWER_MS = 300;
 
 /** Time after a failed load in which the worker gets no other order, in ms. */
 const FAILED_PAUSE_MS = 400;
@@ -180,20 +181,24 @@
     if (!this.#closed) this.#options.onChange();
   }
 
-  async #order(
-    { worker, model, version, runs }: Load,
-    weights: WorkerWeights,
-  ): Promise<LoadOutcome> {
+  /** Gives copies of the order until one is answered: workers may leave most of them without an answer. */
+  async #order(load: Load, weights: WorkerWeights): Promise<LoadOutcome> {
     const { clock, calls, holder, fencing, verifyHold, onFenced } = this.#options;
-    for (let attempt = 1; attempt <= MAX_ORDERS && !this.#closed; attempt += 1) {
-      if (weights.orders === undefined && !(await this.#readReport(worker, weights))) {
-        return 'failed';
-      }
+    const { worker, model, version, runs } = load;
+    if (weights.orders === undefined && !(await this.#readReport(worker, weights))) return 'failed';
+    const answered = new WakeUp(clock);
+    let answer: OrderAnswer | undefined;
+    const take = (result: OrderAnswer): void => {
+      if (result === 'unknown') return;
+      answer ??= result;
+      answered.notify();
+    };
+    for (let copy = 1; copy <= MAX_ORDERS && !this.#closed; copy += 1) {
       if (!(await verifyHold()) || this.#closed) return 'not-holder';
       const expectedOrders = weights.orders ?? 0;
-      const answer = await calls.order(worker, {
-        ...{ model, version, runs, holder, fencing, expectedOrders },
-      });
+      const order = { model, version, runs, holder, fencing, expectedOrders };
+      void calls.order(worker, order).then(take);
+      await answered.wait(copy < MAX_ORDERS ? ORDER_INTERVAL_MS : LAST_ANSWER_MS);
       if (answer === 'holds') return 'loaded';
       if (answer === 'accepted') {
         weights.countedOrders(expectedOrders + 1);
@@ -206,18 +211,14 @@
         return 'not-holder';
       }
       if (answer === 'refused') return 'failed';
-      if (answer === 'unknown' && attempt % ORDERS_BEFORE_REPORT !== 0) continue;
-      if (await this.#hasEffect(worker, { model, version }, weights)) return 'loaded';
+      if (answer === 'conflict' && (await this.#hasEffect(load, weights))) return 'loaded';
+      answer = undefined;
     }
     return 'failed';
   }
 
-  /** Finds out by the worker's reports whether an order that had no answer, or met another one, took effect. */
-  async #hasEffect(
-    worker: RegisteredWorker,
-    { model, version }: Pick<Load, 'model' | 'version'>,
-    weights: WorkerWeights,
-  ): Promise<boolean> {
+  /** Finds out by the worker's reports whether an order that met another one, or a copy of it, took effect. */
+  async #hasEffect({ worker, model, version }: Load, weights: WorkerWeights): Promise<boolean> {
     const { clock } = this.#options;
     const started = new Stopwatch(clock);
     do {
--- a/src/node/training/wakeUp.ts
+++ b/src/shared/wakeUp.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../../shared/clock.ts';
+import type { Clock } from './clock.ts';
 
 /** Lets loops wait for news or for a time limit, whichever comes first. */
 export class WakeUp {
