fix(weights): workers out of reach no longer keep others from loading

Change: a worker counts against the limit of loads from its first order on; the pause after a failure doubles up to 1.6 s. The test fails without the change.

--- a/src/node/weights/__tests__/weightLoads.test.ts
+++ b/src/node/weights/__tests__/weightLoads.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { sleep } from '../../../shared/clock.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
 import type { RegisteredWorker } from '../../gateway/workerRegistry.ts';
 import { silentLogger } from '../../observability/logger.ts';
@@ -10,10 +11,13 @@
   ...{ id: 'w', pool: 'p', address: '127.0.0.1:1', availabilityZone: 'z', slots: 8 },
   ...{ draining: false, startedAtMs: 1, heartbeatCount: 1, models: [{ name: 'm', version: 1 }] },
 };
+/** Time in which a worker that is out of reach turns out not to answer, in ms. */
+const REPORT_MS = 250;
+
 const NEEDS = { newestVersion: 2, neededVersion: 2, hasWaiting: true, maxLoading: 1 };
 
 /** Loads of one worker that answers orders as told, the last answer again and again. */
-const startLoad = (answers: readonly OrderAnswer[]) => {
+const startLoad = (answers: readonly OrderAnswer[], isReachable = true) => {
   const clock = new VirtualClock();
   const orders: LoadOrder[] = [];
   const outcomes: LoadOutcome[] = [];
@@ -24,8 +28,11 @@
         orders.push(order);
         return Promise.resolve(answers[orders.length - 1] ?? (answers.at(-1) as OrderAnswer));
       },
-      report: () =>
-        Promise.resolve({ busy: false, orders: 3, startedAtMs: 1, versions: new Map([['m', 1]]) }),
+      report: async () => {
+        if (isReachable) return { busy: false, orders: 3, startedAtMs: 1, versions: new Map() };
+        await sleep(clock, REPORT_MS);
+        return undefined;
+      },
     },
     ...{ verifyHold: () => Promise.resolve(true), mayOrder: () => true },
     ...{ onFenced() {}, onChange() {} },
@@ -57,3 +64,16 @@
   expect(orders.length).toEqual(24);
   expect(loads.versionOf('w', 'm')).toEqual(1);
 });
+
+// Guards against workers out of reach that keep all others from loading (tvf-quotes, own day partitions, seed 1046269725279:
+// no load for 3 s).
+test('a worker out of reach takes no part in the limit of loads, and is asked less and less often', async () => {
+  const { clock, loads, outcomes } = startLoad(['accepted'], false);
+  const needs = { ...NEEDS, singleVersion: false };
+  for (let elapsedMs = 0; elapsedMs < 4000; elapsedMs += 50) {
+    await clock.advanceAsync(50);
+    expect(loads.countsAsLoading('w')).toEqual(false);
+    loads.refresh([WORKER], 'm', needs, () => 0);
+  }
+  expect(outcomes.length).toBeLessThanOrEqual(4);
+});
--- a/src/node/weights/weightLoads.ts
+++ b/src/node/weights/weightLoads.ts
@@ -24,8 +24,9 @@
 /** Wait for an answer after the last copy, in ms. */
 const LAST_ANSWER_MS = 300;
 
-/** Time after a failed load in which the worker gets no other order, in ms. */
+/** Bounds of the time after a failed load in which the worker gets no other order, in ms. */
 const FAILED_PAUSE_MS = 400;
+const MAX_FAILED_PAUSE_MS = 1600;
 
 /** Longest wait for the end of a load that a worker reports, in ms. */
 const MAX_LOAD_MS = 10_000;
@@ -67,9 +68,12 @@
 
   readonly #workers = new Map<string, WorkerWeights>();
 
-  /** Since when a load is in progress, by worker. */
+  /** Since when orders of the load in progress are given, by worker. */
   readonly #orderedAt = new Map<string, Stopwatch>();
 
+  /** Loads that failed since the last one that did not, by worker. */
+  readonly #failuresInRow = new Map<string, number>();
+
   #closed = false;
 
   constructor(options: WeightLoadsOptions) {
@@ -89,14 +93,13 @@
   }
 
   /**
-   * Whether a worker takes part in the limit of loads. One that has not answered its order for a while does not: others
-   * are ordered meanwhile.
+   * Whether a worker takes part in the limit of loads. One that does not answer, or has not answered its order for a
+   * while, does not: others are ordered meanwhile.
    */
   countsAsLoading(worker: string): boolean {
     const weights = this.#workers.get(worker);
-    if (weights?.loading === undefined) return false;
-    const orderedMs = this.#orderedAt.get(worker)?.elapsedMs() ?? 0;
-    return weights.accepted || orderedMs < UNANSWERED_AFTER_MS;
+    const orderedMs = this.#orderedAt.get(worker)?.elapsedMs() ?? Infinity;
+    return (weights?.accepted ?? false) || orderedMs < UNANSWERED_AFTER_MS;
   }
 
   /** Takes in a registration. It lags, so it never lowers a version of the same start. */
@@ -149,6 +152,7 @@
   /** Forgets workers that are no longer registered. */
   retain(isKnown: (worker: string) => boolean): void {
     for (const id of this.#workers.keys()) if (!isKnown(id)) this.#workers.delete(id);
+    for (const id of this.#failuresInRow.keys()) if (!isKnown(id)) this.#failuresInRow.delete(id);
   }
 
   /** Ends all orders. */
@@ -163,7 +167,6 @@
     const from = weights.versionOf(model);
     weights.beginLoad(model);
     const started = new Stopwatch(this.#options.clock);
-    this.#orderedAt.set(worker.id, started);
     const outcome = await this.#order(load, weights);
     this.#options.logger.info('weights-load', {
       worker: worker.id,
@@ -174,13 +177,24 @@
       tookMs: Math.round(started.elapsedMs()),
     });
     this.#options.onLoad(outcome);
+    this.#orderedAt.delete(worker.id);
     if (outcome === 'loaded') weights.observe(model, version);
-    else await sleep(this.#options.clock, FAILED_PAUSE_MS);
+    await sleep(this.#options.clock, this.#pauseMs(worker.id, outcome));
     weights.endLoad();
-    this.#orderedAt.delete(worker.id);
     if (!this.#closed) this.#options.onChange();
   }
 
+  /** Time after a load in which the worker gets no other order, in ms; it doubles with each failure in a row. */
+  #pauseMs(worker: string, outcome: LoadOutcome): number {
+    if (outcome === 'loaded') {
+      this.#failuresInRow.delete(worker);
+      return 0;
+    }
+    const failures = this.#failuresInRow.get(worker) ?? 0;
+    this.#failuresInRow.set(worker, failures + 1);
+    return Math.min(MAX_FAILED_PAUSE_MS, FAILED_PAUSE_MS * 2 ** failures);
+  }
+
   /** Gives copies of the order until one is answered: workers may leave most of them without an answer. */
   async #order(load: Load, weights: WorkerWeights): Promise<LoadOutcome> {
     const { clock, calls, holder, fencing, verifyHold, onFenced } = this.#options;
@@ -193,6 +207,7 @@
       answer ??= result;
       answered.notify();
     };
+    this.#orderedAt.set(worker.id, new Stopwatch(clock));
     for (let copy = 1; copy <= MAX_ORDERS && !this.#closed; copy += 1) {
       if (!(await verifyHold()) || this.#closed) return 'not-holder';
       const expectedOrders = weights.orders ?? 0;
