--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -10,7 +10,6 @@
 import type { Random } from '../../shared/random.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
-import { type BatchViewState, mayBeginRuns } from '../decisions/batchView.ts';
 import { type Placement, placeItems } from '../decisions/itemPlacement.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
@@ -33,7 +32,8 @@
 import { describeRun, ItemRun, type RunEnd } from './itemRun.ts';
 import type { ItemScorer } from './itemScorer.ts';
 import type { ItemState } from './itemState.ts';
-import { ProgressKeeper, progressOf } from './progressKeeper.ts';
+import { PlacementGate, type PlacementGateOptions } from './placementGate.ts';
+import { openProgress, ProgressKeeper } from './progressKeeper.ts';
 import { leaveSlowWorkers, stopStalled } from './runWatch.ts';
 import { promptOf, waitingItem } from './waitingItem.ts';
 import { WeightRefresher } from './weightRefresher.ts';
@@ -59,8 +59,7 @@
   /** Workers that may load weights at once. @default `LOADING_SHARE` of the pool */
   readonly maxLoading?: number;
   readonly earlierTexts: EarlierTexts;
-  /** What is known of the age of the view of the batches. */
-  readonly batchView: () => BatchViewState;
+  readonly batchView: PlacementGateOptions['batchView'];
   /** Told when another node has taken the pool over. */
   readonly onReplaced: () => void;
 }
@@ -90,19 +89,19 @@
 
   readonly #refresher: WeightRefresher;
 
+  readonly #gate: PlacementGate;
+
   readonly #ticks = new DisposableStore();
 
   #scheduled = false;
 
-  /** Whether no runs begin because the view of the batches is too old, as it is before the first list. */
-  #isHeld = true;
-
   #closed = false;
 
   constructor(options: PoolDispatcherOptions) {
     this.#options = options;
     this.#workers = new EngineWorkers(options);
     this.#refresher = new WeightRefresher({ ...options, workers: this.#workers });
+    this.#gate = new PlacementGate(options);
     this.#ticks.add(repeatEvery(options.clock, TICK_MS, () => this.#watchRuns()));
     this.#ticks.add(repeatEvery(options.clock, CHECKPOINT_INTERVAL_MS, () => this.#keepProgress()));
   }
@@ -214,13 +213,7 @@
 
   /** Stops everything and tells what the items have generated, for the next dispatcher. */
   release(): ItemProgress[] {
-    const progress = [...this.#batches.values()].flatMap((batch) =>
-      batch.ended
-        ? []
-        : [...batch.items.values()]
-            .filter(({ phase, text }) => phase !== 'listed' && text.events.length > 0)
-            .map((state) => progressOf(state)),
-    );
+    const progress = openProgress(this.#batches.values());
     this[Symbol.dispose]();
     return progress;
   }
@@ -267,22 +260,10 @@
 
   #place(): void {
     const workers = this.#workers.registered();
-    if (this.#mayBeginRuns()) this.#startWaiting(workers);
+    if (this.#gate.mayBegin()) this.#startWaiting(workers);
     this.#refresher.refresh(workers, this.#openBatches(), [...this.#runs.values()]);
   }
 
-  #mayBeginRuns(): boolean {
-    const view = this.#options.batchView();
-    const mayBegin = mayBeginRuns(view);
-    if (mayBegin === this.#isHeld) {
-      const { logger, pool } = this.#options;
-      const ageMs = Math.round(view.ageMs);
-      logger.info(mayBegin ? 'placement-resumed' : 'placement-held', { pool, viewAgeMs: ageMs });
-    }
-    this.#isHeld = !mayBegin;
-    return mayBegin;
-  }
-
   #startWaiting(workers: readonly RegisteredWorker[]): void {
     const waiting = this.#waiting();
     const placements = placeItems(
--- a/src/node/batches/progressKeeper.ts
+++ b/src/node/batches/progressKeeper.ts
@@ -10,6 +10,7 @@
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import { progressKey, progressPrefix } from './batchObjects.ts';
+import type { BatchState } from './batchState.ts';
 import type { ItemState } from './itemState.ts';
 
 export interface ProgressKeeperOptions {
@@ -20,7 +21,7 @@
 }
 
 /** What an item has generated, from an event on. */
-export const progressOf = (
+const progressOf = (
   { batch, item, text, failedAttempts, whole }: ItemState,
   eventOffset = 0,
 ): ItemProgress =>
@@ -34,6 +35,14 @@
     eventOffset,
   });
 
+/** What the items of batches that have not ended have generated and nobody can read yet. */
+export const openProgress = (batches: Iterable<BatchState>): ItemProgress[] =>
+  [...batches]
+    .filter(({ ended }) => !ended)
+    .flatMap(({ items }) => [...items.values()])
+    .filter(({ phase, text }) => phase !== 'listed' && text.events.length > 0)
+    .map((state) => progressOf(state));
+
 /**
  * Keeps the texts of a batch's long items at the platform while they grow, so that the next dispatcher continues them
  * also when this one is killed. Losing a checkpoint loses no promise, only time.
--- a/src/node/gateway/metricsServer.ts
+++ b/src/node/gateway/metricsServer.ts
@@ -3,7 +3,7 @@
 import { createHttpServer, listen, pathOf } from '../dataPath/httpServer.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
-import { closeServer } from './closeServer.ts';
+import { closeServer } from '../dataPath/closeServer.ts';
 
 /** Serves the metrics of a node at `/metrics`. */
 export class MetricsServer implements AsyncDisposable {
--- a/src/node/gateway/peerServer.ts
+++ b/src/node/gateway/peerServer.ts
@@ -4,7 +4,7 @@
 import { messageOf } from '../../shared/errors.ts';
 import { createHttpServer, listen } from '../dataPath/httpServer.ts';
 import type { Logger } from '../observability/logger.ts';
-import { closeServer } from './closeServer.ts';
+import { closeServer } from '../dataPath/closeServer.ts';
 
 export interface PeerServerOptions {
   readonly logger: Logger;
--- a/src/node/nodeServers.ts
+++ b/src/node/nodeServers.ts
@@ -3,6 +3,7 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { messageOf } from '../shared/errors.ts';
 import { FORWARD_PREFIX } from './constants.ts';
+import { closeServer } from './dataPath/closeServer.ts';
 import { createHttpServer, listen, pathOf, type RequestHandler } from './dataPath/httpServer.ts';
 import { RequestError, sendProblem } from './dataPath/problem.ts';
 import type { MembershipView, TablesView } from './membership/membershipView.ts';
@@ -99,13 +100,6 @@
 
   /** Closes both listeners and every connection. */
   async [Symbol.asyncDispose](): Promise<void> {
-    const closed = [this.#caller, this.#peer].map(
-      (server) =>
-        new Promise<void>((resolve) => {
-          server.close(() => resolve());
-          server.closeAllConnections();
-        }),
-    );
-    await Promise.all(closed);
+    await Promise.all([this.#caller, this.#peer].map(closeServer));
   }
 }
