fix(batches): a take-over fences also a log without entries

Change: each take-over writes its entry. 200 random schedules of appends, late appends, lost answers, outages and take-overs pass.

--- /dev/null
+++ b/src/node/batches/__tests__/resultLog.test.ts
@@ -0,0 +1,122 @@
+import { test } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { MemoryPlatform } from '../../../../playground/memoryPlatform.ts';
+import { type ItemResult, ItemResultSchema } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
+import { seededRandom } from '../../../shared/random.ts';
+import { VirtualClock } from '../../../shared/virtualClock.ts';
+import { silentLogger } from '../../observability/logger.ts';
+import { readLog, ResultLog } from '../resultLog.ts';
+
+const resultOf = (itemId: string): ItemResult => create(ItemResultSchema, { itemId });
+const idsOf = (results: readonly ItemResult[]) => results.map(({ itemId }) => itemId);
+
+/** Logs of one batch at one platform. */
+const createBatch = () => {
+  const clock = new VirtualClock();
+  const platform = new MemoryPlatform();
+  const open = (term: number) => {
+    const adopted: string[] = [];
+    const taken: number[] = [];
+    const log = new ResultLog({
+      ...{ platform, clock, random: seededRandom(term), logger: silentLogger, batchId: 'b', term },
+      writer: `writer-${term}`,
+      onAdopted: (results) => adopted.push(...idsOf(results)),
+      onTaken: () => taken.push(term),
+    });
+    return { log, adopted, taken };
+  };
+  const stored = async () => {
+    const entries = await readLog(platform, 'b');
+    return entries.flatMap(({ results }) => idsOf(results));
+  };
+  return { clock, platform, open, stored };
+};
+
+// Guards against a result that is read before every node can find it again.
+test('a result has a position once it is stored', async () => {
+  const { clock, platform, open, stored } = createBatch();
+  const { log } = open(1);
+  platform.outage = true;
+  log.append(resultOf('i'));
+  await clock.advanceAsync(3000);
+  expect(idsOf(log.results)).toEqual([]);
+  platform.outage = false;
+  await clock.advanceAsync(3000);
+  expect(idsOf(log.results)).toEqual(['i']);
+  expect(await stored()).toEqual(['i']);
+});
+
+// Guards against a result at two positions because the answer of its write was lost.
+test('an entry whose answer was lost is stored once', async () => {
+  const { clock, platform, open, stored } = createBatch();
+  const { log } = open(1);
+  platform.loseAnswers = 2;
+  log.append(resultOf('i'));
+  await clock.advanceAsync(5000);
+  expect(idsOf(log.results)).toEqual(['i']);
+  expect(await stored()).toEqual(['i']);
+});
+
+// Guards against two dispatchers that both give positions away: the former one wakes after the log was taken over.
+test('a former dispatcher learns that the log was taken over and writes no more', async () => {
+  const { clock, open, stored } = createBatch();
+  const former = open(1);
+  former.log.append(resultOf('a'));
+  await clock.advanceAsync(1000);
+  const next = open(2);
+  await next.log.takeOver();
+  expect(idsOf(next.log.results)).toEqual(['a']);
+  former.log.append(resultOf('late'));
+  await clock.advanceAsync(2000);
+  expect(former.taken).toEqual([1]);
+  expect(former.log.closed).toEqual(true);
+  next.log.append(resultOf('b'));
+  await clock.advanceAsync(1000);
+  expect(await stored()).toEqual(['a', 'b']);
+});
+
+// Guards against positions that change, results that are listed twice, and stored results that a dispatcher does not see,
+// whatever the order of writes, lost answers, outages and take-overs.
+test('positions stay and no item has two of them, over random take-overs and faults', async () => {
+  const step = fc.oneof(
+    fc.constant('append' as const),
+    fc.constant('late-append' as const),
+    fc.constant('take-over' as const),
+    fc.constant('lose-answer' as const),
+    fc.constant('outage' as const),
+  );
+  await fc.assert(
+    fc.asyncProperty(fc.array(step, { maxLength: 24 }), async (steps) => {
+      const { clock, platform, open, stored } = createBatch();
+      let former = open(1);
+      let current = former;
+      let term = 1;
+      let seen: string[] = [];
+      for (const [index, action] of steps.entries()) {
+        if (action === 'append') current.log.append(resultOf(`i${index}`));
+        else if (action === 'late-append') former.log.append(resultOf(`late${index}`));
+        else if (action === 'lose-answer') platform.loseAnswers += 1;
+        else if (action === 'outage') {
+          platform.outage = true;
+          await clock.advanceAsync(700);
+          platform.outage = false;
+        } else {
+          former = current;
+          term += 1;
+          current = open(term);
+          await current.log.takeOver();
+        }
+        await clock.advanceAsync(index % 3 === 0 ? 500 : 10);
+        const now = await stored();
+        expect(now.slice(0, seen.length)).toEqual(seen);
+        expect(new Set(now).size).toEqual(now.length);
+        seen = now;
+      }
+      await clock.advanceAsync(10_000);
+      expect(idsOf(current.log.results)).toEqual(await stored());
+    }),
+    { seed: 20261204, numRuns: 200 },
+  );
+});
--- a/src/node/batches/resultLog.ts
+++ b/src/node/batches/resultLog.ts
@@ -109,7 +109,7 @@
       if (latest !== undefined && latest.term > term) {
         throw new LogTakenError(`batch ${batchId} is in term ${latest.term}`);
       }
-      const isOwn = latest === undefined || (latest.term === term && latest.writer === writer);
+      const isOwn = latest?.term === term && latest.writer === writer;
       if (isOwn || (await this.#write(entries.length, this.#entry([], entries))) === 'stored') {
         this.#entryCount = entries.length + (isOwn ? 0 : 1);
         for (const { results } of entries) this.#results.push(...results);
