--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -275,7 +275,13 @@
   const started = new Stopwatch(clock);
   await peerServer.listen(peerAddress);
   if (gateway.datagramAddress !== undefined) {
-    await datagrams?.listen(splitAddress(gateway.datagramAddress));
+    try {
+      await datagrams?.listen(splitAddress(gateway.datagramAddress));
+    } catch (error) {
+      // Peers that know no port for datagrams make calls.
+      self.datagramPort = 0;
+      logger.warn('datagrams-not-received', { message: messageOf(error) });
+    }
   }
   await servers.listen();
   if (gateway.metricsAddress !== undefined) {
