--- a/playground/faultSoak/soakDeployment.ts
+++ b/playground/faultSoak/soakDeployment.ts
@@ -65,7 +65,7 @@
   });
 
 /** Free ports below those that the kernel gives to outgoing connections, so that a node that is down keeps its own. */
-const freePorts = async (count: number): Promise<number[]> => {
+const freePorts = async (count: number): Promise<readonly number[]> => {
   const ports: number[] = [];
   while (ports.length < count) {
     const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
@@ -98,7 +98,7 @@
 
   readonly #group = new ProcessGroup();
 
-  readonly #workers: SoakWorker[] = [];
+  readonly workers: SoakWorker[] = [];
 
   #platformPort = 0;
 
@@ -186,12 +186,12 @@
     for (const { process } of this.nodes) if (process) this.logs.push(...process.lines);
     await this.#group[Symbol.asyncDispose]();
     const proxies = [...this.workerProxies, ...this.nodes.map((node) => node.platformProxy)];
-    await Promise.all([...this.#workers, ...proxies].map((each) => each[Symbol.asyncDispose]()));
+    await Promise.all([...this.workers, ...proxies].map((each) => each[Symbol.asyncDispose]()));
   }
 
   async #startWorker(index: number): Promise<void> {
     const worker = new SoakWorker(`w${index}`, this.counts);
-    this.#workers.push(worker);
+    this.workers.push(worker);
     const proxy = new FaultProxy(await worker.listen());
     this.workerProxies.push(proxy);
     await this.#write('POST', '/servers', worker.id, {
@@ -202,12 +202,7 @@
   }
 
   async #prepare(index: number): Promise<SoakNode> {
-    const [front, ready, directory, peer] = (await freePorts(4)) as [
-      number,
-      number,
-      number,
-      number,
-    ];
+    const [front = 0, ready = 0, directory = 0, peer = 0, datagrams = 0] = await freePorts(5);
     const platformProxy = new FaultProxy(this.#platformPort);
     const platformPort = await platformProxy.listen();
     const name = `node-${index}`;
@@ -221,6 +216,7 @@
         readyAddress: `127.0.0.1:${ready}`,
         directoryAddress: `127.0.0.1:${directory}`,
         peerAddress: `127.0.0.1:${peer}`,
+        datagramAddress: `127.0.0.1:${datagrams}`,
         graceMs: 5000,
         ordersFenced: true,
       },
--- a/playground/faultSoak/soakFaults.ts
+++ b/playground/faultSoak/soakFaults.ts
@@ -2,11 +2,14 @@
 import type { Random } from '../../src/shared/random.ts';
 import type { ProxyFault } from './faultProxy.ts';
 import type { SoakDeployment, SoakNode } from './soakDeployment.ts';
+import type { AnswerFault } from './soakWorker.ts';
 import { sleepMs } from '../standIns/standInServer.ts';
 
 /** One fault of a schedule; several may overlap. */
 export interface SoakFault {
-  readonly kind: 'kill' | 'pause' | 'stop' | 'hangup' | 'path' | 'worker' | 'platform' | 'tables';
+  readonly kind:
+    | ('kill' | 'pause' | 'stop' | 'hangup')
+    | ('path' | 'worker' | 'answers' | 'platform' | 'tables');
   readonly atMs: number;
   readonly forMs: number;
   /** Number of the node or worker. */
@@ -16,9 +19,11 @@
 
 const KINDS: readonly SoakFault['kind'][] = [
   ...(['kill', 'pause', 'stop', 'hangup'] as const),
-  ...(['path', 'worker', 'platform', 'tables'] as const),
+  ...(['path', 'worker', 'answers', 'platform', 'tables'] as const),
 ];
 
+const ANSWER_FAULTS: readonly AnswerFault[] = ['lost', 'half', 'extra', 'failed'];
+
 const PROXY_FAULTS: readonly ProxyFault[] = ['delay', 'silent', 'one-way', 'reset'];
 
 const PLATFORM_FAULTS: readonly object[] = [
@@ -68,9 +73,10 @@
         await this.#bring(fault);
       }),
     );
-    const { nodes, workerProxies } = this.#deployment;
+    const { nodes, workers, workerProxies } = this.#deployment;
     await this.#deployment.platformFaults({});
     for (const proxy of workerProxies) proxy.set('none');
+    for (const worker of workers) worker.answerFault = 'none';
     for (const node of nodes) {
       node.platformProxy.set('none');
       node.process?.child.kill('SIGCONT');
@@ -79,7 +85,7 @@
   }
 
   async #bring({ kind, forMs, target, variant }: SoakFault): Promise<void> {
-    const { nodes, workerProxies } = this.#deployment;
+    const { nodes, workers, workerProxies } = this.#deployment;
     const node = nodes[target % nodes.length];
     const fault = PROXY_FAULTS[variant] ?? 'delay';
     // A stop beside a fault of the platform or of paths may have to cut requests off.
@@ -94,6 +100,10 @@
       proxy?.set(fault);
       await sleepMs(forMs);
       proxy?.set('none');
+    } else if (kind === 'answers') {
+      for (const worker of workers) worker.answerFault = ANSWER_FAULTS[variant] ?? 'lost';
+      await sleepMs(forMs);
+      for (const worker of workers) worker.answerFault = 'none';
     } else if (node !== undefined && kind === 'path') {
       node.platformProxy.set(fault);
       await sleepMs(forMs);
--- a/playground/faultSoak/soakWorker.ts
+++ b/playground/faultSoak/soakWorker.ts
@@ -9,6 +9,13 @@
 /** Time between two events of a generation, in ms. */
 const EVENT_MS = 12;
 
+/** What a worker does with the answers of requests that it ran. */
+export type AnswerFault = 'none' | 'lost' | 'half' | 'extra' | 'failed';
+
+/** Share of the answers, and of the events of generations, that a fault meets. */
+const FAULT_SHARE = 0.3;
+const EVENT_FAULT_SHARE = 0.05;
+
 /** Text of an event; the whole text of an item follows from its id and length. */
 export const eventText = (item: string, number: number): string => `${item}-${number}`;
 
@@ -27,21 +34,45 @@
   response: http.ServerResponse,
   id: string,
   body: string,
+  isFaulty: () => boolean,
 ): Promise<void> => {
   response.writeHead(200, { 'content-type': 'text/event-stream', 'x-weight-versions': '1' });
   const total = eventsOf(body);
   const after = Number(request.headers['last-event-id'] ?? 0);
   for (let number = after + 1; number <= total && !response.destroyed; number += 1) {
     await sleepMs(EVENT_MS);
+    if (isFaulty()) {
+      response.write(`id: ${number}\ndata: ha`);
+      response.destroy();
+      return;
+    }
     response.write(`id: ${number}\ndata: ${eventText(id, number)}\n\n`);
   }
   response.end();
 };
 
+/** Ends an answer as a fault has it. */
+const endAnswer = (response: http.ServerResponse, answer: string, fault: AnswerFault): void => {
+  const { socket } = response;
+  if (fault === 'lost') response.destroy();
+  else if (fault === 'failed') response.writeHead(500).end();
+  else if (fault === 'half') {
+    response.writeHead(200, { 'content-length': answer.length });
+    response.write(answer.slice(0, 8), () => response.destroy());
+  } else {
+    response.end(answer);
+    if (fault === 'extra') {
+      response.once('finish', () => socket?.write('HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx'));
+    }
+  }
+};
+
 /** A worker by the platform's protocol: a plain service and a model engine in one. */
 export class SoakWorker implements AsyncDisposable {
   readonly id: string;
 
+  answerFault: AnswerFault = 'none';
+
   readonly #counts: RunCounts;
 
   readonly #server: http.Server;
@@ -84,10 +115,13 @@
     }
     this.#counts.add(id);
     response.setHeader('x-server-stamp', `${this.id}.${id}`);
-    if (request.url?.startsWith('/items/')) await generate(request, response, id, body);
-    else {
-      await sleepMs(WORK_MS);
-      response.end(`answer of ${id}`);
+    if (request.url?.startsWith('/items/')) {
+      const isFaulty = () => this.answerFault !== 'none' && Math.random() < EVENT_FAULT_SHARE;
+      await generate(request, response, id, body, isFaulty);
+      return;
     }
+    await sleepMs(WORK_MS);
+    const isFaulty = Math.random() < FAULT_SHARE;
+    endAnswer(response, `answer of ${id}`, isFaulty ? this.answerFault : 'none');
   }
 }
