feat(batches): a node that the platform turns away lets another node accept a batch

Such nodes also did not know that they were lost, as they follow the platform through relays. Change: every node looks once a second, by a stale read, whether the platform answers it; a submission that cannot be stored here is accepted through a node that can. No answer of that node is 'unknown', not 'not run'.

--- a/src/node/batches/batchService.ts
+++ b/src/node/batches/batchService.ts
@@ -1,6 +1,8 @@
 import { create } from '@bufbuild/protobuf';
 import type { ServiceImpl } from '@connectrpc/connect';
 import {
+  AcceptBatchResponseSchema,
+  AcceptStatus,
   BatchChangedResponseSchema,
   type BatchRecord,
   type BatchService as BatchRpc,
@@ -17,6 +19,7 @@
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import { writeResolved } from '../platform/resolveUnknown.ts';
+import type { AcceptResult, BatchSubmission } from './batchAcceptor.ts';
 import type { BatchCoordinator } from './batchCoordinator.ts';
 import { batchKey, decodeBatch, encodeBatch, isBatchId } from './batchObjects.ts';
 import { END_LIMIT_MS, MAX_END_ATTEMPTS } from './constants.ts';
@@ -71,7 +74,16 @@
 /** Answers other nodes' calls about batches. */
 export const createBatchHandlers = (
   coordinators: () => readonly BatchCoordinator[],
+  accept: (submission: BatchSubmission) => Promise<AcceptResult>,
 ): Partial<ServiceImpl<typeof BatchRpc>> => ({
+  async acceptBatch(request) {
+    const result = await accept(request);
+    if (result.kind === 'accepted') {
+      return create(AcceptBatchResponseSchema, { status: AcceptStatus.ACCEPTED });
+    }
+    const status = result.kind === 'unknown' ? AcceptStatus.UNSPECIFIED : AcceptStatus.REFUSED;
+    return create(AcceptBatchResponseSchema, { status, reason: result.reason });
+  },
   async readResults({ batchId, after, waitMs }) {
     for (const { dispatcher } of coordinators()) {
       const read = await dispatcher?.read(batchId, after, waitMs);
@@ -97,6 +109,26 @@
   },
 });
 
+/** Time for another node to accept a batch, in ms: it stores the items and the record. */
+const ACCEPT_TIMEOUT_MS = 1500;
+
+/** Lets another node accept a batch. A call that fails may have been carried out. */
+export const acceptElsewhere = async (
+  client: BatchClient,
+  { id, host, path, model, step, minVersion, wantedGroups, items }: BatchSubmission,
+): Promise<AcceptResult> => {
+  try {
+    const { status, reason } = await client.acceptBatch(
+      { id, host, path, model, step, minVersion, wantedGroups, items: [...items] },
+      { timeoutMs: ACCEPT_TIMEOUT_MS },
+    );
+    if (status === AcceptStatus.ACCEPTED) return { kind: 'accepted' };
+    return { kind: status === AcceptStatus.REFUSED ? 'refused' : 'unknown', reason };
+  } catch (error) {
+    return { kind: 'unknown', reason: `the other node did not answer: ${messageOf(error)}` };
+  }
+};
+
 /** Time for the former dispatcher to pass on what it has, in ms; a dead one costs the next dispatcher this long. */
 const RELEASE_TIMEOUT_MS = 400;
 
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -19,7 +19,7 @@
   type PublishedWeights,
 } from './batchCoordinator.ts';
 import { BatchReader, type BatchRead, type ItemRead } from './batchReader.ts';
-import { endBatch, type EndResult, releaseFormer } from './batchService.ts';
+import { acceptElsewhere, endBatch, type EndResult, releaseFormer } from './batchService.ts';
 import { dispatcherLease, type ElectionView } from './dispatcherElection.ts';
 import { ItemScorer } from './itemScorer.ts';
 
@@ -101,12 +101,22 @@
     for (const coordinator of this.coordinators()) coordinator.workersChanged();
   }
 
+  /** Accepts a batch, through another node when the platform does not answer this one. */
   async submit(submission: BatchSubmission, route: GatewayRoute): Promise<AcceptResult> {
-    const result = await this.#acceptor.accept(submission, route);
-    if (result.kind === 'accepted') {
-      this.#announce(route.pools[0]?.pool ?? '', submission.id, false);
+    const { health } = this.#options;
+    if (!health.lost) {
+      const result = await this.#accept(submission, route);
+      if (result.kind !== 'refused') return result;
     }
-    return result;
+    return this.#submitElsewhere(submission, route);
+  }
+
+  /** Accepts a batch for another node. */
+  acceptForPeer(submission: BatchSubmission): Promise<AcceptResult> {
+    const path = submission.path.split('?', 1)[0] ?? '/';
+    const route = this.#options.tables.routes.find(submission.host, path);
+    if (route?.kind === 'batch') return this.#accept(submission, route);
+    return Promise.resolve({ kind: 'refused', reason: 'this node does not know the route' });
   }
 
   read(batchId: string, after: number, waitMs: number): Promise<BatchRead> {
@@ -128,6 +138,32 @@
     await Promise.all(this.coordinators().map((each) => each[Symbol.asyncDispose]()));
   }
 
+  async #accept(submission: BatchSubmission, route: GatewayRoute): Promise<AcceptResult> {
+    const result = await this.#acceptor.accept(submission, route);
+    if (result.kind === 'accepted') {
+      this.#announce(route.pools[0]?.pool ?? '', submission.id, false);
+    }
+    return result;
+  }
+
+  async #submitElsewhere(submission: BatchSubmission, route: GatewayRoute): Promise<AcceptResult> {
+    const { view, peerClients, logger, random } = this.#options;
+    const able = view
+      .peers()
+      .filter((peer) => !peer.suspected && !peer.leaving && !peer.platformLost);
+    const peer = able[Math.floor(random() * able.length)];
+    // Without another node the attempt here is the only one.
+    if (peer === undefined) return this.#accept(submission, route);
+    const result = await acceptElsewhere(peerClients.batch(peer.identity), submission);
+    logger.info('batch-submitted-elsewhere', {
+      batch: submission.id,
+      peer: peer.identity.name,
+      outcome: result.kind,
+      reason: result.kind === 'accepted' ? undefined : result.reason,
+    });
+    return result;
+  }
+
   /** Tells a pool's dispatcher of a change to a batch. */
   #announce(pool: string, batchId: string, ended: boolean): void {
     const { logger, peerClients, view } = this.#options;
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -48,7 +48,7 @@
 /** Time that news of a change may take by the platform before a node that has not got it reads again, in ms. */
 const NEWS_GRACE_MS = 250;
 
-/** Between looks whether a platform that was lost answers again, in ms. */
+/** Between looks whether the platform answers this node, in ms: a stale read costs a tenth of a call. */
 const PROBE_MS = 1000;
 
 /** Between looks for state of workers that are gone, in ms. */
@@ -244,7 +244,10 @@
         router.service(PeerService, { heartbeat: (request) => membership.heartbeat(request) });
         router.service(
           BatchService,
-          createBatchHandlers(() => batches.coordinators()),
+          createBatchHandlers(
+            () => batches.coordinators(),
+            (submission) => batches.acceptForPeer(submission),
+          ),
         );
         router.service(RelayService, followers.handlers());
       },
@@ -261,12 +264,12 @@
     dispose: () => store[Symbol.asyncDispose](),
   });
 
-  // A node that follows the platform through relays calls it so rarely that it would not notice its return.
+  // A node that follows the platform through relays calls it too rarely to notice that it is lost, or back.
   const probePlatform = async () => {
-    if (!health.lost) return;
+    const wasLost = health.lost;
     try {
       await platform.read(`${NODES_PREFIX}${settings.name}`, { mayBeStale: true });
-      logger.info('platform-answers-again');
+      if (wasLost) logger.info('platform-answers-again');
     } catch (error) {
       logger.debug('platform-probe-failed', { message: messageOf(error) });
     }
