--- a/playground/faultSoak/soakDeployment.ts
+++ b/playground/faultSoak/soakDeployment.ts
@@ -64,12 +64,17 @@
     server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 
+/** Ports that were given to a node, which may not listen on them yet or is down. */
+const givenPorts = new Set<number>();
+
 /** Free ports below those that the kernel gives to outgoing connections, so that a node that is down keeps its own. */
 const freePorts = async (count: number): Promise<readonly number[]> => {
   const ports: number[] = [];
   while (ports.length < count) {
     const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
-    if (!ports.includes(port) && (await isFree(port))) ports.push(port);
+    if (givenPorts.has(port) || !(await isFree(port))) continue;
+    givenPorts.add(port);
+    ports.push(port);
   }
   return ports;
 };
