fix(weights): a worker counts as loading from the decision on

Its trace shows three loads at once where two are allowed: since a worker counted from its first order only, others were chosen while its report was read.

--- a/src/node/weights/weightLoads.ts
+++ b/src/node/weights/weightLoads.ts
@@ -166,6 +166,10 @@
     if (weights === undefined) return;
     const from = weights.versionOf(model);
     weights.beginLoad(model);
+    // A worker that failed lately takes part in the limit only once it has answered a report.
+    if (!this.#failuresInRow.has(worker.id)) {
+      this.#orderedAt.set(worker.id, new Stopwatch(this.#options.clock));
+    }
     const started = new Stopwatch(this.#options.clock);
     const outcome = await this.#order(load, weights);
     this.#options.logger.info('weights-load', {
