test(membership): stop a node while a request is in progress on it by construction

Cause: the test of a drain deadline of 1 ms failed once in 11 runs. Its callers send one request after another and were started together, so SIGTERM could fall between two requests; then nothing is cut off and the exit code is 0. Suspected from reading; it was not met again. Change: both tests of a stop under load start a request of 4 s and wait until the service works on it before the signal. All assertions stay; the long request must be answered with 200, or be cut off where the deadline is 1 ms. The service stand-in delays only requests that it counts. PLAYGROUND_OUTPUT_FOLDER keeps the output of the processes of a test.

--- a/playground/membership/__tests__/plannedStop.test.ts
+++ b/playground/membership/__tests__/plannedStop.test.ts
@@ -14,6 +14,12 @@
   waitUntil,
 } from '../cluster.ts';
 
+/** Header that makes the service count a request and respond to it only after `LONG_REQUEST_MS`. */
+const RUN_ID_HEADER = 'x-run-id';
+
+/** Duration of the request that is in progress when a node is stopped, in ms. */
+const LONG_REQUEST_MS = 4000;
+
 /** Starts two nodes and one service that takes `latencyMs` for each request. */
 const startServing = async (group: ProcessGroup, latencyMs: number, drainDeadlineMs: number) => {
   const [platform, service] = await Promise.all([
@@ -33,9 +39,20 @@
     const codes = await Promise.all(nodes.map((node) => statusOf(`http://${node.address}/x`)));
     return codes.every((code) => code === 200);
   });
-  const body = JSON.stringify({ latencyMs });
+  const body = JSON.stringify({ latencyMs, answerLatencyMs: LONG_REQUEST_MS });
   await fetch(`http://${service.address}/control/faults`, { method: 'PUT', body });
-  return { stopped, other };
+  return { stopped, other, service };
+};
+
+/** Sends one long request through a node and waits until the service works on it. Returns its status. */
+const startLongRequest = async (node: ClusterNode, service: { readonly address: string }) => {
+  const runId = 'long-request';
+  const status = statusOf(`http://${node.address}/reports`, { [RUN_ID_HEADER]: runId });
+  await waitUntil('the service works on the long request', async () => {
+    const response = await fetch(`http://${service.address}/control/runs`);
+    return runId in ((await response.json()) as Record<string, number>);
+  });
+  return { status };
 };
 
 /** Callers that cache the entries for their TTL, as the API allows, and send one request after another. */
@@ -75,16 +92,21 @@
   }
 }
 
-/** Sends SIGTERM to one of two nodes under load. Returns its exit code, the failed requests and its last log line. */
+/**
+ * Sends SIGTERM to one of two nodes under load, while a long request is in progress on it. Returns its exit code, the
+ * failed requests, the status of the long request and the last log line.
+ */
 const stopUnderLoad = async (drainDeadlineMs: number) => {
   await using group = new ProcessGroup();
-  const { stopped, other } = await startServing(group, 150, drainDeadlineMs);
+  const { stopped, other, service } = await startServing(group, 150, drainDeadlineMs);
   const callers = new Callers(stopped, other, 8);
   await waitUntil('callers are answered', () => callers.answered >= 16);
   const { child, lines } = stopped.process;
   const exited = once(child, 'exit') as Promise<[number | null]>;
+  const { status } = await startLongRequest(stopped, service);
   child.kill('SIGTERM');
   const [exitCode] = await exited;
+  const longRequestStatus = await status;
   const before = callers.answered;
   await waitUntil('the other node answers', () => callers.answered >= before + 16);
   await callers.end();
@@ -92,13 +114,14 @@
     lines.some((line) => line.includes('event=node-stopped')),
   );
   const lastLine = lines.find((line) => line.includes('event=node-stopped')) ?? '';
-  return { exitCode, failures: callers.failures, lastLine };
+  return { exitCode, failures: callers.failures, longRequestStatus, lastLine };
 };
 
 // Guards against a planned stop that aborts requests.
 test('SIGTERM under load aborts no request', { timeout: 60_000 }, async () => {
-  const { exitCode, failures, lastLine } = await stopUnderLoad(20_000);
+  const { exitCode, failures, longRequestStatus, lastLine } = await stopUnderLoad(20_000);
   expect(failures).toEqual([]);
+  expect(longRequestStatus).toEqual(200);
   expect(exitCode).toEqual(0);
   expect(lastLine).toInclude('cutOffRequests=0');
 });
@@ -109,7 +132,8 @@
   'a drain deadline of 1 ms aborts requests, logs their number and exits with code 1',
   { timeout: 60_000 },
   async () => {
-    const { exitCode, failures, lastLine } = await stopUnderLoad(1);
+    const { exitCode, failures, longRequestStatus, lastLine } = await stopUnderLoad(1);
+    expect(longRequestStatus).toEqual(0);
     expect(failures.length).toBeGreaterThan(0);
     expect(exitCode).toEqual(1);
     expect(lastLine).toInclude('reason=deadline');
--- a/playground/membership/cluster.ts
+++ b/playground/membership/cluster.ts
@@ -124,10 +124,13 @@
 };
 
 /** Sends a request on a new connection. Returns its status code; 0 if the response is missing or incomplete. */
-export const statusOf = async (url: string): Promise<number> => {
+export const statusOf = async (
+  url: string,
+  headers: Record<string, string> = {},
+): Promise<number> => {
   try {
     const response = await fetch(url, {
-      headers: { connection: 'close' },
+      headers: { ...headers, connection: 'close' },
       signal: AbortSignal.timeout(10_000),
     });
     await response.arrayBuffer();
--- a/playground/processes.ts
+++ b/playground/processes.ts
@@ -1,5 +1,6 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { once } from 'node:events';
+import { createWriteStream } from 'node:fs';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -11,6 +12,9 @@
 /** Maximum number of output lines kept for a process. */
 const MAX_KEPT_LINES = 2000;
 
+/** Folder in which the complete output of each process is kept, named after its process id. @default not kept */
+const OUTPUT_FOLDER = process.env.PLAYGROUND_OUTPUT_FOLDER;
+
 /** A process that a test or the demo started. */
 export interface StartedProcess {
   readonly child: ChildProcess;
@@ -40,6 +44,11 @@
     this.#children.add(child);
     child.once('exit', () => this.#children.delete(child));
     const lines: string[] = [];
+    const outputFile =
+      OUTPUT_FOLDER === undefined
+        ? undefined
+        : createWriteStream(path.join(OUTPUT_FOLDER, `${path.basename(file)}-${child.pid}.log`));
+    child.once('exit', () => outputFile?.end());
     const readyLine = await new Promise<string>((resolve, reject) => {
       const timer = setTimeout(
         () =>
@@ -54,6 +63,7 @@
       for (const output of [child.stdout, child.stderr]) {
         createInterface(output).on('line', (line) => {
           lines.push(line);
+          if (outputFile?.writable) outputFile.write(`${line}\n`);
           if (lines.length > MAX_KEPT_LINES) lines.shift();
           onLine(line);
         });
--- a/playground/standIns/service.ts
+++ b/playground/standIns/service.ts
@@ -11,7 +11,7 @@
 /**
  * Stand-in for a plain service. Counts requests by their `x-run-id` header, so that a test can detect a request that
  * ran twice. `GET /control/runs` returns the counts. Further fault: `answerLatencyMs`, a delay between counting the run
- * and responding.
+ * of a request with that header and responding to it.
  */
 export const startService = async (port = 0) => {
   const runs: Record<string, number> = {};
@@ -28,7 +28,7 @@
     }
     const runId = String(request.headers['x-run-id'] ?? '');
     if (runId) runs[runId] = (runs[runId] ?? 0) + 1;
-    if (faults.answerLatencyMs) await sleepMs(Number(faults.answerLatencyMs));
+    if (runId && faults.answerLatencyMs) await sleepMs(Number(faults.answerLatencyMs));
     sendJson(response, 200, { runId, path: pathname, bytes: request.body.length });
   };
   return startStandIn(handler, faults, port);
