feat(gateway): streaming routes pass events on as they arrive; responses without end stay bounded

Cause: a streaming route was buffered whole (docs/platform.md), so its events came late. A worker that closes in the middle of a head was not a fault here: each cut gave a failed attempt. An event without end blocked a dispatcher for good. What cannot be completed is destroyed. WorkerAttempts is shared with Forwarder. Ruled out: sending events before they are complete, because a partial event could not be taken back.

--- a/playground/training/model/modelNode.ts
+++ b/playground/training/model/modelNode.ts
@@ -3,7 +3,7 @@
 import type { LedgerRules } from '../../../src/node/decisions/ledgerRules.ts';
 import { neverDuplicate, orderLongestFirst } from '../../../src/node/decisions/stepPlan.ts';
 import { selectLeastLoadedOfTwo } from '../../../src/node/decisions/workerSelection.ts';
-import { ByteBudget } from '../../../src/node/training/byteBudget.ts';
+import { ByteBudget } from '../../../src/shared/byteBudget.ts';
 import { JobOwner, type JobOwnerOptions } from '../../../src/node/training/jobOwner.ts';
 import { noOwner } from '../../../src/node/training/jobRefusals.ts';
 import { LeaseManager } from '../../../src/node/training/leaseManager.ts';
--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -99,7 +99,15 @@
             onVersion(version);
             if (!text.allows(version)) this.stop('wrong-version');
           },
-          onEvent: (event) => this.#handleOutcome(text.accept(event)),
+          onEvent: (event) => {
+            // An event carries at least one token, so more events belong to no run of this item.
+            if (item.maxOutputTokens > 0 && event.number > item.maxOutputTokens) {
+              throw new WorkerCallError(
+                `more events than the ${item.maxOutputTokens} output tokens of the item`,
+              );
+            }
+            this.#handleOutcome(text.accept(event));
+          },
         },
         this.#abort.signal,
       );
--- a/src/node/dataPath/__tests__/generationPath.test.ts
+++ b/src/node/dataPath/__tests__/generationPath.test.ts
@@ -27,6 +27,20 @@
     .filter((line) => line.startsWith('data: {'))
     .map((line) => JSON.parse(line.slice(6)) as Chunk);
 
+/** Reads a response that may break off. `complete`: whether it ended as HTTP requires. */
+const readToEnd = async (response: Response): Promise<{ text: string; complete: boolean }> => {
+  const decoder = new TextDecoder();
+  let text = '';
+  try {
+    for await (const chunk of response.body as unknown as AsyncIterable<Uint8Array>) {
+      text += decoder.decode(chunk, { stream: true });
+    }
+    return { text, complete: true };
+  } catch {
+    return { text, complete: false };
+  }
+};
+
 const tokensOf = (events: readonly Chunk[]) => events.flatMap((event) => event.token_ids ?? []);
 
 const request = { prompt: 'smell of gas', max_tokens: 24, stream: true };
@@ -127,19 +141,48 @@
 });
 
 // Guards against an interrupted stream that passes for a complete one.
-test('a stream that cannot be resumed ends with an error event', { timeout: 20_000 }, async () => {
-  await using resources = new TestResources();
-  const started = await startEngines(resources, 2);
-  for (const { faults } of started) faults.crashAfterTokens = 5;
-  const { base } = await resources.startDataPath(
-    tablesOf('model-engine', addressesOf(started), { route: ', retryBudgetFraction: 0' }),
-  );
-  const text = await (await post(base, request)).text();
-  const events = readEvents(text);
-  expect(tokensOf(events).length).toEqual(5);
-  expect(events.at(-1)?.error?.code).toEqual('worker-failed');
-  expect(text.includes('[DONE]')).toEqual(false);
-});
+test(
+  'a stream that cannot be resumed is broken off after an error event',
+  { timeout: 20_000 },
+  async () => {
+    await using resources = new TestResources();
+    const started = await startEngines(resources, 2);
+    for (const { faults } of started) faults.crashAfterTokens = 5;
+    const { base } = await resources.startDataPath(
+      tablesOf('model-engine', addressesOf(started), { route: ', retryBudgetFraction: 0' }),
+    );
+    const { text, complete } = await readToEnd(await post(base, request));
+    const events = readEvents(text);
+    expect(tokensOf(events).length).toEqual(5);
+    expect(events.at(-1)?.error?.code).toEqual('worker-failed');
+    expect(text.includes('[DONE]')).toEqual(false);
+    expect(complete).toEqual(false);
+  },
+);
+
+// Guards against a stream that contains the error text of the engine that was asked to resume it, or that ends as if it
+// were complete.
+test(
+  'the error of an engine that cannot resume a stream stays out of it',
+  { timeout: 20_000 },
+  async () => {
+    await using resources = new TestResources();
+    const [crashing] = await startEngines(resources, 1);
+    if (crashing) crashing.faults.crashAfterTokens = 5;
+    const rejecting = await resources.startWorker((_incoming, response) => {
+      response.statusCode = 400;
+      response.end('HTTP/1.1 400 stack trace of the engine');
+    });
+    const { base } = await resources.startDataPath(
+      tablesOf('model-engine', [crashing?.address ?? '', rejecting]),
+      { selectWorker: (candidates) => candidates[0] },
+    );
+    const { text, complete } = await readToEnd(await post(base, request));
+    expect(tokensOf(readEvents(text)).length).toEqual(5);
+    expect(text.includes('stack trace')).toEqual(false);
+    expect(complete).toEqual(false);
+  },
+);
 
 // Guards against a buffered response that fails although another engine could finish the generation.
 test('an unstreamed completion resumes after engine crashes', { timeout: 20_000 }, async () => {
@@ -211,16 +254,22 @@
 });
 
 // Guards against a route timeout that leaves a stream open or ends it like a complete one.
-test('the route timeout ends a stream with an error event', { timeout: 20_000 }, async () => {
-  await using resources = new TestResources();
-  const [engine] = await startEngines(resources, 1);
-  if (engine) engine.faults.tokenIntervalMs = 5;
-  const { base } = await resources.startDataPath(
-    tablesOf('model-engine', [engine?.address ?? ''], { route: ', timeoutMs: 200' }),
-  );
-  const text = await (await post(base, { ...request, max_tokens: 500 })).text();
-  expect(readEvents(text).at(-1)?.error?.code).toEqual('route-timeout');
-});
+test(
+  'the route timeout breaks a stream off after an error event',
+  { timeout: 20_000 },
+  async () => {
+    await using resources = new TestResources();
+    const [engine] = await startEngines(resources, 1);
+    if (engine) engine.faults.tokenIntervalMs = 5;
+    const { base } = await resources.startDataPath(
+      tablesOf('model-engine', [engine?.address ?? ''], { route: ', timeoutMs: 200' }),
+    );
+    const response = await post(base, { ...request, max_tokens: 500 });
+    const { text, complete } = await readToEnd(response);
+    expect(readEvents(text).at(-1)?.error?.code).toEqual('route-timeout');
+    expect(complete).toEqual(false);
+  },
+);
 
 // Guards against invalid input that reaches an engine.
 test('invalid completion requests get status 400 and the outcome not-run', async () => {
--- a/src/node/dataPath/completionWriter.ts
+++ b/src/node/dataPath/completionWriter.ts
@@ -15,7 +15,10 @@
   readonly headersSent: boolean;
   write(chunk: TokenChunk): Promise<void>;
   end(): Promise<void>;
-  /** Reports a failure after the headers were sent: a stream ends with an error event. */
+  /**
+   * Reports a failure after the headers were sent, so that the response does not look complete: a stream gets an error
+   * event and is broken off.
+   */
   fail(detail: string, fields: ProblemFields): void;
 }
 
--- a/src/node/dataPath/constants.ts
+++ b/src/node/dataPath/constants.ts
@@ -27,3 +27,6 @@
 
 /** Longest time a request waits in the queue for a slot, in ms. The wait is also at most half the route's timeout. */
 export const MAX_QUEUE_WAIT_MS = 5000;
+
+/** Maximum number of informational responses (status 1xx) before the response to one request. */
+export const MAX_INFORMATIONAL_RESPONSES = 8;
--- a/src/node/dataPath/generationHandler.ts
+++ b/src/node/dataPath/generationHandler.ts
@@ -54,9 +54,13 @@
   error.statusCode === 429 ||
   (error.statusCode ?? 500) >= 500;
 
-/** Converts the error of the last attempt into the error that is reported to the caller. */
-const toRequestError = (error: unknown, pool: string) => {
-  if (error instanceof EngineError && error.kind === 'rejected') {
+/**
+ * Converts the error of the last attempt into the error that is reported to the caller.
+ *
+ * @param started - whether tokens of an earlier attempt were delivered; the engine's own text then stays out of the stream
+ */
+const toRequestError = (error: unknown, pool: string, started: boolean) => {
+  if (error instanceof EngineError && error.kind === 'rejected' && !started) {
     const statusCode = error.statusCode ?? 502;
     return requestError(
       `the engine rejected the request: ${error.body?.toString('utf8', 0, 1000) ?? ''}`,
@@ -117,7 +121,7 @@
   }
 
   /**
-   * Serves a completion request. A stream that cannot be resumed ends with an error event.
+   * Serves a completion request. A stream that cannot be resumed gets an error event and is broken off.
    *
    * @throws RequestError; if the response had begun, the failure has already been reported to the caller
    */
@@ -157,7 +161,7 @@
         attemptsSinceProgress =
           resumption.delivered.length > deliveredBefore ? 1 : attemptsSinceProgress + 1;
         if (!isRetryable(error) || !tryTakeRetry(context, attemptsSinceProgress)) {
-          throw toRequestError(error, context.pool.name);
+          throw toRequestError(error, context.pool.name, resumption.delivered.length > 0);
         }
         if (resumption.delivered.length > 0) {
           this.#options.logger.info('stream-resumed', { requestId: context.id });
--- a/src/node/dataPath/problem.ts
+++ b/src/node/dataPath/problem.ts
@@ -58,8 +58,8 @@
   fields: ProblemFields,
 ): void => {
   if (response.headersSent) {
-    // A stream that has ended with an error event is still being flushed.
-    if (!response.writableEnded) response.destroy();
+    // The error event of a stream is still being flushed before its connection closes.
+    if (!response.writableEnded && !response.socket?.writableEnded) response.destroy();
     return;
   }
   response.statusCode = fields.statusCode;
--- a/src/node/dataPath/streamedCompletionWriter.ts
+++ b/src/node/dataPath/streamedCompletionWriter.ts
@@ -76,6 +76,8 @@
   }
 
   fail(detail: string, fields: ProblemFields): void {
-    this.#response.end(`event: error\ndata: ${JSON.stringify(problemBody(detail, fields))}\n\n`);
+    this.#response.write(`event: error\ndata: ${JSON.stringify(problemBody(detail, fields))}\n\n`);
+    // Closing without the last chunk keeps a client that ignores the event from taking the stream for complete.
+    this.#response.socket?.destroySoon();
   }
 }
--- a/src/node/dataPath/workerHttpClient.ts
+++ b/src/node/dataPath/workerHttpClient.ts
@@ -1,11 +1,13 @@
 import http, { type OutgoingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { Clock } from '../../shared/clock.ts';
+import type { ByteBudget } from '../../shared/byteBudget.ts';
 import { BaseError, messageOf } from '../../shared/errors.ts';
 import type { WorkerEndpoint } from '../membership/membershipView.ts';
 import {
   CONNECT_TIMEOUT_MS,
   MAX_IDLE_SOCKETS_PER_WORKER,
+  MAX_INFORMATIONAL_RESPONSES,
   MAX_SHORT_RESPONSE_BYTES,
   SHORT_CALL_TIMEOUT_MS,
 } from './constants.ts';
@@ -45,17 +47,31 @@
   readonly body: Buffer;
 }
 
-/** Reads a complete response body. Throws when it is truncated or larger than `maxBytes`. */
+/**
+ * Reads a complete response body. Throws when it is truncated or larger than `maxBytes`.
+ *
+ * @param budget - limit on the bytes of all responses that are being read @default no common limit
+ */
 export const readResponseBody = async (
   response: http.IncomingMessage,
   maxBytes: number,
+  budget?: ByteBudget,
 ): Promise<Buffer> => {
   const chunks: Buffer[] = [];
   let sizeBytes = 0;
-  for await (const chunk of response as AsyncIterable<Buffer>) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > maxBytes) throw new WorkerCallError(`response larger than ${maxBytes} bytes`);
-    chunks.push(chunk);
+  let reservedBytes = 0;
+  try {
+    for await (const chunk of response as AsyncIterable<Buffer>) {
+      sizeBytes += chunk.length;
+      if (sizeBytes > maxBytes) throw new WorkerCallError(`response larger than ${maxBytes} bytes`);
+      if (budget?.tryReserve(chunk.length) === false) {
+        throw new WorkerCallError('too many bytes of responses are buffered on this node');
+      }
+      reservedBytes = sizeBytes;
+      chunks.push(chunk);
+    }
+  } finally {
+    budget?.release(reservedBytes);
   }
   if (!response.complete) throw new WorkerCallError('the response was truncated');
   return Buffer.concat(chunks);
@@ -104,6 +120,13 @@
           resolve(response);
         },
       );
+      let informational = 0;
+      request.on('information', () => {
+        informational += 1;
+        if (informational > MAX_INFORMATIONAL_RESPONSES) {
+          request.destroy(new Error('the worker sends informational responses without end'));
+        }
+      });
       request.once('socket', (socket) => {
         connected = !socket.connecting;
         if (connected) return;
--- a/src/node/gateway/adapter.ts
+++ b/src/node/gateway/adapter.ts
@@ -34,6 +34,8 @@
   readonly workers: { readonly prefix: string; readonly decode: DecodeWorker };
   readonly publishedVersions: ExternalObjectKind<PublishedVersion>;
   readonly workerCalls: WorkerCalls;
+  /** Name of the field by which an event of a stream tells that the weight version changes at it. */
+  readonly eventVersionField: string;
   readonly generationCalls: GenerationCalls;
   readonly orderCalls: OrderCalls;
   readonly createServers: (services: GatewayServices, requests: RequestTracker) => GatewayServers;
--- a/src/node/gateway/constants.ts
+++ b/src/node/gateway/constants.ts
@@ -1,6 +1,15 @@
 /** Largest worker response that is buffered for validation before it is returned to the caller, in bytes. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024;
 
+/** Limit on the bytes of all responses that a node buffers at the same time; leaves most of a small VM's memory free. */
+export const MAX_BUFFERED_RESPONSES_BYTES = 64 * 1024 * 1024;
+
+/**
+ * Time without bytes after which a stream continues at another worker, in ms: half of the shortest time after which the
+ * platform's callers give up a silent stream.
+ */
+export const STREAM_STALL_MS = 1000;
+
 /** Delay before an idempotent request is hedged to a second worker, as a fraction of the route's target latency. */
 export const HEDGE_DELAY_FRACTION = 0.5;
 
--- a/src/node/gateway/forwarder.ts
+++ b/src/node/gateway/forwarder.ts
@@ -1,73 +1,30 @@
-import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
-import { messageOf } from '../../shared/errors.ts';
-import { invariant } from '../../shared/invariants.ts';
-import { readResponseBody, WorkerCallError } from '../dataPath/workerHttpClient.ts';
+import { type Clock, sleep } from '../../shared/clock.ts';
 import { RetryBudgets } from '../decisions/retryBudgets.ts';
 import type { WorkerResult } from '../decisions/passiveHealthCheck.ts';
-import type { Logger } from '../observability/logger.ts';
 import {
   HEDGE_DELAY_FRACTION,
-  MAX_BUFFERED_RESPONSE_BYTES,
   MAX_REFUSALS,
   MIN_HEDGE_DELAY_MS,
-  MIN_REMAINING_MS,
   REFUSAL_RETRY_DELAY_MS,
   RETRY_BUDGET_FRACTION,
 } from './constants.ts';
+import type { ForwardedRequest, ForwardOutcome, ResponseOutcome } from './forwardedRequest.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
-import type { HeaderList, WorkerResponse, WorkerCalls, WorkerLoad } from './workerCalls.ts';
 import type { LoadBalancer } from './loadBalancer.ts';
-import type { RegisteredWorker } from './workerRegistry.ts';
-
-/** A caller's request with its complete body. */
-export interface ForwardedRequest {
-  readonly id: string;
-  readonly method: string;
-  /** Path with query string. */
-  readonly path: string;
-  readonly host: string;
-  readonly headers: HeaderList;
-  readonly body: Buffer;
-  /** Started when the request arrived. */
-  readonly sinceArrival: Stopwatch;
-  /** Time allowed by the caller and the route, counted from the arrival, in ms. */
-  readonly budgetMs: number;
-}
-
-/** Outcome of a request. `not-run`: no worker has executed it or will execute it. */
-export type ForwardOutcome =
-  | {
-      readonly kind: 'answer';
-      readonly statusCode: number;
-      readonly headers: HeaderList;
-      readonly body: Buffer;
-      readonly stamp: string | undefined;
-      /** Number of workers that returned a 5xx response, including this response if it is one. */
-      readonly failures: number;
-    }
-  | { readonly kind: 'not-run'; readonly reason: string }
-  | { readonly kind: 'failed' | 'timeout'; readonly reason: string };
-
-type ResponseOutcome = Extract<ForwardOutcome, { kind: 'answer' }>;
-
-/** Result of one attempt. `mayHaveRun` is false only when the worker is known not to have executed the request. */
-interface AttemptResult {
-  readonly worker: RegisteredWorker;
-  readonly response?: ResponseOutcome;
-  readonly mayHaveRun: boolean;
-  readonly reason: string;
-}
+import { createResponseReader } from './readResponse.ts';
+import {
+  type AttemptOptions,
+  type AttemptResult,
+  is5xx,
+  type WorkerAttempts,
+} from './workerAttempts.ts';
 
 export interface ForwarderOptions {
   readonly clock: Clock;
-  readonly logger: Logger;
-  readonly calls: WorkerCalls;
+  readonly attempts: WorkerAttempts;
   readonly loadBalancer: LoadBalancer;
 }
 
-/** Whether a worker failed the request; an idempotent request is then retried on another worker. */
-const is5xx = (statusCode: number): boolean => statusCode >= 500;
-
 /** Delay before a hedged attempt is sent to a second worker, in ms. */
 const hedgeDelayMs = ({ targetLatencyMs }: GatewayRoute): number =>
   Math.max(MIN_HEDGE_DELAY_MS, targetLatencyMs * HEDGE_DELAY_FRACTION);
@@ -81,33 +38,14 @@
   return elapsedMs > hedgeDelayMs(route) ? 'failed' : 'abandoned';
 };
 
-/** Reads the complete response and checks that it carries the worker's stamp. */
-const readAttemptResult = async (
-  worker: RegisteredWorker,
-  response: WorkerResponse,
-): Promise<AttemptResult> => {
-  const body = await readResponseBody(response.body, MAX_BUFFERED_RESPONSE_BYTES);
-  const { statusCode, headers, notRun, stamp } = response;
-  if (notRun) return { worker, mayHaveRun: false, reason: `worker returned ${statusCode}` };
-  const isSuccess = statusCode >= 200 && statusCode < 300;
-  if (isSuccess && stamp === undefined) {
-    throw new WorkerCallError('the response carries no worker stamp');
-  }
-  invariant(statusCode >= 200, 'final-status', { statusCode });
-  return {
-    worker,
-    response: { kind: 'answer', statusCode, headers, body, stamp, failures: 0 },
-    mayHaveRun: true,
-    reason: `worker returned ${statusCode}`,
-  };
-};
-
 /** Forwards requests to workers, with retries and hedging where the route allows them. */
 export class Forwarder {
   readonly #options: ForwarderOptions;
 
   readonly #budgets = new RetryBudgets();
 
+  readonly #readResponse = createResponseReader();
+
   constructor(options: ForwarderOptions) {
     this.#options = options;
   }
@@ -243,66 +181,15 @@
     return Promise.race([...running, limit]).finally(() => timer?.[Symbol.dispose]());
   }
 
-  /** Sends the request to one worker; undefined when too little time is left or no worker is available. */
   #attempt(
     request: ForwardedRequest,
     route: GatewayRoute,
-    options: {
-      readonly pool: string;
-      readonly tried: Set<string>;
-      readonly signal: AbortSignal;
-      readonly newConnection: boolean;
-    },
+    options: Pick<AttemptOptions, 'pool' | 'tried' | 'signal' | 'newConnection'>,
   ): Promise<AttemptResult> | undefined {
-    const remainingMs = request.budgetMs - request.sinceArrival.elapsedMs();
-    if (remainingMs < MIN_REMAINING_MS) return undefined;
-    const { pool, tried, signal, newConnection } = options;
-    const worker = this.#options.loadBalancer.acquire(pool, tried, tried.size < route.maxAttempts);
-    if (worker === undefined) return undefined;
-    tried.add(worker.id);
-    return this.#runAttempt(worker, request, route, { signal, newConnection, remainingMs });
-  }
-
-  async #runAttempt(
-    worker: RegisteredWorker,
-    request: ForwardedRequest,
-    route: GatewayRoute,
-    options: {
-      readonly signal: AbortSignal;
-      readonly newConnection: boolean;
-      readonly remainingMs: number;
-    },
-  ): Promise<AttemptResult> {
-    const { clock, calls, loadBalancer, logger } = this.#options;
-    const { signal, newConnection, remainingMs } = options;
-    const { id: requestId, method, path, host, headers, body } = request;
-    const started = new Stopwatch(clock);
-    let result: WorkerResult | 'abandoned' = 'failed';
-    let load: WorkerLoad | undefined;
-    let attemptResult: AttemptResult;
-    try {
-      const message = { requestId, method, path, host, headers, body, remainingMs, newConnection };
-      const response = await calls.send(worker, message, signal);
-      ({ load } = response);
-      attemptResult = await readAttemptResult(worker, response);
-      if (response.notRun) result = 'refused';
-      else if (!is5xx(response.statusCode)) result = 'answered';
-    } catch (error) {
-      const notConnected = error instanceof WorkerCallError && error.notConnected;
-      attemptResult = { worker, mayHaveRun: !notConnected, reason: messageOf(error) };
-      if (signal.aborted) result = classifyAbortedAttempt(started.elapsedMs(), route);
-    }
-    loadBalancer.release(worker.id, result, load);
-    logger.info('worker-attempt', {
-      request: requestId,
-      route: route.name,
-      worker: worker.id,
-      remainingMs: Math.round(remainingMs),
-      tookMs: Math.round(started.elapsedMs()),
-      status: attemptResult.response?.statusCode,
-      result,
-      reason: attemptResult.response === undefined ? attemptResult.reason : undefined,
+    return this.#options.attempts.start(request, route, {
+      ...options,
+      read: this.#readResponse,
+      classifyAborted: (elapsedMs) => classifyAbortedAttempt(elapsedMs, route),
     });
-    return attemptResult;
   }
 }
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -38,8 +38,10 @@
 import { instrumentServices } from './instrumentedServices.ts';
 import { PeerServer } from './peerServer.ts';
 import { PlatformFollowers } from './platformFollowers.ts';
+import { StreamForwarder } from './streamForwarder.ts';
 import { TablesFollower } from './tablesFollower.ts';
 import { LoadBalancer } from './loadBalancer.ts';
+import { WorkerAttempts } from './workerAttempts.ts';
 import { WorkerRegistry } from './workerRegistry.ts';
 
 /** Long-poll wait of a dispatcher's calls for changes, in ms; also bounds how long a dead connection goes unnoticed. */
@@ -202,12 +204,15 @@
     ...{ clock, random, registry },
     availabilityZone: settings.availabilityZone,
   });
-  const forwarder = new Forwarder({
-    clock,
-    logger,
-    loadBalancer,
+  const attempts = new WorkerAttempts({
+    ...{ clock, logger, loadBalancer },
     calls: adapter.workerCalls,
   });
+  const forwarder = new Forwarder({ clock, loadBalancer, attempts });
+  const streamForwarder = new StreamForwarder({
+    ...{ clock, loadBalancer, attempts },
+    versionField: adapter.eventVersionField,
+  });
   const batches = store.add(
     new BatchSubsystem({
       ...{ platform, clock, random, logger, metrics, registry, tables, forwarder, adapter },
@@ -232,6 +237,7 @@
       return route === undefined ? { kind: 'no-route' } : { kind: 'route', route };
     },
     forward: (...request) => forwarder.forward(...request),
+    forwardStream: (...request) => streamForwarder.forward(...request),
     submitBatch: (...batch) => batches.submit(...batch),
     readBatch: (...read) => batches.read(...read),
     readItem: (...read) => batches.readItem(...read),
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -1,7 +1,12 @@
 import type { AcceptResult, BatchSubmission } from '../batches/batchAcceptor.ts';
 import type { BatchRead, ItemRead } from '../batches/batchReader.ts';
 import type { EndResult } from '../batches/batchService.ts';
-import type { ForwardedRequest, ForwardOutcome } from './forwarder.ts';
+import type {
+  ForwardedRequest,
+  ForwardOutcome,
+  StreamOutcome,
+  StreamSink,
+} from './forwardedRequest.ts';
 import type { GatewayRoute, RequestLimits } from './gatewayTables.ts';
 
 /** Result of matching a request to a route. `not-ready`: this node has not received any tables yet. */
@@ -24,6 +29,13 @@
     route: GatewayRoute,
     signal: AbortSignal,
   ): Promise<ForwardOutcome>;
+  /** Forwards a request on a streaming route. What it passes to `sink` is sent to the caller as it arrives. */
+  forwardStream(
+    request: ForwardedRequest,
+    route: GatewayRoute,
+    sink: StreamSink,
+    signal: AbortSignal,
+  ): Promise<StreamOutcome>;
   submitBatch(submission: BatchSubmission, route: GatewayRoute): Promise<AcceptResult>;
   readBatch(batchId: string, after: number, waitMs: number): Promise<BatchRead>;
   readItem(batchId: string, itemId: string): Promise<ItemRead>;
--- a/src/node/gateway/instrumentedServices.ts
+++ b/src/node/gateway/instrumentedServices.ts
@@ -2,8 +2,9 @@
 import { Stopwatch } from '../../shared/clock.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
-import type { ForwardOutcome } from './forwarder.ts';
+import type { ForwardedRequest, StreamOutcome } from './forwardedRequest.ts';
 import type { GatewayServices } from './gatewayServices.ts';
+import type { GatewayRoute } from './gatewayTables.ts';
 
 /** The tables in force when a request was handled, as included in its log line. */
 export interface ActiveTables {
@@ -19,8 +20,8 @@
   readonly tables: () => ActiveTables;
 }
 
-const reasonOf = (outcome: ForwardOutcome): string | undefined =>
-  outcome.kind === 'answer' ? undefined : outcome.reason;
+const reasonOf = (outcome: StreamOutcome): string | undefined =>
+  'reason' in outcome ? outcome.reason : undefined;
 
 /** Wraps the services of a gateway with logging and metrics for the requests of callers and trainers. */
 export const instrumentServices = (
@@ -43,6 +44,29 @@
     metrics.batchCallSeconds.observe({ call }, started.elapsedMs() / 1000);
     return result;
   };
+  const recordOutcome = (
+    request: ForwardedRequest,
+    route: GatewayRoute,
+    outcome: StreamOutcome,
+    signal: AbortSignal,
+  ) => {
+    const isDelivered = outcome.kind === 'answer' || outcome.kind === 'streamed';
+    const outcomeLabel = signal.aborted && !isDelivered ? 'caller-gone' : outcome.kind;
+    const tookMs = request.sinceArrival.elapsedMs();
+    metrics.requests.inc({ route: route.name, outcome: outcomeLabel });
+    metrics.requestSeconds.observe({ route: route.name }, tookMs / 1000);
+    logger.info('request-answered', {
+      request: request.id,
+      route: route.name,
+      outcome: outcomeLabel,
+      status: outcome.kind === 'answer' ? outcome.statusCode : undefined,
+      events: outcome.kind === 'streamed' ? outcome.events : undefined,
+      reason: reasonOf(outcome),
+      budgetMs: Math.round(request.budgetMs),
+      tookMs: Math.round(tookMs),
+      ...tablesFields(),
+    });
+  };
   return {
     ...services,
     ready() {
@@ -66,21 +90,12 @@
     },
     async forward(request, route, signal) {
       const outcome = await services.forward(request, route, signal);
-      const outcomeLabel =
-        signal.aborted && outcome.kind !== 'answer' ? 'caller-gone' : outcome.kind;
-      const tookMs = request.sinceArrival.elapsedMs();
-      metrics.requests.inc({ route: route.name, outcome: outcomeLabel });
-      metrics.requestSeconds.observe({ route: route.name }, tookMs / 1000);
-      logger.info('request-answered', {
-        request: request.id,
-        route: route.name,
-        outcome: outcomeLabel,
-        status: outcome.kind === 'answer' ? outcome.statusCode : undefined,
-        reason: reasonOf(outcome),
-        budgetMs: Math.round(request.budgetMs),
-        tookMs: Math.round(tookMs),
-        ...tablesFields(),
-      });
+      recordOutcome(request, route, outcome, signal);
+      return outcome;
+    },
+    async forwardStream(request, route, sink, signal) {
+      const outcome = await services.forwardStream(request, route, sink, signal);
+      recordOutcome(request, route, outcome, signal);
       return outcome;
     },
     submitBatch: (...batch) => measure('submit', () => services.submitBatch(...batch)),
--- a/src/node/training/assembleTraining.ts
+++ b/src/node/training/assembleTraining.ts
@@ -14,7 +14,7 @@
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { ResolvedSettings } from '../settings/resolveSettings.ts';
 import type { ResolvedTables } from '../tables/resolveTables.ts';
-import { ByteBudget } from './byteBudget.ts';
+import { ByteBudget } from '../../shared/byteBudget.ts';
 import { JobEntry, type JobSpec } from './jobEntry.ts';
 import { LeaseObserver } from './leaseObserver.ts';
 import { OwnerForwarder } from './ownerForwarder.ts';
--- a/src/node/training/jobOwner.ts
+++ b/src/node/training/jobOwner.ts
@@ -12,7 +12,7 @@
 import { type GroupOrder, StepPlan, type StragglerPolicy } from '../decisions/stepPlan.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
-import type { ByteBudget } from './byteBudget.ts';
+import type { ByteBudget } from '../../shared/byteBudget.ts';
 import { pullRefusal, noOwner, stepRefusal } from './jobRefusals.ts';
 import type { Lease } from './leaseManager.ts';
 import { LedgerWriter } from './ledgerWriter.ts';
--- a/src/node/training/trainingContext.ts
+++ b/src/node/training/trainingContext.ts
@@ -6,7 +6,7 @@
 import type { MembershipView, TablesView } from '../membership/membershipView.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
-import type { ByteBudget } from './byteBudget.ts';
+import type { ByteBudget } from '../../shared/byteBudget.ts';
 import { LeaseManager, type LeaseManagerOptions } from './leaseManager.ts';
 import type { TrainingMetrics } from './trainingMetrics.ts';
 import type { WeightRecords } from './weightRecords.ts';
--- a/src/shared/byteBudget.ts
+++ b/src/shared/byteBudget.ts
@@ -1,4 +1,4 @@
-/** Bounds the total size of the prompts and samples that a node stores for all its jobs. */
+/** Bounds the total size of what its users keep in memory at the same time. */
 export class ByteBudget {
   readonly limitBytes: number;
 
