fix(membership): gossip what other nodes act on first, and no versions of worker registrations

A heartbeat carries two changed digests, the newest first. While workers load weights, the version of the registrations changes on all 165 nodes several times a second, so these changes filled the messages. Change: a changed version of the registrations is no longer gossiped (each node's own heartbeats carry it). Changes of leaving, platformLost and leases are sent before all others, and to eight peers a period while they are few. Ruled out: the time until the node itself noticed (0.6 s), the grace period (0.7 s) and the claim (30 ms).

--- a/src/node/decisions/__tests__/membershipDecisions.test.ts
+++ b/src/node/decisions/__tests__/membershipDecisions.test.ts
@@ -51,6 +51,27 @@
   expect(record && table.isSuspected(record, 63_000)).toEqual(true);
 });
 
+// Guards against a holder whose loss of the platform spreads late in a large fleet: while workers loaded weights, every
+// node's version of the registrations changed all the time and filled the messages (czujka-ops-large, day trouble-1: another
+// dispatcher took over 5.2 s after the platform had refused the first).
+test('the loss of the platform is gossiped before other changes, and versions of registrations are not', () => {
+  const table = new PeerTable({ selfName: 'a', ...timing });
+  const names = Array.from({ length: 164 }, (_, index) => `n${index}`);
+  for (const name of names) table.mergeDigest(digest(name, name, 1, 1), 0, 'list');
+  for (const name of names) {
+    const workers = { ...digest(name, name, 1, 2), workersVersion: 7 };
+    expect(table.mergeDigest(workers, 10, 'direct')).toEqual('grown');
+  }
+  expect(table.changesToSend(10, 2)).toEqual([]);
+  expect(table.hasChangesToBroadcast).toEqual(false);
+  table.mergeDigest({ ...digest('n5', 'n5', 1, 3), platformLost: true }, 20, 'direct');
+  for (const name of names.slice(6)) {
+    table.mergeDigest({ ...digest(name, name, 1, 3), acceptedRevision: 9 }, 30, 'direct');
+  }
+  expect(table.hasChangesToBroadcast).toEqual(true);
+  expect(table.changesToSend(40, 2)[0]?.identity?.name).toEqual('n5');
+});
+
 // Guards against a lagging VM list that makes a worker live again although the worker reports that it is leaving.
 test('a report overrides neither another source nor a newer report of the same source', () => {
   const health = new WorkerHealth();
--- a/src/node/decisions/gossipTargets.ts
+++ b/src/node/decisions/gossipTargets.ts
@@ -37,20 +37,22 @@
   readonly doubted: readonly T[];
   /** Suspected peers. One is tried per period, so that a peer is found again after a network partition. */
   readonly suspected: readonly T[];
+  /** Whether there are changes that every node must learn soon. */
+  readonly broadcast: boolean;
 }
 
 /**
  * Chooses the peers to send a heartbeat to in this period, at most `MAX_GOSSIP_TARGETS`. While a peer is
  * doubted, all `MAX_GOSSIP_TARGETS` are used, so that the doubt and its refutation reach every node before the peer is
- * suspected.
+ * suspected; the same holds while there are changes to broadcast.
  */
 export const gossipTargets = <T>(candidates: GossipCandidates<T>, random: Random): T[] => {
-  const { live, successor, doubted, suspected } = candidates;
+  const { live, successor, doubted, suspected, broadcast } = candidates;
   const chosen = new Set<T>(successor === undefined ? [] : [successor]);
   for (const target of sampleWithoutReplacement(doubted, 2, random)) chosen.add(target);
   for (const target of sampleWithoutReplacement(suspected, 1, random)) chosen.add(target);
   const room = MAX_GOSSIP_TARGETS - chosen.size;
-  const count = doubted.length > 0 ? room : RANDOM_GOSSIP_TARGETS;
+  const count = doubted.length > 0 || broadcast ? room : RANDOM_GOSSIP_TARGETS;
   const rest = live.filter((peer) => !chosen.has(peer));
   for (const peer of sampleWithoutReplacement(rest, count, random)) chosen.add(peer);
   return [...chosen];
--- a/src/node/decisions/peerTable.ts
+++ b/src/node/decisions/peerTable.ts
@@ -9,7 +9,7 @@
 
 /**
  * How a digest changed the table. `changed`: the peer's state differs or a doubt was refuted. `grown`: only the
- * heartbeat count grew. `stale`: the digest describes a replaced incarnation. `full`: there was no room for a new peer.
+ * heartbeat count or the version of the worker registrations grew. `stale`: the digest describes a replaced incarnation. `full`: there was no room for a new peer.
  */
 export type MergeResult = 'new' | 'restarted' | 'changed' | 'grown' | 'known' | 'stale' | 'full';
 
@@ -45,6 +45,8 @@
   sendsLeft: number;
   /** Sequence number of the last change; the newest changes are sent first. */
   changeSequence: number;
+  /** Whether other nodes act on the change at once, so that it is sent before all others. */
+  urgent: boolean;
 }
 
 /** Doubts are gossiped this many periods beyond `suspectAfterMs`, so that nodes with later digests can refute them. */
@@ -52,11 +54,19 @@
 
 const identityOf = (digest: PeerDigest): NodeIdentity | undefined => digest.identity;
 
-const sameState = (left: PeerDigest, right: PeerDigest): boolean =>
+/**
+ * Maximum number of urgent changes that are sent to more peers than usual. When more nodes change at once, an event such
+ * as a platform outage affects them all, and every node notices it itself.
+ */
+const MAX_BROADCAST_CHANGES = 16;
+
+/** Whether two digests of a peer agree in what other nodes act on: whether it leaves, reaches the platform, holds leases. */
+export const sameRole = (
+  left: Pick<PeerDigest, 'leaving' | 'platformLost' | 'leases'>,
+  right: Pick<PeerDigest, 'leaving' | 'platformLost' | 'leases'>,
+): boolean =>
   left.leaving === right.leaving &&
-  left.acceptedRevision === right.acceptedRevision &&
   left.platformLost === right.platformLost &&
-  left.workersVersion === right.workersVersion &&
   left.leases.length === right.leases.length &&
   left.leases.every((lease, index) => lease === right.leases[index]);
 
@@ -141,7 +151,7 @@
     const doubtedMs = nowMs - Math.min(doubt.ageMs, this.#options.suspectAfterMs);
     const heardSince =
       record.lastGrowthMs > doubtedMs && record.digest.heartbeatCount > doubt.heartbeatCount;
-    if (heardSince) this.#markChanged(record, 2);
+    if (heardSince) this.#markChanged(record, { urgent: true, sends: 2 });
     else record.doubtedMs = Math.min(record.doubtedMs ?? Infinity, doubtedMs);
   }
 
@@ -180,8 +190,15 @@
       );
   }
 
+  /** Whether a few peers have changes that every node must learn soon, so that they are sent to more peers. */
+  get hasChangesToBroadcast(): boolean {
+    let count = 0;
+    for (const { urgent, sendsLeft } of this.records()) if (urgent && sendsLeft > 0) count += 1;
+    return count > 0 && count <= MAX_BROADCAST_CHANGES;
+  }
+
   /**
-   * Digests for one message: the changed ones, the newest change first.
+   * Digests for one message: the changed ones, urgent changes first, then the newest.
    *
    * @param withRotation - whether a message without changes carries one unchanged digest in rotation, so that a node
    * that missed a change learns it eventually
@@ -189,7 +206,10 @@
   changesToSend(nowMs: number, maxEntries: number, withRotation = false): PeerDigest[] {
     const changed = [...this.records()]
       .filter((record) => record.sendsLeft > 0)
-      .sort((left, right) => right.changeSequence - left.changeSequence)
+      .sort(
+        (left, right) =>
+          Number(right.urgent) - Number(left.urgent) || right.changeSequence - left.changeSequence,
+      )
       .slice(0, maxEntries);
     for (const record of changed) record.sendsLeft -= 1;
     if (withRotation && changed.length === 0 && this.size > 0) {
@@ -224,13 +244,16 @@
     if (digest.heartbeatCount <= known.digest.heartbeatCount) return 'known';
     const lastGrowthMs = Math.max(known.lastGrowthMs, nowMs - digest.ageMs);
     const refuted = known.doubtedMs !== undefined && lastGrowthMs > known.doubtedMs;
-    const changed = refuted || !sameState(known.digest, digest);
+    const urgent = refuted || !sameRole(known.digest, digest);
+    // The version of the worker registrations changes all the time on every node, so gossip about it would delay all other
+    // changes. A node learns it from the heartbeats of its peers themselves.
+    const changed = urgent || known.digest.acceptedRevision !== digest.acceptedRevision;
     Object.assign(known, {
       lastGrowthMs,
       doubtedMs: refuted ? undefined : known.doubtedMs,
       digest: { ...digest, leaving: digest.leaving || known.digest.leaving },
     });
-    if (changed && source !== 'list') this.#markChanged(known);
+    if (changed && source !== 'list') this.#markChanged(known, { urgent });
     return changed ? 'changed' : 'grown';
   }
 
@@ -261,6 +284,7 @@
       lastDirectMs: source === 'direct' ? nowMs : undefined,
       sendsLeft: 0,
       changeSequence: 0,
+      urgent: false,
     };
     this.#byName.set(name, record);
     this.#nameByIncarnation.set(identity.incarnation, name);
@@ -276,9 +300,13 @@
   }
 
   /** A change that each node sends slightly more than log2(n) times reaches all n nodes with high probability. */
-  #markChanged(record: PeerRecord, sends = 3 + Math.ceil(Math.log2(this.size + 1))): void {
+  #markChanged(
+    record: PeerRecord,
+    { urgent = false, sends = 3 + Math.ceil(Math.log2(this.size + 1)) } = {},
+  ): void {
     this.#lastChangeSequence += 1;
     Object.assign(record, {
+      urgent: urgent || (record.urgent && record.sendsLeft > 0),
       changeSequence: this.#lastChangeSequence,
       sendsLeft: Math.max(record.sendsLeft, sends),
     });
--- a/src/node/membership/heartbeats.ts
+++ b/src/node/membership/heartbeats.ts
@@ -11,7 +11,12 @@
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import type { Random } from '../../shared/random.ts';
 import { gossipTargets } from '../decisions/gossipTargets.ts';
-import type { DigestSource, PeerRecord, PeerTable } from '../decisions/peerTable.ts';
+import {
+  type DigestSource,
+  type PeerRecord,
+  type PeerTable,
+  sameRole,
+} from '../decisions/peerTable.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Drains } from './drains.ts';
 import type { WorkerDirectory } from './workerDirectory.ts';
@@ -31,6 +36,9 @@
 /** Maximum number of concurrent heartbeats while a graceful shutdown is announced to every peer. */
 const ANNOUNCE_CONCURRENCY = 16;
 
+/** Periods in which a change of this node's own role is sent to as many peers as allowed. */
+const OWN_CHANGE_PERIODS = 2;
+
 /** Destination of a heartbeat. Without a datagram port, the heartbeat is sent by HTTP. */
 export type HeartbeatTarget = Pick<NodeIdentity, 'host' | 'peerPort'> &
   Partial<Pick<NodeIdentity, 'datagramPort'>>;
@@ -110,6 +118,12 @@
   /** Heartbeat count when a peer last responded with all peers that it knows. */
   #lastFullSyncAt = -Infinity;
 
+  /** This node's own digest in the last period. */
+  #lastDigest: PeerDigest | undefined;
+
+  /** Heartbeat count up to which a change of this node's own role is broadcast. */
+  #broadcastUntil = -Infinity;
+
   /** A peer with a newer drain list; it gets a heartbeat in the next period. */
   #drainListSource: NodeIdentity | undefined;
 
@@ -124,7 +138,10 @@
     this.#heartbeatCount += 1;
     const candidates = gossipCandidates(table, self.incarnation, nowMs);
     const targets = new Map<string, NodeIdentity>();
-    const chosen = gossipTargets(candidates, random).map(({ digest }) => digest.identity);
+    const broadcast = this.#hasOwnChange() || table.hasChangesToBroadcast;
+    const chosen = gossipTargets({ ...candidates, broadcast }, random).map(
+      ({ digest }) => digest.identity,
+    );
     for (const identity of [...chosen, this.#drainListSource]) {
       if (identity) targets.set(identity.incarnation, identity);
     }
@@ -226,6 +243,16 @@
     this.#learn(digest, 'list');
   }
 
+  /** Whether this node's own role has changed within the last periods. */
+  #hasOwnChange(): boolean {
+    const digest = this.digest();
+    if (this.#lastDigest !== undefined && !sameRole(this.#lastDigest, digest)) {
+      this.#broadcastUntil = this.#heartbeatCount + OWN_CHANGE_PERIODS;
+    }
+    this.#lastDigest = digest;
+    return this.#heartbeatCount < this.#broadcastUntil;
+  }
+
   async #sendAndLearn(target: HeartbeatTarget, request: HeartbeatRequest): Promise<boolean> {
     const { send, clock, drains, onResponse } = this.#options;
     const sentAt = new Stopwatch(clock);
