feat(gateway): list the large nodes of an unequal fleet to callers

Change: preferredEntries lists the nodes with at least half of the largest node's processor time, where there are six or more of them with a quarter of the fleet's; a batch that is passed on goes to one of them, too. Ruled out: encoding the items in binary (11 ms against 15 ms for 208 items), which does not shorten the transfer. Not built: leaving out large nodes that are busy.

--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -12,6 +12,7 @@
 import { ObjectFollower } from '../platform/objectFollower.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import type { PlatformHealth } from '../platform/platformHealth.ts';
+import { preferredEntries } from '../decisions/preferredEntries.ts';
 import { type AcceptResult, BatchAcceptor, type BatchSubmission } from './batchAcceptor.ts';
 import {
   BatchCoordinator,
@@ -158,8 +159,10 @@
     const { view, peerClients, logger, random } = this.#options;
     const candidates = view
       .peers()
-      .filter((peer) => !peer.suspected && !peer.leaving && !peer.platformLost);
-    const peer = candidates[Math.floor(random() * candidates.length)];
+      .filter((peer) => !peer.suspected && !peer.leaving && !peer.platformLost)
+      .map((peer) => ({ peer, capacityMillicores: peer.identity.capacityMillicores }));
+    const preferred = preferredEntries(candidates);
+    const peer = preferred[Math.floor(random() * preferred.length)]?.peer;
     // No other node is available, so the batch is submitted from here.
     if (peer === undefined) return this.#accept(submission, route);
     const result = await acceptViaPeer(peerClients.batch(peer.identity), submission);
--- a/src/node/gateway/entryAddresses.ts
+++ b/src/node/gateway/entryAddresses.ts
@@ -1,5 +1,6 @@
 import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import { joinAddress } from '../dataPath/workerAddress.ts';
+import { preferredEntries } from '../decisions/preferredEntries.ts';
 import type { Peer } from '../membership/membershipView.ts';
 
 /** Maximum number of addresses in one response of the directory. */
@@ -16,8 +17,8 @@
 
 /**
  * Addresses at which callers reach nodes that accept requests: those that are not suspected, not leaving and not cut
- * off from the platform; if there are none, all that are not leaving. Nodes in the caller's availability zone come
- * first.
+ * off from the platform; if there are none, all that are not leaving. Of unequal nodes, the large ones are listed. Nodes
+ * in the caller's availability zone come first.
  */
 export const entryAddresses = (
   view: DirectoryView,
@@ -28,9 +29,13 @@
   const nodes = [{ identity: self, leaving, suspected: false, platformLost }, ...view.peers()];
   const notLeaving = nodes.filter((node) => !node.leaving);
   const healthy = notLeaving.filter((node) => !node.suspected && !node.platformLost);
-  const zoneRank = (node: { readonly identity: NodeIdentity }) =>
-    Number(node.identity.availabilityZone === availabilityZone);
-  return (healthy.length > 0 ? healthy : notLeaving)
+  const zoneRank = ({ identity }: { readonly identity: NodeIdentity }) =>
+    Number(identity.availabilityZone === availabilityZone);
+  const candidates = (healthy.length > 0 ? healthy : notLeaving).map(({ identity }) => ({
+    identity,
+    capacityMillicores: identity.capacityMillicores,
+  }));
+  return [...preferredEntries(candidates)]
     .sort((left, right) => zoneRank(right) - zoneRank(left))
     .slice(0, MAX_ENTRY_ADDRESSES)
     .map(({ identity }) => addressOf(identity));
