--- a/src/node/gateway/entryAddresses.ts
+++ b/src/node/gateway/entryAddresses.ts
@@ -40,3 +40,13 @@
     .slice(0, MAX_ENTRY_ADDRESSES)
     .map(({ identity }) => addressOf(identity));
 };
+
+/** Whether callers are sent to this node while it is healthy. */
+export const isPreferredEntry = (view: Pick<DirectoryView, 'self' | 'peers'>): boolean => {
+  const { self } = view;
+  const live = view
+    .peers()
+    .filter((peer) => !peer.leaving && !peer.suspected)
+    .map(({ identity }) => identity);
+  return preferredEntries([self, ...live]).includes(self);
+};
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -32,7 +32,7 @@
 import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
 import { Shutdown } from '../shutdown.ts';
 import type { GatewayAdapter } from './adapter.ts';
-import { entryAddresses } from './entryAddresses.ts';
+import { entryAddresses, isPreferredEntry } from './entryAddresses.ts';
 import { Forwarder } from './forwarder.ts';
 import type { GatewayServices } from './gatewayServices.ts';
 import { instrumentServices } from './instrumentedServices.ts';
@@ -53,6 +53,9 @@
 /** Interval between checks that the platform responds to this node, in ms; a stale read costs a tenth of a call. */
 const PLATFORM_PROBE_INTERVAL_MS = 1000;
 
+/** The same interval at a node that callers are not sent to, in ms; hundreds of them would call all the time. */
+const RESERVE_PROBE_INTERVAL_MS = 5000;
+
 /** Interval between removals of state kept for unregistered workers, in ms. */
 const SWEEP_INTERVAL_MS = 10_000;
 
@@ -307,7 +310,9 @@
   store.add(membership);
   await Promise.all([tables.start(), workers.start()]);
   store.add(repeatEvery(clock, SWEEP_INTERVAL_MS, () => loadBalancer.sweep()));
-  store.add(repeatEvery(clock, PLATFORM_PROBE_INTERVAL_MS, () => probePlatform()));
+  const probeIntervalMs = () =>
+    isPreferredEntry(membership) ? PLATFORM_PROBE_INTERVAL_MS : RESERVE_PROBE_INTERVAL_MS;
+  store.add(repeatEvery(clock, probeIntervalMs, () => probePlatform()));
   logger.info('node-started', {
     incarnation: self.incarnation,
     front: gateway.frontAddress,
