--- a/src/node/gateway/forwarder.ts
+++ b/src/node/gateway/forwarder.ts
@@ -11,7 +11,7 @@
 import type { ForwardedRequest, ForwardOutcome, ResponseOutcome } from './forwardedRequest.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
 import type { LoadBalancer } from './loadBalancer.ts';
-import { createResponseReader } from './readResponse.ts';
+import { withinBudget } from './withinBudget.ts';
 import {
   type AttemptOptions,
   type AttemptResult,
@@ -44,8 +44,6 @@
 
   readonly #budgets = new RetryBudgets();
 
-  readonly #readResponse = createResponseReader();
-
   constructor(options: ForwarderOptions) {
     this.#options = options;
   }
@@ -63,22 +61,11 @@
     const { clock, loadBalancer } = this.#options;
     const pool = loadBalancer.choosePool(route);
     if (pool === undefined) return { kind: 'not-run', reason: 'the route has no pool' };
-    const abort = new AbortController();
-    const cancel = () => abort.abort();
-    signal.addEventListener('abort', cancel, { once: true });
-    const timeLeftMs = request.budgetMs - request.sinceArrival.elapsedMs();
-    const timer = clock.schedule(Math.max(0, timeLeftMs), cancel);
-    try {
-      const outcome =
-        route.kind === 'idempotent'
-          ? this.#forwardIdempotent(request, route, pool, abort.signal)
-          : this.#forwardAtMostOnce(request, route, pool, abort.signal);
-      return await outcome;
-    } finally {
-      timer[Symbol.dispose]();
-      signal.removeEventListener('abort', cancel);
-      abort.abort();
-    }
+    return withinBudget(clock, request, signal, (attemptsSignal) =>
+      route.kind === 'idempotent'
+        ? this.#forwardIdempotent(request, route, pool, attemptsSignal)
+        : this.#forwardAtMostOnce(request, route, pool, attemptsSignal),
+    );
   }
 
   /** Tries one worker at a time, and the next one only while no worker can have executed the request. */
@@ -188,7 +175,7 @@
   ): Promise<AttemptResult> | undefined {
     return this.#options.attempts.start(request, route, {
       ...options,
-      read: this.#readResponse,
+      read: this.#options.attempts.readResponse,
       classifyAborted: (elapsedMs) => classifyAbortedAttempt(elapsedMs, route),
     });
   }
--- a/src/node/gateway/streamForwarder.ts
+++ b/src/node/gateway/streamForwarder.ts
@@ -10,7 +10,6 @@
 import type { ForwardedRequest, StreamOutcome, StreamSink } from './forwardedRequest.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
 import type { LoadBalancer } from './loadBalancer.ts';
-import { createResponseReader } from './readResponse.ts';
 import { StallTimer } from './stallTimer.ts';
 import { isEventStream, StreamRelay } from './streamRelay.ts';
 import {
@@ -19,6 +18,7 @@
   type ResponseReader,
   type WorkerAttempts,
 } from './workerAttempts.ts';
+import { withinBudget } from './withinBudget.ts';
 
 export interface StreamForwarderOptions {
   readonly clock: Clock;
@@ -48,8 +48,6 @@
 
   readonly #budgets = new RetryBudgets();
 
-  readonly #readResponse = createResponseReader();
-
   constructor(options: StreamForwarderOptions) {
     this.#options = options;
   }
@@ -64,21 +62,12 @@
     const { clock, loadBalancer, versionField } = this.#options;
     const pool = loadBalancer.choosePool(route);
     if (pool === undefined) return { kind: 'not-run', reason: 'the route has no pool' };
-    const abort = new AbortController();
-    const cancel = () => abort.abort();
-    signal.addEventListener('abort', cancel, { once: true });
-    const timeLeftMs = request.budgetMs - request.sinceArrival.elapsedMs();
-    const timer = clock.schedule(Math.max(0, timeLeftMs), cancel);
     const join = new EventStreamJoin({ lastEventId: request.resumeAfter ?? 0, versionField });
     const relay = new StreamRelay(sink, join);
-    try {
-      const tried = new Set<string>();
-      return await this.#run({ request, route, pool, relay, tried, signal: abort.signal });
-    } finally {
-      timer[Symbol.dispose]();
-      signal.removeEventListener('abort', cancel);
-      abort.abort();
-    }
+    const tried = new Set<string>();
+    return withinBudget(clock, request, signal, (attemptsSignal) =>
+      this.#run({ request, route, pool, relay, tried, signal: attemptsSignal }),
+    );
   }
 
   async #run(streamed: StreamedRequest): Promise<StreamOutcome> {
@@ -149,8 +138,9 @@
 
   /** @param mayRepeat - whether another attempt can confirm that a stream of unknown length has ended */
   #reader(relay: StreamRelay, stall: StallTimer | undefined, mayRepeat: boolean): ResponseReader {
+    const { attempts } = this.#options;
     return async (worker, response) => {
-      if (!isEventStream(response)) return this.#readResponse(worker, response);
+      if (!isEventStream(response)) return attempts.readResponse(worker, response);
       const end = await relay.relay(response, stall);
       if (end === 'uncertain' && mayRepeat) {
         return { worker, mayHaveRun: true, reason: 'the end of the stream is not certain' };
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -7,6 +7,7 @@
 import type { ForwardedRequest, ResponseOutcome } from './forwardedRequest.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
 import type { LoadBalancer } from './loadBalancer.ts';
+import { createResponseReader } from './readResponse.ts';
 import type { WorkerCalls, WorkerLoad, WorkerResponse } from './workerCalls.ts';
 import type { RegisteredWorker } from './workerRegistry.ts';
 
@@ -56,6 +57,9 @@
 
 /** Sends requests to workers one attempt at a time, and records how the worker did. */
 export class WorkerAttempts {
+  /** Reads complete responses. All forwarders of a node share its limit on the bytes in memory. */
+  readonly readResponse = createResponseReader();
+
   readonly #options: WorkerAttemptsOptions;
 
   constructor(options: WorkerAttemptsOptions) {
