refactor(gateway): drop unused and repeated parts found on a second reading of the change

Change: these only, no behaviour; the limit on an event is passed to EventStreamJoin from dataPath/constants.ts.

--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -160,15 +160,15 @@
     const candidates = view
       .peers()
       .filter((peer) => !peer.suspected && !peer.leaving && !peer.platformLost)
-      .map((peer) => ({ peer, capacityMillicores: peer.identity.capacityMillicores }));
+      .map(({ identity }) => identity);
     const preferred = preferredEntries(candidates);
-    const peer = preferred[Math.floor(random() * preferred.length)]?.peer;
+    const peer = preferred[Math.floor(random() * preferred.length)];
     // No other node is available, so the batch is submitted from here.
     if (peer === undefined) return this.#accept(submission, route);
-    const result = await acceptViaPeer(peerClients.batch(peer.identity), submission);
+    const result = await acceptViaPeer(peerClients.batch(peer), submission);
     logger.info('batch-submitted-via-peer', {
       batch: submission.id,
-      peer: peer.identity.name,
+      peer: peer.name,
       outcome: result.kind,
       reason: result.kind === 'accepted' ? undefined : result.reason,
     });
--- a/src/node/decisions/eventStreamJoin.ts
+++ b/src/node/decisions/eventStreamJoin.ts
@@ -3,9 +3,6 @@
 /** An attempt's bytes do not continue the event stream. Nothing of the offending event was accepted. */
 export const EventStreamError = BaseError.subclass('EventStreamError');
 
-/** Largest event, in bytes; a stream that sends more without completing an event is broken. */
-const MAX_EVENT_BYTES = 256 * 1024;
-
 /** End of an event in a stream of server-sent events: an empty line. */
 const EVENT_END = /\n\r?\n/g;
 
@@ -18,6 +15,8 @@
   readonly lastEventId: number;
   /** Name of the field by which an event tells that the weight version changes at it. */
   readonly versionField: string;
+  /** Largest event, in bytes; a stream that sends more without completing an event is broken. */
+  readonly maxEventBytes: number;
 }
 
 /**
@@ -29,6 +28,8 @@
 
   readonly #versionLine: RegExp;
 
+  readonly #maxEventBytes: number;
+
   #lastEventId: number;
 
   /** Bytes of the current attempt after its last complete event. */
@@ -40,7 +41,8 @@
   /** Weight version of the current attempt at its next event. */
   #attemptVersion: number | undefined;
 
-  constructor({ lastEventId, versionField }: EventStreamJoinOptions) {
+  constructor({ lastEventId, versionField, maxEventBytes }: EventStreamJoinOptions) {
+    this.#maxEventBytes = maxEventBytes;
     this.#lastEventId = lastEventId;
     this.#versionField = versionField;
     this.#versionLine = new RegExp(`^${versionField}: ?(\\d+)\\r?$`, 'm');
@@ -77,8 +79,8 @@
       start = EVENT_END.lastIndex;
     }
     this.#partial = this.#partial.slice(start);
-    if (this.#partial.length > MAX_EVENT_BYTES) {
-      throw new EventStreamError(`an event is larger than ${MAX_EVENT_BYTES} bytes`);
+    if (this.#partial.length > this.#maxEventBytes) {
+      throw new EventStreamError(`an event is larger than ${this.#maxEventBytes} bytes`);
     }
     return accepted;
   }
--- a/src/node/decisions/peerTable.ts
+++ b/src/node/decisions/peerTable.ts
@@ -9,7 +9,8 @@
 
 /**
  * How a digest changed the table. `changed`: the peer's state differs or a doubt was refuted. `grown`: only the
- * heartbeat count or the version of the worker registrations grew. `stale`: the digest describes a replaced incarnation. `full`: there was no room for a new peer.
+ * heartbeat count or the version of the worker registrations grew. `stale`: the digest describes a replaced incarnation.
+ * `full`: there was no room for a new peer.
  */
 export type MergeResult = 'new' | 'restarted' | 'changed' | 'grown' | 'known' | 'stale' | 'full';
 
--- a/src/node/gateway/entryAddresses.ts
+++ b/src/node/gateway/entryAddresses.ts
@@ -29,16 +29,13 @@
   const nodes = [{ identity: self, leaving, suspected: false, platformLost }, ...view.peers()];
   const notLeaving = nodes.filter((node) => !node.leaving);
   const healthy = notLeaving.filter((node) => !node.suspected && !node.platformLost);
-  const zoneRank = ({ identity }: { readonly identity: NodeIdentity }) =>
+  const zoneRank = (identity: NodeIdentity) =>
     Number(identity.availabilityZone === availabilityZone);
-  const candidates = (healthy.length > 0 ? healthy : notLeaving).map(({ identity }) => ({
-    identity,
-    capacityMillicores: identity.capacityMillicores,
-  }));
+  const candidates = (healthy.length > 0 ? healthy : notLeaving).map(({ identity }) => identity);
   return [...preferredEntries(candidates)]
     .sort((left, right) => zoneRank(right) - zoneRank(left))
     .slice(0, MAX_ENTRY_ADDRESSES)
-    .map(({ identity }) => addressOf(identity));
+    .map(addressOf);
 };
 
 /** Whether callers are sent to this node while it is healthy. */
--- a/src/node/gateway/stallTimer.ts
+++ b/src/node/gateway/stallTimer.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../../shared/clock.ts';
 
 /** Calls `onStalled` when a wait for a worker takes too long. */
-export class StallTimer implements Disposable {
+export class StallTimer {
   readonly #clock: Clock;
 
   readonly #onStalled: () => void;
@@ -24,8 +24,4 @@
     this.#timer?.[Symbol.dispose]();
     this.#timer = undefined;
   }
-
-  [Symbol.dispose](): void {
-    this.stop();
-  }
 }
--- a/src/node/gateway/streamForwarder.ts
+++ b/src/node/gateway/streamForwarder.ts
@@ -1,4 +1,5 @@
 import { type Clock, sleep } from '../../shared/clock.ts';
+import { MAX_EVENT_CHARS } from '../dataPath/constants.ts';
 import { EventStreamJoin } from '../decisions/eventStreamJoin.ts';
 import { RetryBudgets } from '../decisions/retryBudgets.ts';
 import {
@@ -62,7 +63,10 @@
     const { clock, loadBalancer, versionField } = this.#options;
     const pool = loadBalancer.choosePool(route);
     if (pool === undefined) return { kind: 'not-run', reason: 'the route has no pool' };
-    const join = new EventStreamJoin({ lastEventId: request.resumeAfter ?? 0, versionField });
+    const join = new EventStreamJoin({
+      ...{ lastEventId: request.resumeAfter ?? 0, versionField },
+      maxEventBytes: MAX_EVENT_CHARS,
+    });
     const relay = new StreamRelay(sink, join);
     const tried = new Set<string>();
     return withinBudget(clock, request, signal, (attemptsSignal) =>
