feat(gateway): log and count the request limits that workers name in their answers

Callers saw nothing. Three hypotheses for LIMIT could not be told apart, since no log line carried the limit that a worker names. Now request-limit-changed is logged once per change, worker-attempt and item-run carry limitPerSecond, and hyssoppulley_request_limit_changes_total counts the changes. No decision uses the limit yet.

--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -6,6 +6,7 @@
 import { seededRandom } from '../../../shared/random.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
 import type { BatchViewState } from '../../decisions/batchView.ts';
+import { RequestLimits } from '../../decisions/requestLimits.ts';
 import type { RegisteredWorker } from '../../gateway/workerRegistry.ts';
 import { WorkerRegistry } from '../../gateway/workerRegistry.ts';
 import { silentLogger } from '../../observability/logger.ts';
@@ -52,7 +53,7 @@
   const started: string[] = [];
   const dispatcher = new PoolDispatcher({
     ...common,
-    ...{ pool: 'p', term: 1, writer: 'n-1', registry, weights },
+    ...{ pool: 'p', term: 1, writer: 'n-1', registry, weights, limits: new RequestLimits() },
     metrics: createMetrics(),
     engine: () => ({ slots: 8, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] }),
     calls: {
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -10,6 +10,7 @@
 import type { Random } from '../../shared/random.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import { firstOrderDelayMs, type FirstOrderConditions } from '../decisions/firstOrderDelay.ts';
+import type { RequestLimits } from '../decisions/requestLimits.ts';
 import type { GatewayTables } from '../gateway/gatewayTables.ts';
 import type { WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { Logger } from '../observability/logger.ts';
@@ -63,6 +64,7 @@
   readonly health: Pick<PlatformHealth, 'lost'>;
   readonly tables: () => GatewayTables | undefined;
   readonly registry: WorkerRegistry;
+  readonly limits: RequestLimits;
   readonly generations: GenerationCalls;
   readonly orders: OrderCalls;
   readonly scorer: ItemScorer;
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -12,6 +12,7 @@
 import { ObjectFollower } from '../platform/objectFollower.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import type { PlatformHealth } from '../platform/platformHealth.ts';
+import type { RequestLimits } from '../decisions/requestLimits.ts';
 import { preferredEntries } from '../decisions/preferredEntries.ts';
 import { type AcceptResult, BatchAcceptor, type BatchSubmission } from './batchAcceptor.ts';
 import {
@@ -42,6 +43,7 @@
   readonly tables: TablesFollower;
   readonly forwarder: Forwarder;
   readonly adapter: Pick<GatewayAdapter, 'generationCalls' | 'orderCalls' | 'publishedVersions'>;
+  readonly limits: RequestLimits;
   readonly peerClients: PeerClients;
   readonly maxValueBytes: number;
   readonly maxLoading?: number;
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -10,6 +10,7 @@
 import type { Random } from '../../shared/random.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
+import type { RequestLimits } from '../decisions/requestLimits.ts';
 import { type Placement, placeItems } from '../decisions/itemPlacement.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
@@ -51,6 +52,7 @@
   readonly logger: Logger;
   readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds'>;
   readonly registry: WorkerRegistry;
+  readonly limits: RequestLimits;
   readonly engine: () => EnginePool | undefined;
   readonly calls: GenerationCalls;
   readonly scorer: ItemScorer;
@@ -304,10 +306,11 @@
     this.#runs.set(state, run);
     this.#workers.recordPrompt(worker.id, sharedPromptOf(state.item));
     const eventsBefore = state.text.events.length;
+    const limitPerSecond = this.#options.limits.of(worker.id);
     void run.execute().then((end) => {
       this.#runs.delete(state);
       const { logger, metrics, pool } = this.#options;
-      logger.info('item-run', runLogFields(run, end, eventsBefore));
+      logger.info('item-run', { ...runLogFields(run, end, eventsBefore), limitPerSecond });
       metrics.itemRuns.inc({ pool, end: end.kind });
       metrics.itemRunSeconds.observe({ pool }, run.elapsedMs / 1000);
       if (!this.#closed) this.#handleRunEnd(run, end);
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -12,6 +12,7 @@
 import { repeatEvery } from '../../shared/repeat.ts';
 import { createBatchHandlers } from '../batches/batchService.ts';
 import { BatchSubsystem } from '../batches/batchSubsystem.ts';
+import { RequestLimits } from '../decisions/requestLimits.ts';
 import { ServingLease } from '../decisions/servingLease.ts';
 import {
   HeartbeatDatagrams,
@@ -41,6 +42,7 @@
 import { StreamForwarder } from './streamForwarder.ts';
 import { TablesFollower } from './tablesFollower.ts';
 import { LoadBalancer } from './loadBalancer.ts';
+import { createNoticeListener, type NoticeListener } from './workerNotices.ts';
 import { WorkerAttempts } from './workerAttempts.ts';
 import { WorkerRegistry } from './workerRegistry.ts';
 
@@ -68,7 +70,7 @@
 export interface GatewayDependencies {
   readonly settings: ResolvedSettings & { readonly gateway: ResolvedGateway };
   readonly platform: (logger: Logger) => PlatformObjects;
-  readonly createAdapter: (logger: Logger) => GatewayAdapter;
+  readonly createAdapter: (logger: Logger, onNotice: NoticeListener) => GatewayAdapter;
   /** @default the system clock */
   readonly clock?: Clock;
   /** @default the system's random source */
@@ -90,9 +92,11 @@
   const { settings, clock = systemClock, random = systemRandom } = dependencies;
   const { gateway, timing } = settings;
   const logger = dependencies.logger ?? createLogger(settings.log.level, { node: settings.name });
-  const adapter = dependencies.createAdapter(logger);
   const store = new DisposableStore();
   const metrics = createMetrics();
+  const limits = new RequestLimits();
+  const onNotice = createNoticeListener({ clock, logger, metrics, limits });
+  const adapter = dependencies.createAdapter(logger, onNotice);
   onInvariantViolation((name, details) => {
     metrics.invariantViolations.inc({ name });
     logger.error('invariant-violated', { name, details: JSON.stringify(details) });
@@ -208,7 +212,7 @@
     availabilityZone: settings.availabilityZone,
   });
   const attempts = new WorkerAttempts({
-    ...{ clock, logger, loadBalancer },
+    ...{ clock, logger, loadBalancer, limits },
     calls: adapter.workerCalls,
   });
   const forwarder = new Forwarder({ clock, loadBalancer, attempts });
@@ -218,7 +222,7 @@
   });
   const batches = store.add(
     new BatchSubsystem({
-      ...{ platform, clock, random, logger, metrics, registry, tables, forwarder, adapter },
+      ...{ platform, clock, random, logger, metrics, registry, tables, forwarder, adapter, limits },
       peerClients,
       view: membership,
       health,
@@ -309,7 +313,12 @@
   await membership.start();
   store.add(membership);
   await Promise.all([tables.start(), workers.start()]);
-  store.add(repeatEvery(clock, SWEEP_INTERVAL_MS, () => loadBalancer.sweep()));
+  store.add(
+    repeatEvery(clock, SWEEP_INTERVAL_MS, () => {
+      loadBalancer.sweep();
+      limits.retain((id) => registry.find(id) !== undefined, clock.monotonicMs());
+    }),
+  );
   const probeIntervalMs = () =>
     isPreferredEntry(membership) ? PLATFORM_PROBE_INTERVAL_MS : RESERVE_PROBE_INTERVAL_MS;
   store.add(repeatEvery(clock, probeIntervalMs, () => probePlatform()));
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -2,6 +2,7 @@
 import { messageOf } from '../../shared/errors.ts';
 import { WorkerCallError } from '../dataPath/workerHttpClient.ts';
 import type { WorkerResult } from '../decisions/passiveHealthCheck.ts';
+import type { RequestLimits } from '../decisions/requestLimits.ts';
 import type { Logger } from '../observability/logger.ts';
 import { MIN_REMAINING_MS } from './constants.ts';
 import type { ForwardedRequest, ResponseOutcome } from './forwardedRequest.ts';
@@ -50,6 +51,7 @@
   readonly logger: Logger;
   readonly calls: WorkerCalls;
   readonly loadBalancer: LoadBalancer;
+  readonly limits: Pick<RequestLimits, 'of'>;
 }
 
 /** Whether a worker failed the request. */
@@ -88,7 +90,8 @@
     { signal, newConnection, resumeAfter, read, classifyAborted }: AttemptOptions,
     remainingMs: number,
   ): Promise<AttemptResult> {
-    const { clock, calls, loadBalancer, logger } = this.#options;
+    const { clock, calls, loadBalancer, limits, logger } = this.#options;
+    const limitPerSecond = limits.of(worker.id);
     const { id: requestId, method, path, host, headers, body } = request;
     const started = new Stopwatch(clock);
     let result: WorkerResult | 'abandoned' = 'failed';
@@ -115,6 +118,7 @@
       tookMs: Math.round(started.elapsedMs()),
       status: attemptResult.response?.statusCode,
       resumeAfter,
+      limitPerSecond,
       result,
       reason: attemptResult.response === undefined ? attemptResult.reason : undefined,
     });
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -40,6 +40,12 @@
       labelNames: ['pool', 'priority'],
       registers,
     }),
+    requestLimitChanges: new Counter({
+      name: 'hyssoppulley_request_limit_changes_total',
+      help: 'Changes of the request limits that workers name, by change (named, changed, lifted)',
+      labelNames: ['change'],
+      registers,
+    }),
     platformCalls: new Counter({
       name: 'hyssoppulley_platform_calls_total',
       help: 'Calls to the platform, by operation',
