fix(gateway): keep the request limit that a worker names, for all nodes together

Callers saw nothing; workers that asked for relief got none.

Cause: no node read Server-Limit. Placement knows load and health, so a worker kept its usual share whatever it named.

Change: a request to a worker with a limit needs a permit. One node of the deployment, chosen by rendezvous hashing among the large live nodes, issues the permits of a pool with a cell rate algorithm; others ask it with one call. A node issues only the part of the limit that belongs to the nodes it sees; one that is asked while it takes another for the issuer stands in with a quarter. Requests that a node sent before it knew the limit are reported and charged. What exceeds the limit goes to a worker without one, waits for a third of its budget at most where its route is the most urgent of the pool, or is refused at once with the time of the next free place; those who are refused are told to come back one after the other. Hedges never use permits. Scoring calls and items need permits like callers' requests. A worker that no longer names a limit is free with its next answer.

--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -54,6 +54,7 @@
   const dispatcher = new PoolDispatcher({
     ...common,
     ...{ pool: 'p', term: 1, writer: 'n-1', registry, weights, limits: new RequestLimits() },
+    permits: { obtain: () => Promise.resolve({ permits: [], retryAfterMs: 0, issuer: undefined }) },
     metrics: createMetrics(),
     engine: () => ({ slots: 8, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] }),
     calls: {
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -11,6 +11,7 @@
 import { repeatEvery } from '../../shared/repeat.ts';
 import { firstOrderDelayMs, type FirstOrderConditions } from '../decisions/firstOrderDelay.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
+import type { RequestPermits } from '../limits/requestPermits.ts';
 import type { GatewayTables } from '../gateway/gatewayTables.ts';
 import type { WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { Logger } from '../observability/logger.ts';
@@ -65,6 +66,7 @@
   readonly tables: () => GatewayTables | undefined;
   readonly registry: WorkerRegistry;
   readonly limits: RequestLimits;
+  readonly permits: Pick<RequestPermits, 'obtain'>;
   readonly generations: GenerationCalls;
   readonly orders: OrderCalls;
   readonly scorer: ItemScorer;
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -6,6 +6,7 @@
 import type { GatewayRoute } from '../gateway/gatewayTables.ts';
 import type { TablesFollower } from '../gateway/tablesFollower.ts';
 import type { WorkerRegistry } from '../gateway/workerRegistry.ts';
+import type { RequestPermits } from '../limits/requestPermits.ts';
 import type { PeerClients } from '../membership/peerClients.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
@@ -44,6 +45,7 @@
   readonly forwarder: Forwarder;
   readonly adapter: Pick<GatewayAdapter, 'generationCalls' | 'orderCalls' | 'publishedVersions'>;
   readonly limits: RequestLimits;
+  readonly permits: RequestPermits;
   readonly peerClients: PeerClients;
   readonly maxValueBytes: number;
   readonly maxLoading?: number;
--- a/src/node/batches/engineWorkers.ts
+++ b/src/node/batches/engineWorkers.ts
@@ -15,6 +15,8 @@
   readonly registry: WorkerRegistry;
   readonly weights: WeightLoads;
   readonly engine: () => EnginePool | undefined;
+  /** Number of items that the request limit of a worker allows to start now. */
+  readonly permitsOf: (worker: string) => number;
 }
 
 /** Tracks the workers of a dispatcher's pool: their speed, their failures, and the prompts they have processed. */
@@ -127,7 +129,21 @@
     return (this.#pausedUntilMs.get(worker) ?? -Infinity) > nowMs;
   }
 
+  /** Workers with slots that only their request limits may keep free. */
+  withFreeSlots(running: ReadonlyMap<string, number>) {
+    const nowMs = this.#options.clock.monotonicMs();
+    return this.#health
+      .selectUsable(this.usable(), nowMs)
+      .filter(({ id }) => !this.#isPaused(id, nowMs))
+      .map((worker) => ({ worker, freeSlots: this.#slotsLeft(worker, running) }))
+      .filter(({ freeSlots }) => freeSlots > 0);
+  }
+
   #freeSlotsOf(worker: RegisteredWorker, running: ReadonlyMap<string, number>): number {
+    return Math.min(this.#slotsLeft(worker, running), this.#options.permitsOf(worker.id));
+  }
+
+  #slotsLeft(worker: RegisteredWorker, running: ReadonlyMap<string, number>): number {
     const slots = this.#options.engine()?.slots ?? worker.slots;
     return slots - (running.get(worker.id) ?? 0);
   }
--- a/src/node/batches/itemScorer.ts
+++ b/src/node/batches/itemScorer.ts
@@ -48,7 +48,8 @@
           return undefined;
         }
       } else {
-        await sleep(clock, SCORING_RETRY_MS, signal);
+        const retryAfterMs = outcome?.kind === 'not-run' ? outcome.retryAfterMs : undefined;
+        await sleep(clock, retryAfterMs ?? SCORING_RETRY_MS, signal);
       }
     }
     return undefined;
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -14,6 +14,7 @@
 import { type Placement, placeItems } from '../decisions/itemPlacement.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
+import type { RequestPermits } from '../limits/requestPermits.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
@@ -28,6 +29,7 @@
   REJECTION_BACKOFF_MS,
   RUN_CHECK_INTERVAL_MS,
 } from './constants.ts';
+import { EnginePermits } from './enginePermits.ts';
 import { EngineWorkers } from './engineWorkers.ts';
 import type { PartialTextCache } from './partialTextCache.ts';
 import type { GenerationCalls } from './generationCalls.ts';
@@ -53,6 +55,7 @@
   readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds'>;
   readonly registry: WorkerRegistry;
   readonly limits: RequestLimits;
+  readonly permits: Pick<RequestPermits, 'obtain'>;
   readonly engine: () => EnginePool | undefined;
   readonly calls: GenerationCalls;
   readonly scorer: ItemScorer;
@@ -90,6 +93,8 @@
 
   readonly #workers: EngineWorkers;
 
+  readonly #permits: EnginePermits;
+
   readonly #refresher: WeightRefresher;
 
   readonly #viewGuard: StaleViewGuard;
@@ -102,7 +107,11 @@
 
   constructor(options: PoolDispatcherOptions) {
     this.#options = options;
-    this.#workers = new EngineWorkers(options);
+    this.#permits = new EnginePermits(options);
+    this.#workers = new EngineWorkers({
+      ...options,
+      permitsOf: (id) => this.#permits.available(id),
+    });
     this.#refresher = new WeightRefresher({ ...options, workers: this.#workers });
     this.#viewGuard = new StaleViewGuard(options);
     this.#timers.add(repeatEvery(options.clock, RUN_CHECK_INTERVAL_MS, () => this.#checkRuns()));
@@ -285,6 +294,17 @@
       }
       this.#startRun(placement, waiting, workers);
     }
+    const unplaced = waiting.size - placements.length;
+    if (unplaced > 0) this.#askForPermits(unplaced);
+  }
+
+  /** Asks for permits to start waiting items on workers that have free slots but a request limit. */
+  #askForPermits(waitingCount: number): void {
+    const running = this.#runningByWorker();
+    const open = this.#workers.withFreeSlots(running);
+    const freeSlots = open.reduce((sum, { freeSlots: free }) => sum + free, 0);
+    const workers = open.map(({ worker }) => worker);
+    void this.#permits.ask(workers, Math.min(waitingCount, freeSlots), () => this.schedule());
   }
 
   #startRun(
@@ -296,6 +316,7 @@
     const worker = workers.find(({ id }) => id === workerId);
     if (state === undefined || worker === undefined) return;
     state.start();
+    this.#permits.use(worker.id);
     const { clock, calls, weights } = this.#options;
     const { model } = state.batch.record;
     const run = new ItemRun({
--- a/src/node/decisions/requestLimits.ts
+++ b/src/node/decisions/requestLimits.ts
@@ -1,3 +1,5 @@
+import { AnswerCounts } from './answerCounts.ts';
+
 /** What is known of the request limit that one worker names. */
 interface LimitRecord {
   /** Requests per second from all nodes together; undefined when the worker names no limit any more. */
@@ -27,17 +29,29 @@
 export class RequestLimits {
   readonly #records = new Map<string, LimitRecord>();
 
-  /** Whether any worker names a limit; spares a look at every worker while none does. */
-  get any(): boolean {
-    return this.#records.size > 0;
-  }
+  readonly #answers = new AnswerCounts();
 
   /** Limit of a worker in requests per second; undefined when it names none. */
   of(worker: string): number | undefined {
     return this.#records.get(worker)?.perSecond;
   }
 
-  /** Records what an answer of a worker says. The latest observation counts. Returns how it changed the limit. */
+  /** Records what an answer that this node received says. Returns how it changed the limit. */
+  recordAnswer(
+    worker: string,
+    perSecond: number | undefined,
+    nowMs: number,
+  ): LimitChange | undefined {
+    this.#answers.add(worker, nowMs);
+    return this.observe(worker, perSecond, nowMs);
+  }
+
+  /** Number of answers of a worker that this node received in the last second. */
+  answersInLastSecond(worker: string, nowMs: number): number {
+    return Math.round(this.#answers.inLastSecond(worker, nowMs));
+  }
+
+  /** Records what is known of an answer of a worker. The latest observation counts. Returns how it changed the limit. */
   observe(
     worker: string,
     perSecond: number | undefined,
@@ -69,6 +83,7 @@
 
   /** Removes workers that `isKnown` rejects, and limits that ended long ago. */
   retain(isKnown: (worker: string) => boolean, nowMs: number): void {
+    this.#answers.retain(isKnown);
     for (const [worker, { perSecond, observedMs }] of this.#records) {
       const isExpired = perSecond === undefined && nowMs - observedMs > LIFTED_TTL_MS;
       if (isExpired || !isKnown(worker)) this.#records.delete(worker);
--- a/src/node/gateway/forwardedRequest.ts
+++ b/src/node/gateway/forwardedRequest.ts
@@ -29,7 +29,12 @@
       /** Number of workers that returned a 5xx response, including this response if it is one. */
       readonly failures: number;
     }
-  | { readonly kind: 'not-run'; readonly reason: string }
+  | {
+      readonly kind: 'not-run';
+      readonly reason: string;
+      /** When a worker is expected to have room, in ms; absent when that is not known. */
+      readonly retryAfterMs?: number;
+    }
   | { readonly kind: 'failed' | 'timeout'; readonly reason: string };
 
 /** A worker's complete response. */
--- a/src/node/gateway/forwarder.ts
+++ b/src/node/gateway/forwarder.ts
@@ -86,7 +86,10 @@
         newConnection: true,
       });
       if (attempt === undefined) return { kind: 'not-run', reason };
-      const { response, mayHaveRun, reason: failureReason } = await attempt;
+      const { response, mayHaveRun, reason: failureReason, retryAfterMs } = await attempt;
+      if (retryAfterMs !== undefined) {
+        return { kind: 'not-run', reason: failureReason, retryAfterMs };
+      }
       if (response !== undefined) return response;
       if (mayHaveRun) {
         return { kind: signal.aborted ? 'timeout' : 'failed', reason: failureReason };
@@ -115,8 +118,10 @@
     let failures = 0;
     let lastFailure: ResponseOutcome | undefined;
     let reason = 'no worker is available';
-    const startAttempt = (newConnection: boolean): boolean => {
-      const attempt = this.#attempt(request, route, { pool, tried, signal, newConnection });
+    let retryAfterMs: number | undefined;
+    const startAttempt = (newConnection: boolean, optional = false): boolean => {
+      const options = { pool, tried, signal, newConnection, optional };
+      const attempt = this.#attempt(request, route, options);
       if (attempt === undefined) return false;
       attempts += 1;
       running.add(attempt);
@@ -125,12 +130,13 @@
     };
     startAttempt(false);
     const hedgeAfterMs = hedgeDelayMs(route);
+    let hedgesLeft = true;
     while (running.size > 0) {
-      const mayHedge = attempts < route.maxAttempts && running.size === 1;
+      const mayHedge = hedgesLeft && attempts < route.maxAttempts && running.size === 1;
       const result = await this.#firstResultOf(running, mayHedge ? hedgeAfterMs : Infinity);
       if (result === undefined) {
         if (signal.aborted) break;
-        if (!budget.tryTake() || !startAttempt(false)) attempts = route.maxAttempts;
+        hedgesLeft = budget.tryTake() && startAttempt(false, true);
         continue;
       }
       const { response, mayHaveRun } = result;
@@ -141,7 +147,10 @@
       }
       reason = result.reason;
       if (signal.aborted) break;
-      if (!mayHaveRun) {
+      if (result.retryAfterMs !== undefined) {
+        attempts -= 1;
+        retryAfterMs = result.retryAfterMs;
+      } else if (!mayHaveRun) {
         attempts -= 1;
         refusals += 1;
         tried.delete(result.worker.id);
@@ -155,7 +164,7 @@
     }
     if (lastFailure !== undefined) return lastFailure;
     if (signal.aborted) return { kind: 'timeout', reason: 'no worker responded in time' };
-    return attempts === 0 ? { kind: 'not-run', reason } : { kind: 'failed', reason };
+    return attempts === 0 ? { kind: 'not-run', reason, retryAfterMs } : { kind: 'failed', reason };
   }
 
   /** Result of the first attempt to finish within `limitMs`; undefined when none does. */
@@ -171,7 +180,7 @@
   #attempt(
     request: ForwardedRequest,
     route: GatewayRoute,
-    options: Pick<AttemptOptions, 'pool' | 'tried' | 'signal' | 'newConnection'>,
+    options: Pick<AttemptOptions, 'pool' | 'tried' | 'signal' | 'newConnection' | 'optional'>,
   ): Promise<AttemptResult> | undefined {
     return this.#options.attempts.start(request, route, {
       ...options,
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -2,6 +2,7 @@
 import { NEVER } from 'rxjs';
 import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { NodeIdentitySchema, PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import { PermitService } from '../../gen/hyssoppulley/v1/permit_pb.ts';
 import { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import { TablesSchema } from '../../gen/hyssoppulley/v1/tables_pb.ts';
 import { type Clock, Stopwatch, systemClock } from '../../shared/clock.ts';
@@ -23,6 +24,7 @@
 import { PeerClients } from '../membership/peerClients.ts';
 import { NODES_PREFIX } from '../membership/registration.ts';
 import { splitAddress } from '../membership/splitAddress.ts';
+import { RequestPermits } from '../limits/requestPermits.ts';
 import { createLogger, type Logger } from '../observability/logger.ts';
 import { createMetrics } from '../observability/metrics.ts';
 import { MetricsServer } from './metricsServer.ts';
@@ -35,6 +37,7 @@
 import type { GatewayAdapter } from './adapter.ts';
 import { entryAddresses, isPreferredEntry } from './entryAddresses.ts';
 import { Forwarder } from './forwarder.ts';
+import type { GatewayRoute } from './gatewayTables.ts';
 import type { GatewayServices } from './gatewayServices.ts';
 import { instrumentServices } from './instrumentedServices.ts';
 import { PeerServer } from './peerServer.ts';
@@ -95,7 +98,11 @@
   const store = new DisposableStore();
   const metrics = createMetrics();
   const limits = new RequestLimits();
-  const onNotice = createNoticeListener({ clock, logger, metrics, limits });
+  const onNotice = createNoticeListener({
+    ...{ clock, logger, metrics, limits },
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    onNamed: (worker) => void permits.reportUnpermitted(worker),
+  });
   const adapter = dependencies.createAdapter(logger, onNotice);
   onInvariantViolation((name, details) => {
     metrics.invariantViolations.inc({ name });
@@ -211,8 +218,21 @@
     ...{ clock, random, registry },
     availabilityZone: settings.availabilityZone,
   });
+  const permits = new RequestPermits({
+    ...{ clock, logger, metrics, limits, registry },
+    view: membership,
+    call: (node, request, timeoutMs) =>
+      peerClients.permits(node).issuePermits(request, { timeoutMs }),
+  });
+  const isMostUrgent = (route: GatewayRoute, pool: string) =>
+    (tables.tables?.routes ?? []).every(
+      ({ kind, pools, priority }) =>
+        kind === 'batch' ||
+        priority >= route.priority ||
+        pools.every((other) => other.pool !== pool),
+    );
   const attempts = new WorkerAttempts({
-    ...{ clock, logger, loadBalancer, limits },
+    ...{ clock, logger, loadBalancer, limits, permits, isMostUrgent },
     calls: adapter.workerCalls,
   });
   const forwarder = new Forwarder({ clock, loadBalancer, attempts });
@@ -222,7 +242,19 @@
   });
   const batches = store.add(
     new BatchSubsystem({
-      ...{ platform, clock, random, logger, metrics, registry, tables, forwarder, adapter, limits },
+      ...{
+        platform,
+        clock,
+        random,
+        logger,
+        metrics,
+        registry,
+        tables,
+        forwarder,
+        adapter,
+        limits,
+        permits,
+      },
       peerClients,
       view: membership,
       health,
@@ -269,6 +301,7 @@
           ),
         );
         router.service(RelayService, followers.handlers());
+        router.service(PermitService, { issuePermits: (request) => permits.issue(request) });
       },
     }),
   );
@@ -316,6 +349,7 @@
   store.add(
     repeatEvery(clock, SWEEP_INTERVAL_MS, () => {
       loadBalancer.sweep();
+      permits.sweep();
       limits.retain((id) => registry.find(id) !== undefined, clock.monotonicMs());
     }),
   );
--- a/src/node/gateway/loadBalancer.ts
+++ b/src/node/gateway/loadBalancer.ts
@@ -46,22 +46,27 @@
   }
 
   /**
-   * Chooses a worker of a pool and counts a request in flight on it. Each call is paired with one of `release`.
+   * The workers of a pool that a request may be sent to.
    *
    * @param tried - ids of workers that were already tried
-   * @param allowTried - whether a tried worker may be chosen when the pool has no other
+   * @param allowTried - whether tried workers are included when the pool has no other
    */
-  acquire(
+  candidates(
     pool: string,
     tried: ReadonlySet<string>,
     allowTried: boolean,
-  ): RegisteredWorker | undefined {
-    const { clock, registry, availabilityZone, random, select } = this.#options;
-    const nowMs = clock.monotonicMs();
+  ): readonly RegisteredWorker[] {
+    const { clock, registry } = this.#options;
     const all = registry.usable(pool);
     const untried = all.filter(({ id }) => !tried.has(id));
-    if (untried.length === 0 && !allowTried) return undefined;
-    const usable = this.healthCheck.selectUsable(untried.length > 0 ? untried : all, nowMs);
+    if (untried.length === 0 && !allowTried) return [];
+    return this.healthCheck.selectUsable(untried.length > 0 ? untried : all, clock.monotonicMs());
+  }
+
+  /** Chooses one of the workers by load and availability zone. */
+  choose(usable: readonly RegisteredWorker[]): RegisteredWorker | undefined {
+    const { clock, availabilityZone, random, select } = this.#options;
+    const nowMs = clock.monotonicMs();
     const candidates = usable.map((worker) => ({
       worker,
       name: worker.id,
@@ -70,11 +75,15 @@
       reportedRunning: this.#reportedOthers(worker.id, nowMs),
     }));
     const chosen = (select ?? selectWorkerByDefault)(candidates, { availabilityZone, random });
-    if (chosen !== undefined) this.#inFlight.add(chosen.worker.id);
     return chosen?.worker;
   }
 
-  /** Ends a request that `acquire` counted and records its result, unless it was abandoned. */
+  /** Counts a request in flight on a worker. Each call is paired with one of `release`. */
+  begin(worker: string): void {
+    this.#inFlight.add(worker);
+  }
+
+  /** Ends a request that `begin` counted and records its result, unless it was abandoned. */
   release(worker: string, result: WorkerResult | 'abandoned', load: WorkerLoad | undefined): void {
     const nowMs = this.#options.clock.monotonicMs();
     if (load !== undefined) {
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -1,8 +1,9 @@
-import { type Clock, Stopwatch } from '../../shared/clock.ts';
+import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { WorkerCallError } from '../dataPath/workerHttpClient.ts';
 import type { WorkerResult } from '../decisions/passiveHealthCheck.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
+import type { RequestPermits } from '../limits/requestPermits.ts';
 import type { Logger } from '../observability/logger.ts';
 import { MIN_REMAINING_MS } from './constants.ts';
 import type { ForwardedRequest, ResponseOutcome } from './forwardedRequest.ts';
@@ -14,7 +15,7 @@
 
 /** Result of one attempt. */
 export interface AttemptResult {
-  readonly worker: RegisteredWorker;
+  readonly worker: Pick<RegisteredWorker, 'id'>;
   /** The complete response; absent when there is none, or when its body was streamed to the caller. */
   readonly response?: ResponseOutcome;
   /** Whether the complete body was streamed to the caller. */
@@ -22,6 +23,8 @@
   /** False only when the worker is known not to have executed the request. */
   readonly mayHaveRun: boolean;
   readonly reason: string;
+  /** Set when the request limits of the workers left no room for the request: when there is some, in ms. */
+  readonly retryAfterMs?: number;
 }
 
 /** Consumes the body of a worker's response. Throws when it is not complete or not usable. */
@@ -42,6 +45,8 @@
   readonly newConnection: boolean;
   /** Number of the last event received; the worker resumes the stream after it. */
   readonly resumeAfter?: number;
+  /** Whether the attempt only saves time, so that it may not use up the request limit of a worker. @default false */
+  readonly optional?: boolean;
   readonly read: ResponseReader;
   readonly classifyAborted: AbortClassifier;
 }
@@ -52,8 +57,14 @@
   readonly calls: WorkerCalls;
   readonly loadBalancer: LoadBalancer;
   readonly limits: Pick<RequestLimits, 'of'>;
+  readonly permits: Pick<RequestPermits, 'obtain'>;
+  /** Whether no other route of the pool is more urgent. Only requests of such routes wait for a permit. */
+  readonly isMostUrgent: (route: GatewayRoute, pool: string) => boolean;
 }
 
+/** Part of the remaining time budget that a request may wait for a permit. */
+const MAX_PERMIT_WAIT_SHARE = 1 / 3;
+
 /** Whether a worker failed the request. */
 export const is5xx = (statusCode: number): boolean => statusCode >= 500;
 
@@ -76,24 +87,72 @@
   ): Promise<AttemptResult> | undefined {
     const remainingMs = request.budgetMs - request.sinceArrival.elapsedMs();
     if (remainingMs < MIN_REMAINING_MS) return undefined;
-    const { pool, tried } = options;
-    const worker = this.#options.loadBalancer.acquire(pool, tried, tried.size < route.maxAttempts);
+    const { loadBalancer, limits } = this.#options;
+    const { pool, tried, optional = false } = options;
+    const candidates = loadBalancer.candidates(pool, tried, tried.size < route.maxAttempts);
+    const free = candidates.filter(({ id }) => limits.of(id) === undefined);
+    const worker = loadBalancer.choose(optional ? free : candidates);
     if (worker === undefined) return undefined;
-    tried.add(worker.id);
-    return this.#run(worker, request, route, options, remainingMs);
+    if (limits.of(worker.id) === undefined) {
+      return this.#run(worker, request, route, options, remainingMs);
+    }
+    const limited = candidates.filter(({ id }) => limits.of(id) !== undefined);
+    return this.#runWithPermit({ free, limited }, request, route, options);
+  }
+
+  /** Sends the request to a worker with a request limit, if that leaves room for it in time, or else to another one. */
+  async #runWithPermit(
+    { free, limited }: Record<'free' | 'limited', readonly RegisteredWorker[]>,
+    request: ForwardedRequest,
+    route: GatewayRoute,
+    options: AttemptOptions,
+  ): Promise<AttemptResult> {
+    const { clock, loadBalancer, permits, isMostUrgent, logger } = this.#options;
+    const { pool, signal } = options;
+    const remainingMs = () => request.budgetMs - request.sinceArrival.elapsedMs();
+    const mayWait = free.length === 0 && isMostUrgent(route, pool);
+    const maxDelayMs = mayWait ? remainingMs() * MAX_PERMIT_WAIT_SHARE : 0;
+    const grant = await permits.obtain({ pool, workers: limited, maxDelayMs });
+    const [permit] = grant.permits;
+    if (permit !== undefined && permit.delayMs > 0) await sleep(clock, permit.delayMs, signal);
+    const isUsable = ({ id }: RegisteredWorker) =>
+      loadBalancer.candidates(pool, new Set(), true).some((worker) => worker.id === id);
+    const worker =
+      limited.find((each) => each.id === permit?.worker && isUsable(each)) ??
+      loadBalancer.choose(free.filter(isUsable));
+    if (worker !== undefined && !signal.aborted && remainingMs() >= MIN_REMAINING_MS) {
+      return this.#run(worker, request, route, options, remainingMs());
+    }
+    const retryAfterMs = permit === undefined ? grant.retryAfterMs : undefined;
+    logger.info('request-limited', {
+      request: request.id,
+      route: route.name,
+      pool,
+      limitedWorkers: limited.length,
+      issuer: grant.issuer,
+      waitedMs: permit?.delayMs,
+      retryAfterMs,
+      remainingMs: Math.round(remainingMs()),
+    });
+    return {
+      ...{ worker: { id: '' }, mayHaveRun: false, retryAfterMs },
+      reason: 'the request limits of the workers leave no room for the request in time',
+    };
   }
 
   async #run(
     worker: RegisteredWorker,
     request: ForwardedRequest,
     route: GatewayRoute,
-    { signal, newConnection, resumeAfter, read, classifyAborted }: AttemptOptions,
+    { tried, signal, newConnection, resumeAfter, read, classifyAborted }: AttemptOptions,
     remainingMs: number,
   ): Promise<AttemptResult> {
     const { clock, calls, loadBalancer, limits, logger } = this.#options;
     const limitPerSecond = limits.of(worker.id);
     const { id: requestId, method, path, host, headers, body } = request;
     const started = new Stopwatch(clock);
+    tried.add(worker.id);
+    loadBalancer.begin(worker.id);
     let result: WorkerResult | 'abandoned' = 'failed';
     let load: WorkerLoad | undefined;
     let attemptResult: AttemptResult;
--- a/src/node/gateway/workerNotices.ts
+++ b/src/node/gateway/workerNotices.ts
@@ -17,15 +17,19 @@
   readonly logger: Logger;
   readonly metrics: Pick<Metrics, 'requestLimitChanges'>;
   readonly limits: RequestLimits;
+  /** Called when a worker begins to name a limit. */
+  readonly onNamed: (worker: string) => void;
 }
 
 /** Records what workers say about themselves in their answers. */
 export const createNoticeListener =
-  ({ clock, logger, metrics, limits }: WorkerNoticesOptions): NoticeListener =>
+  ({ clock, logger, metrics, limits, onNamed }: WorkerNoticesOptions): NoticeListener =>
   (worker, { limitPerSecond }, request) => {
+    const nowMs = clock.monotonicMs();
     const former = limits.of(worker);
-    const change = limits.observe(worker, limitPerSecond, clock.monotonicMs());
+    const change = limits.recordAnswer(worker, limitPerSecond, nowMs);
     if (change === undefined) return;
     metrics.requestLimitChanges.inc({ change });
     logger.info('request-limit-changed', { worker, change, limitPerSecond, former, request });
+    if (change === 'named') onNamed(worker);
   };
--- a/src/node/membership/peerClients.ts
+++ b/src/node/membership/peerClients.ts
@@ -2,6 +2,7 @@
 import { type Client, createClient } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { PermitService } from '../../gen/hyssoppulley/v1/permit_pb.ts';
 import { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import { type NodeIdentity, PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 
@@ -15,6 +16,7 @@
   readonly peer: PeerClient;
   readonly batch: BatchClient;
   readonly relay: Client<typeof RelayService>;
+  readonly permits: Client<typeof PermitService>;
 }
 
 /** Maximum number of addresses for which clients are cached; the oldest entry is dropped first. */
@@ -47,6 +49,11 @@
     return this.#clientsFor(address).relay;
   }
 
+  /** Client for permits for requests to workers with a request limit. */
+  permits(address: PeerAddress): Client<typeof PermitService> {
+    return this.#clientsFor(address).permits;
+  }
+
   [Symbol.dispose](): void {
     this.#agent.destroy();
   }
@@ -66,6 +73,7 @@
       peer: createClient(PeerService, transport),
       batch: createClient(BatchService, transport),
       relay: createClient(RelayService, transport),
+      permits: createClient(PermitService, transport),
     };
     const [oldest] = this.#clients.keys();
     if (this.#clients.size >= MAX_CLIENTS && oldest !== undefined) this.#clients.delete(oldest);
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -46,6 +46,12 @@
       labelNames: ['change'],
       registers,
     }),
+    permits: new Counter({
+      name: 'hyssoppulley_request_permits_total',
+      help: 'Permits asked for to send requests to workers with a request limit, by pool and outcome (granted, denied)',
+      labelNames: ['pool', 'outcome'],
+      registers,
+    }),
     platformCalls: new Counter({
       name: 'hyssoppulley_platform_calls_total',
       help: 'Calls to the platform, by operation',
