fix(gateway): send nothing more to a worker that says in an answer that it leaves

With a stand-in that sends it, the worker kept getting all requests for as long as its registration did not say that it was draining, which some workers never say; their requests are cut when the worker exits.

Cause: only the registration was read, not the answers. Change: the registry marks the start of the worker that answered as leaving; it counts as draining for forwarded requests, streams, scoring calls, items and orders. Neither a renewed registration, nor one that lapsed and came back, brings it back; a later start under the same id does. An answer of an earlier start marks nothing.

--- a/src/node/batches/generationCalls.ts
+++ b/src/node/batches/generationCalls.ts
@@ -1,6 +1,5 @@
 import type { GenerationEvent } from '../decisions/itemText.ts';
-import type { DispatchedRequest, WorkerLoad } from '../gateway/workerCalls.ts';
-import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
+import type { CalledWorker, DispatchedRequest, WorkerLoad } from '../gateway/workerCalls.ts';
 
 /** Outcome of a generation, as reported by its worker. */
 export type GenerationEnd =
@@ -28,7 +27,7 @@
    * @throws WorkerCallError when the stream breaks
    */
   generate(
-    worker: Pick<RegisteredWorker, 'id' | 'address'>,
+    worker: CalledWorker,
     request: DispatchedRequest,
     listener: GenerationListener,
     signal: AbortSignal,
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -101,6 +101,8 @@
   const onNotice = createNoticeListener({
     ...{ clock, logger, metrics, limits },
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    registry: { markLeaving: (...noticed) => registry.markLeaving(...noticed) },
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
     onNamed: (worker) => void permits.reportUnpermitted(worker),
   });
   const adapter = dependencies.createAdapter(logger, onNotice);
--- a/src/node/gateway/workerCalls.ts
+++ b/src/node/gateway/workerCalls.ts
@@ -1,6 +1,9 @@
 import type { IncomingMessage } from 'node:http';
 import type { RegisteredWorker } from './workerRegistry.ts';
 
+/** One start of a worker that requests are sent to. */
+export type CalledWorker = Pick<RegisteredWorker, 'id' | 'address' | 'startedAtMs'>;
+
 /** Lower-case header names with their values, in the order received. */
 export type HeaderList = readonly (readonly [name: string, value: string])[];
 
@@ -56,7 +59,7 @@
    * @throws WorkerCallError when there is no response, or it belongs to another request
    */
   send(
-    worker: Pick<RegisteredWorker, 'id' | 'address'>,
+    worker: CalledWorker,
     request: DispatchedRequest,
     signal: AbortSignal,
   ): Promise<WorkerResponse>;
--- a/src/node/gateway/workerRegistry.ts
+++ b/src/node/gateway/workerRegistry.ts
@@ -53,6 +53,11 @@
 
 type RegistrationAge = Pick<RegisteredWorker, 'startedAtMs' | 'heartbeatCount'>;
 
+interface KnownStart extends RegistrationAge {
+  /** Whether the worker itself has said that it is about to stop. Holds until its next start. */
+  readonly leaving: boolean;
+}
+
 const isOlder = (registration: RegistrationAge, known: RegistrationAge): boolean =>
   registration.startedAtMs < known.startedAtMs ||
   (registration.startedAtMs === known.startedAtMs &&
@@ -68,7 +73,7 @@
   readonly #lapseTimers = new Map<string, Disposable>();
 
   /** Latest registration seen per id. Kept after its removal, because a delayed write may restore an older one. */
-  readonly #latest = new Map<string, RegistrationAge>();
+  readonly #latest = new Map<string, KnownStart>();
 
   #byPool: Map<string, RegisteredWorker[]> | undefined;
 
@@ -102,6 +107,26 @@
     if (awayMs >= MIN_OUTAGE_MS) this.#sinceRegained = new Stopwatch(this.#options.clock);
   }
 
+  /**
+   * Records that a worker has said in an answer that it is about to stop. Its registration may say so later, or never.
+   *
+   * @param startedAtMs - the start of the worker that answered
+   * @param request - id of the answered request, for the log
+   */
+  markLeaving(id: string, startedAtMs: number, request: string): void {
+    const latest = this.#latest.get(id);
+    if (latest === undefined || latest.leaving || latest.startedAtMs !== startedAtMs) return;
+    this.#latest.set(id, { ...latest, leaving: true });
+    const worker = this.#workers.get(id);
+    this.#options.logger.info('worker-leaving', {
+      ...{ worker: id, pool: worker?.pool, request },
+      registeredAsDraining: worker?.draining,
+    });
+    if (worker === undefined || worker.draining) return;
+    this.#workers.set(id, { ...worker, draining: true });
+    this.#notifyChange();
+  }
+
   /** Applies a change of a registration. */
   applyEvent({ type, object }: PlatformEvent): void {
     const worker = type === 'written' ? this.#options.decode(object) : undefined;
@@ -115,14 +140,16 @@
     for (const timer of this.#lapseTimers.values()) timer[Symbol.dispose]();
   }
 
-  #register(worker: RegisteredWorker): void {
-    const latest = this.#latest.get(worker.id);
-    if (latest !== undefined && isOlder(worker, latest)) {
-      const { id, heartbeatCount } = worker;
+  #register(registration: RegisteredWorker): void {
+    const latest = this.#latest.get(registration.id);
+    if (latest !== undefined && isOlder(registration, latest)) {
+      const { id, heartbeatCount } = registration;
       this.#options.logger.info('registration-outdated', { worker: id, heartbeatCount });
       return;
     }
-    this.#trackLatest(worker);
+    const leaving = latest?.startedAtMs === registration.startedAtMs && latest.leaving;
+    const worker = { ...registration, draining: registration.draining || leaving };
+    this.#trackLatest({ ...registration, leaving });
     const known = this.#workers.get(worker.id);
     this.#cancelLapseTimer(worker.id);
     this.#workers.set(worker.id, worker);
@@ -133,9 +160,9 @@
     }
   }
 
-  #trackLatest({ id, startedAtMs, heartbeatCount }: RegisteredWorker): void {
+  #trackLatest({ id, startedAtMs, heartbeatCount, leaving }: KnownStart & { id: string }): void {
     this.#latest.delete(id);
-    this.#latest.set(id, { startedAtMs, heartbeatCount });
+    this.#latest.set(id, { startedAtMs, heartbeatCount, leaving });
     const [oldest] = this.#latest.keys();
     if (this.#latest.size > MAX_TRACKED && oldest !== undefined) this.#latest.delete(oldest);
   }
