fix(membership): an odd entry among the workers no longer stops other nodes from following them

Nodes behind the relays no longer learned of any worker. No process ended.

Change: a relay encodes a value that is nested too deeply as null and logs its key (relayed-object-unreadable).

--- a/src/node/gateway/platformFollowers.ts
+++ b/src/node/gateway/platformFollowers.ts
@@ -98,7 +98,7 @@
 
   /** RPC handlers through which other nodes use this node as a relay. */
   handlers(): ServiceImpl<typeof RelayService> {
-    return createRelayHandlers((prefix) => this.#followed.get(prefix));
+    return createRelayHandlers((prefix) => this.#followed.get(prefix), this.#options.logger);
   }
 
   /** Notifies the other relays of a change; does nothing unless this node is a relay itself. */
--- a/src/node/platform/objectRelay.ts
+++ b/src/node/platform/objectRelay.ts
@@ -9,6 +9,7 @@
   RelaySnapshotResponseSchema,
   RelayStatus,
 } from '../../gen/hyssoppulley/v1/relay_pb.ts';
+import { messageOf } from '../../shared/errors.ts';
 import type { Clock } from '../../shared/clock.ts';
 import type { Logger } from '../observability/logger.ts';
 import { Notifier } from '../../shared/notifier.ts';
@@ -122,12 +123,25 @@
   }
 }
 
-const encodeObject = ({ key, version, operationId, value }: PlatformObject): RelayedObject =>
+/** Encodes a value; one that is nested too deeply for it, written by another program, becomes null. */
+const encodeValue = (key: string, value: unknown, logger: Logger): string => {
+  try {
+    return JSON.stringify(value ?? null);
+  } catch (error) {
+    logger.warn('relayed-object-unreadable', { key, message: messageOf(error) });
+    return 'null';
+  }
+};
+
+const encodeObject = (
+  { key, version, operationId, value }: PlatformObject,
+  logger: Logger,
+): RelayedObject =>
   create(RelayedObjectSchema, {
     key,
     version: BigInt(version),
     operationId,
-    value: JSON.stringify(value ?? null),
+    value: encodeValue(key, value, logger),
   });
 
 /** A kind of objects that this node follows and relays to others. */
@@ -139,6 +153,7 @@
 /** Creates the RPC handlers that serve other nodes with the kinds that this node follows. */
 export const createRelayHandlers = (
   find: (prefix: string) => RelayedKind | undefined,
+  logger: Logger,
 ): ServiceImpl<typeof RelayService> => {
   const findCurrent = (prefix: string) => {
     const found = find(prefix);
@@ -153,7 +168,7 @@
       const { follower } = found;
       return create(RelaySnapshotResponseSchema, {
         status: RelayStatus.OK,
-        objects: [...follower.objects.values()].map(encodeObject),
+        objects: [...follower.objects.values()].map((object) => encodeObject(object, logger)),
         version: BigInt(follower.version),
       });
     },
@@ -173,7 +188,7 @@
         status: RelayStatus.OK,
         events: events.map(({ type, object }) => ({
           removed: type === 'removed',
-          object: encodeObject(object),
+          object: encodeObject(object, logger),
         })),
         version: BigInt(found.follower.version),
       });
