fix(gateway): a stopping node refuses late requests that it could not complete, and answers what is left

Another operator reported that in a planned stop requests that came late in the grace were taken and passed on, and were cut with no answer at its end, among them ones that may not be repeated. It could happen here in three ways, shown with a stand-in worker: a request of 3 s that arrives 0.7 s before the deadline was passed on and cut; one taken before the stop that outlasts it was cut; one that arrived on an open connection while the node deregistered was passed on and cut, because the exit did not look at requests again.

Cause: the shutdown decided when to stop listening, but nobody asked it whether a request may still start.

While it deregisters a node starts nothing, and it exits after the last refusal is written.

--- a/src/node/decisions/gracefulShutdown.ts
+++ b/src/node/decisions/gracefulShutdown.ts
@@ -13,6 +13,8 @@
   /** Stop accepting connections from callers. */
   | { readonly type: 'close-listener' }
   | { readonly type: 'hand-over' }
+  /** Answer the requests in progress that could not be completed. */
+  | { readonly type: 'abort-requests' }
   | { readonly type: 'deregister' }
   | {
       readonly type: 'exit';
@@ -29,6 +31,9 @@
   readonly deadlineMs: number;
 }
 
+/** Time before the deadline at which requests in progress are answered as failed, in ms: enough to write the answers. */
+const ABORT_MARGIN_MS = 250;
+
 const PHASE_ORDER: readonly ShutdownPhase[] = [
   'serving',
   'keeping',
@@ -46,6 +51,10 @@
 
   #startMs = 0;
 
+  #requestsAborted = false;
+
+  #isDeregistered = false;
+
   constructor(options: GracefulShutdownOptions) {
     this.#options = options;
   }
@@ -54,6 +63,18 @@
     return this.#phase;
   }
 
+  /**
+   * Whether a request that arrives now may be started. A stopping node refuses one that it might not complete; the caller
+   * can send it to another node.
+   *
+   * @param budgetMs - time in which the request is answered at the latest, in ms
+   */
+  admits(budgetMs: number, nowMs: number): boolean {
+    if (this.#phase === 'serving') return true;
+    if (this.#phase === 'deregistering' || this.#phase === 'stopped') return false;
+    return nowMs + budgetMs <= this.#abortMs;
+  }
+
   /** Handles SIGTERM or SIGINT. The first one starts the shutdown; the second one exits immediately. */
   signal(nowMs: number, inFlight: number): ShutdownAction[] {
     if (this.#phase === 'stopped') return [];
@@ -77,6 +98,11 @@
       this.#enterPhase('deregistering');
       return [{ type: 'deregister' }];
     }
+    if (this.#isDeregistered && inFlight === 0) return [this.#exit(0, 0, 'finished')];
+    if (!this.#requestsAborted && nowMs >= this.#abortMs) {
+      this.#requestsAborted = true;
+      return [{ type: 'abort-requests' }];
+    }
     return [];
   }
 
@@ -90,18 +116,25 @@
   /** Records that the registration was removed, or that the attempt to remove it failed. */
   deregistered(inFlight: number): ShutdownAction[] {
     if (this.#phase !== 'deregistering') return [];
-    invariant(inFlight === 0, 'graceful-stop-cuts-nothing', { inFlight });
-    return [this.#exit(0, 0, 'finished')];
+    this.#isDeregistered = true;
+    // Requests that arrived meanwhile are being refused; the next `tick` exits after the last of them.
+    return inFlight === 0 ? [this.#exit(0, 0, 'finished')] : [];
   }
 
   /** Time at which `tick` is next due if no other event occurs; undefined when nothing is due by time. */
   nextTickMs(): number | undefined {
     if (this.#phase === 'serving' || this.#phase === 'stopped') return undefined;
     const { keepServingMs, deadlineMs } = this.#options;
-    const waitMs = this.#phase === 'keeping' ? Math.min(keepServingMs, deadlineMs) : deadlineMs;
+    const abortOrEndMs = this.#requestsAborted ? deadlineMs : this.#abortMs - this.#startMs;
+    const waitMs = this.#phase === 'keeping' ? Math.min(keepServingMs, abortOrEndMs) : abortOrEndMs;
     return this.#startMs + waitMs;
   }
 
+  /** When requests in progress are answered as failed. */
+  get #abortMs(): number {
+    return this.#startMs + Math.max(0, this.#options.deadlineMs - ABORT_MARGIN_MS);
+  }
+
   #exit(exitCode: 0 | 1, cutOffCount: number, reason: 'finished' | 'deadline' | 'second-signal') {
     this.#enterPhase('stopped');
     return { type: 'exit', exitCode, cutOffCount, reason } as const;
--- a/src/node/gateway/adapter.ts
+++ b/src/node/gateway/adapter.ts
@@ -26,6 +26,8 @@
   listen(): Promise<void>;
   /** Stops accepting connections; requests in progress continue. */
   stopAccepting(): void;
+  /** Answers the requests in progress, which a stopping node can no longer complete. */
+  abortRequests(): void;
 }
 
 /** Connects a gateway to the platform it runs on. An adapter only translates; it makes no decisions. */
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -269,6 +269,8 @@
   );
   const requests = new RequestTracker();
   const gatewayServices: GatewayServices = {
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    admits: (budgetMs) => shutdown.admits(budgetMs),
     ready: () => tables.tables !== undefined && !membership.leaving,
     entryAddresses: (zone) => entryAddresses(membership, zone, { platformLost: health.lost }),
     requestLimits: () => tables.tables?.requestLimits,
@@ -313,6 +315,7 @@
     deadlineMs: gateway.graceMs - STOP_MARGIN_MS,
     announce: () => membership.announceLeaving(),
     closeListener: () => servers.stopAccepting(),
+    abortRequests: () => servers.abortRequests(),
     handOvers: [],
     deregister: () => membership.deregister(),
     dispose: () => store[Symbol.asyncDispose](),
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -19,6 +19,12 @@
 export interface GatewayServices {
   /** Whether this node accepts new requests. */
   ready(): boolean;
+  /**
+   * Whether a request may be started; a node that is about to stop refuses those that it might not complete.
+   *
+   * @param budgetMs - time in which the request is answered at the latest, in ms
+   */
+  admits(budgetMs: number): boolean;
   /** Addresses at which callers reach the nodes that accept requests, those in the caller's availability zone first. */
   entryAddresses(availabilityZone: string): readonly string[];
   requestLimits(): RequestLimits | undefined;
--- a/src/node/shutdown.ts
+++ b/src/node/shutdown.ts
@@ -24,6 +24,8 @@
   readonly announce: () => Promise<void>;
   /** Stops accepting connections from callers. */
   readonly closeListener: () => void;
+  /** Ends the requests in progress with an answer. @default they are cut off at the deadline */
+  readonly abortRequests?: () => void;
   /** Functions that hand over leases. A failure is logged; the lease then expires by itself. */
   readonly handOvers: readonly (() => Promise<void>)[];
   readonly deregister: () => Promise<boolean>;
@@ -55,6 +57,15 @@
     options.requests.onRequestEnd(() => this.#tick());
   }
 
+  /**
+   * Whether a request that arrives now may be started; see `GracefulShutdown.admits`.
+   *
+   * @param budgetMs - time in which the request is answered at the latest, in ms
+   */
+  admits(budgetMs: number): boolean {
+    return this.#stateMachine.admits(budgetMs, this.#options.clock.monotonicMs());
+  }
+
   /** Starts the shutdown; the second call forces it to end immediately. */
   signal(): void {
     const { clock, logger, requests, keepServingMs, deadlineMs } = this.#options;
@@ -80,12 +91,16 @@
   }
 
   #perform(action: ShutdownAction): void {
-    const { clock, logger, requests, announce, closeListener, deregister } = this.#options;
+    const { clock, logger, requests, announce, closeListener, abortRequests, deregister } =
+      this.#options;
     if (action.type === 'announce') {
       requests.closeAfterResponse = true;
       void this.#runStep('announce', announce);
     } else if (action.type === 'close-listener') {
       closeListener();
+    } else if (action.type === 'abort-requests') {
+      logger.warn('stop-requests-aborted', { inFlight: requests.inFlight });
+      abortRequests?.();
     } else if (action.type === 'hand-over') {
       void this.#handOver().then(() =>
         this.#performAll(this.#stateMachine.handedOver(clock.monotonicMs(), requests.inFlight)),
