test(soak): workers name a request limit during the faults of the soak

Every worker names a limit of 4 to 9 requests a second for almost the whole run, and the soak counts what each gets in any 4 s from a second after that, with no excuse for restarted, paused or cut nodes. The schedules of faults are unchanged.

--- a/playground/faultSoak/faultSoak.ts
+++ b/playground/faultSoak/faultSoak.ts
@@ -5,10 +5,14 @@
 import { SoakClients } from './soakClients.ts';
 import { SoakDeployment } from './soakDeployment.ts';
 import { drawFaults, FaultInjector } from './soakFaults.ts';
+import { drawLimit, runLimit } from './soakLimits.ts';
 
 /** Time for the nodes to reconnect to each other and to the platform after the last fault, in ms. */
 const RECOVERY_MS = 5000;
 
+/** Keeps the schedule of faults of a seed independent of its limit. */
+const LIMIT_SEED_OFFSET = 1_000_000;
+
 export interface SoakResult {
   readonly seed: number;
   readonly violations: readonly string[];
@@ -30,12 +34,17 @@
     const injector = new FaultInjector(deployment);
     const clients = new SoakClients(deployment, injector.stoppingNodes);
     const load = clients.run();
-    await injector.run(faults);
+    const limit = drawLimit(seededRandom(seed + LIMIT_SEED_OFFSET), durationMs);
+    const [excesses] = await Promise.all([
+      runLimit(deployment.workers, limit),
+      injector.run(faults),
+    ]);
     await sleepMs(RECOVERY_MS);
     clients.stop();
     await load;
     await clients.checkRecovered();
-    const { violations, answered, batches } = clients;
+    const { answered, batches } = clients;
+    const violations = [...clients.violations, ...excesses];
     return { seed, violations, answered, batches, faults: faults.length, logs: deployment.logs };
   } finally {
     await deployment[Symbol.asyncDispose]();
--- a/playground/faultSoak/soakWorker.ts
+++ b/playground/faultSoak/soakWorker.ts
@@ -77,6 +77,12 @@
 
   responseFault: ResponseFault = 'none';
 
+  /** Requests per second that the worker says it takes. */
+  limitPerSecond: number | undefined;
+
+  /** When requests arrived that this worker did not refuse. */
+  readonly arrivalsMs: number[] = [];
+
   readonly #runCounts: RunCounts;
 
   readonly #server: http.Server;
@@ -118,6 +124,8 @@
       return;
     }
     this.#runCounts.increment(id);
+    this.arrivalsMs.push(performance.now());
+    if (this.limitPerSecond !== undefined) response.setHeader('server-limit', this.limitPerSecond);
     response.setHeader('x-server-stamp', `${this.id}.${id}`);
     if (request.url?.startsWith('/items/')) {
       const isFaulty = () =>
