fix(batches): permits that were not used in time no longer start items

A dispatcher that got permits while its items were placed elsewhere kept them; expired ones were only dropped when it asked for the next ones, so up to 16 could be used at once seconds later.

Test: 'permits that were not used in time ...' failed before (3 instead of 0), passes now.

--- /dev/null
+++ b/src/node/batches/__tests__/enginePermits.test.ts
@@ -0,0 +1,54 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { VirtualClock } from '../../../shared/virtualClock.ts';
+import type { RegisteredWorker } from '../../gateway/workerRegistry.ts';
+import { EnginePermits } from '../enginePermits.ts';
+
+const WORKERS = ['w1', 'w2'].map((id) => ({ id }) as RegisteredWorker);
+
+/** Permits of a dispatcher for two workers with a limit; each request for permits is granted at once. */
+const startPermits = () => {
+  const clock = new VirtualClock();
+  const asked: number[] = [];
+  const permits = new EnginePermits({
+    ...{ pool: 'p', clock, limits: { of: () => 5 } },
+    permits: {
+      obtain: ({ count = 1 }) => {
+        asked.push(count);
+        const granted = Array.from({ length: count }, (_each, index) => ({
+          ...{ worker: 'w1', delayMs: index * 100 },
+        }));
+        return Promise.resolve({ permits: granted, retryAfterMs: 0, issuer: 'n' });
+      },
+    },
+  });
+  return { clock, asked, permits };
+};
+
+test('permits that were not used in time do not let a worker get a burst later', async () => {
+  const { clock, permits } = startPermits();
+  await permits.ask(WORKERS, 3, () => {});
+  clock.advance(250);
+  expect(permits.available('w1')).toEqual(3);
+  clock.advance(5000);
+  expect(permits.available('w1')).toEqual(0);
+});
+
+test('a permit starts one item, once its delay is over, on its own worker', async () => {
+  const { clock, permits } = startPermits();
+  await permits.ask(WORKERS, 2, () => {});
+  expect([permits.available('w1'), permits.available('w2')]).toEqual([1, 0]);
+  permits.use('w1');
+  expect(permits.available('w1')).toEqual(0);
+  clock.advance(100);
+  expect(permits.available('w1')).toEqual(1);
+});
+
+test('no permits are asked for while enough are held', async () => {
+  const { clock, asked, permits } = startPermits();
+  await permits.ask(WORKERS, 2, () => {});
+  clock.advance(10);
+  await permits.ask(WORKERS, 2, () => {});
+  await permits.ask(WORKERS, 3, () => {});
+  expect(asked).toEqual([2, 1]);
+});
--- a/src/node/batches/enginePermits.ts
+++ b/src/node/batches/enginePermits.ts
@@ -41,6 +41,7 @@
   available(worker: string): number {
     const { limits, clock } = this.#options;
     if (limits.of(worker) === undefined) return Infinity;
+    this.#dropExpired();
     const nowMs = clock.monotonicMs();
     return this.#held.filter((permit) => permit.worker === worker && permit.fromMs <= nowMs).length;
   }
@@ -64,8 +65,7 @@
     onReady: () => void,
   ): Promise<void> {
     const { pool, clock, limits, permits } = this.#options;
-    const nowMs = clock.monotonicMs();
-    this.#held = this.#held.filter(({ fromMs }) => nowMs - fromMs < PERMIT_TTL_MS);
+    this.#dropExpired();
     const limited = workers.filter(({ id }) => limits.of(id) !== undefined);
     const missing = Math.min(MAX_PERMITS_ASKED, count - this.#held.length);
     if (this.#asking || limited.length === 0 || missing <= 0) return;
@@ -84,4 +84,9 @@
       onReady();
     });
   }
+
+  #dropExpired(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#held = this.#held.filter(({ fromMs }) => nowMs - fromMs < PERMIT_TTL_MS);
+  }
 }
