fix(gateway): log requests that a stopping node aborts under their outcome, not as those of callers who left

On-call engineers would have looked for a caller that hung up: request-answered said caller-gone for requests that the end of a planned stop aborted.

--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -9,6 +9,9 @@
 } from './forwardedRequest.ts';
 import type { GatewayRoute, RequestLimits } from './gatewayTables.ts';
 
+/** Reason with which requests are aborted that a stopping node can no longer complete. */
+export const STOPPING = 'the node is about to stop';
+
 /** Result of matching a request to a route. `not-ready`: this node has not received any tables yet. */
 export type RouteMatch =
   | { readonly kind: 'route'; readonly route: GatewayRoute }
--- a/src/node/gateway/instrumentedServices.ts
+++ b/src/node/gateway/instrumentedServices.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
 import type { ForwardedRequest, StreamOutcome } from './forwardedRequest.ts';
-import type { GatewayServices } from './gatewayServices.ts';
+import { type GatewayServices, STOPPING } from './gatewayServices.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
 
 /** The tables in force when a request was handled, as included in its log line. */
@@ -51,7 +51,8 @@
     signal: AbortSignal,
   ) => {
     const isDelivered = outcome.kind === 'answer' || outcome.kind === 'streamed';
-    const outcomeLabel = signal.aborted && !isDelivered ? 'caller-gone' : outcome.kind;
+    const isCallerGone = signal.aborted && signal.reason !== STOPPING;
+    const outcomeLabel = isCallerGone && !isDelivered ? 'caller-gone' : outcome.kind;
     const tookMs = request.sinceArrival.elapsedMs();
     metrics.requests.inc({ route: route.name, outcome: outcomeLabel });
     metrics.requestSeconds.observe({ route: route.name }, tookMs / 1000);
