fix(gateway): look at the limits of workers again after waiting for a permit

A request that had been refused a permit went to a worker that named no limit when it asked, also if that worker had begun to name one meanwhile. The existing tests of limits and leaving workers pass.

--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -107,7 +107,7 @@
     route: GatewayRoute,
     options: AttemptOptions,
   ): Promise<AttemptResult> {
-    const { clock, loadBalancer, permits, isMostUrgent, logger } = this.#options;
+    const { clock, loadBalancer, limits, permits, isMostUrgent, logger } = this.#options;
     const { pool, signal } = options;
     const remainingMs = () => request.budgetMs - request.sinceArrival.elapsedMs();
     const mayWait = free.length === 0 && isMostUrgent(route, pool);
@@ -115,11 +115,11 @@
     const grant = await permits.obtain({ pool, workers: limited, maxDelayMs });
     const [permit] = grant.permits;
     if (permit !== undefined && permit.delayMs > 0) await sleep(clock, permit.delayMs, signal);
-    const isUsable = ({ id }: RegisteredWorker) =>
-      loadBalancer.candidates(pool, new Set(), true).some((worker) => worker.id === id);
+    // Workers may have begun to leave, or to name a limit, since the permit was asked for.
+    const usable = new Set(loadBalancer.candidates(pool, new Set(), true).map(({ id }) => id));
     const worker =
-      limited.find((each) => each.id === permit?.worker && isUsable(each)) ??
-      loadBalancer.choose(free.filter(isUsable));
+      limited.find(({ id }) => id === permit?.worker && usable.has(id)) ??
+      loadBalancer.choose(free.filter(({ id }) => usable.has(id) && limits.of(id) === undefined));
     if (worker !== undefined && !signal.aborted && remainingMs() >= MIN_REMAINING_MS) {
       return this.#run(worker, request, route, options, remainingMs());
     }
