fix(gateway): nodes stop waiting for changes at relays that were replaced

Change: every 250 ms a node looks whether it has become a relay or all its relays are new, and then reads the objects again.

--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -61,6 +61,9 @@
 /** The same interval at a node that callers are not sent to, in ms; hundreds of them would call all the time. */
 const RESERVE_PROBE_INTERVAL_MS = 5000;
 
+/** Interval between checks whether other nodes have become the relays, in ms. */
+const RELAY_CHECK_INTERVAL_MS = 250;
+
 /** Interval between removals of state kept for unregistered workers, in ms. */
 const SWEEP_INTERVAL_MS = 10_000;
 
@@ -358,6 +361,7 @@
       limits.retain((id) => registry.find(id) !== undefined, clock.monotonicMs());
     }),
   );
+  store.add(repeatEvery(clock, RELAY_CHECK_INTERVAL_MS, () => followers.checkRelays()));
   const probeIntervalMs = () =>
     isPreferredEntry(membership) ? PLATFORM_PROBE_INTERVAL_MS : RESERVE_PROBE_INTERVAL_MS;
   store.add(repeatEvery(clock, probeIntervalMs, () => probePlatform()));
--- a/src/node/gateway/platformFollowers.ts
+++ b/src/node/gateway/platformFollowers.ts
@@ -56,6 +56,9 @@
   /** Followed kinds by key prefix. */
   readonly #followed = new Map<string, { follower: ObjectFollower; relay: ObjectRelay }>();
 
+  /** Names of the relays at the last check; empty while this node is one. */
+  #relayNames: readonly string[] | undefined;
+
   constructor(options: PlatformFollowersOptions) {
     this.#options = options;
     const { platform, clock, logger, client } = options;
@@ -65,6 +68,23 @@
     });
   }
 
+  /**
+   * Reads the objects again when this node has become a relay, or all relays are new. The platform is lost to the former
+   * ones, so a call that waits at them gets no change until its wait is over.
+   */
+  checkRelays(): void {
+    const former = this.#relayNames;
+    const names = this.#relays().map(({ name }) => name);
+    this.#relayNames = names;
+    if (former === undefined || former.length === 0) return;
+    if (names.some((name) => former.includes(name))) return;
+    this.#options.logger.info('relays-replaced', {
+      relays: names.join(','),
+      former: former.join(','),
+    });
+    for (const { follower } of this.#followed.values()) follower.refresh();
+  }
+
   /** Creates a follower of one kind, which this node can also relay. The caller starts and disposes of the follower. */
   follow({
     prefix,
