--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -1,5 +1,5 @@
-import { CannotRun, TROUBLE } from '../lib/calls.ts';
-import { CONTACT_MS, type Deployment } from '../lib/deployment.ts';
+import { CannotRun, sleepMs, TROUBLE } from '../lib/calls.ts';
+import type { Deployment } from '../lib/deployment.ts';
 import { makeBatch, makeConfig, makeItems } from '../lib/messages.ts';
 import { playCase } from '../lib/playCase.ts';
 
@@ -7,41 +7,55 @@
 
 const ITEMS = 60;
 
-/** The first worker garbles its answer to this item request, and no other. */
-const GARBLED_REQUEST = 5;
+/** The client ends its batch this long after the 202, in ms. */
+const END_AFTER_MS = 300;
 
-/** An item may be at no worker for this long of steady state, in ms. */
-const MAX_UNPLACED_MS = 5000;
+/** `cancel-ms`. */
+const CANCEL_MS = 3000;
 
-/** The trainer gives the step up this long after the submission, in ms. */
-const TRAINER_BUDGET_MS = 35_000;
+/** `contact-ms` after the disruption, with a margin: from then on the machines are in touch. */
+const TOUCH_MS = 3300;
+
+/** How long the workers are watched after the end of the batch, in ms. */
+const WATCH_MS = 15_000;
 
 const play = async (deployment: Deployment): Promise<string | undefined> => {
-  await deployment.startEngines('draft', 6, {}, TROUBLE ? { garbledRequest: GARBLED_REQUEST } : {});
+  await deployment.startEngines('draft', 2);
   await deployment.startEngines('reward', 1, { slots: 6 });
   deployment.writeConfig(
     makeConfig({ version: 1, rolloutService: 'draft', modelServices: ['draft'] }),
   );
-  const node = await deployment.startNodes(2, 'draft');
-
-  const endMs = Date.now() + TRAINER_BUDGET_MS;
-  const items = makeItems(BATCH, new Array<number>(ITEMS).fill(20));
-  await deployment.submit(node, BATCH, makeBatch(items));
-  const results = await deployment.readAll(node, BATCH, ITEMS, endMs);
-  if (results.length === ITEMS) return undefined;
-  const garbled = deployment.engineEvents.find(({ event }) => event === 'garbled');
-  if (garbled === undefined) throw new CannotRun('no answer was garbled');
-  const events = deployment.engineEvents.filter(({ id }) => id === garbled.id);
-  const calmFromMs = garbled.atMs + CONTACT_MS;
-  const wasTried = events.some(
-    ({ event, atMs }) => event === 'run' || (event === 'reached' && atMs > calmFromMs),
+  await deployment.startNodes(2, 'draft');
+  const dispatcher = deployment.dispatcherOf('draft');
+  const other = deployment.nodes.find((node) => node !== dispatcher);
+  if (dispatcher === undefined || other === undefined) throw new CannotRun('no dispatcher');
+  deployment.log(`dispatcher: ${dispatcher.name}`);
+
+  let disruptedMs: number | undefined;
+  if (TROUBLE) {
+    dispatcher.proxy.silenceChannelWith('GET /objects/batch-items/', (line) => {
+      disruptedMs = Date.now();
+      deployment.log(`proxy of ${dispatcher.name}: a channel to the store goes silent at ${line}`);
+    });
+  }
+  const items = makeItems(BATCH, new Array<number>(ITEMS).fill(40));
+  await deployment.submit(other, BATCH, makeBatch(items));
+  await sleepMs(END_AFTER_MS);
+  await deployment.endBatch(other, BATCH);
+  const endedMs = Date.now();
+  if (TROUBLE && disruptedMs === undefined) throw new CannotRun('no channel went silent');
+  await sleepMs(WATCH_MS);
+
+  const judgedFromMs = Math.max(endedMs + CANCEL_MS, (disruptedMs ?? 0) + TOUCH_MS);
+  const late = deployment.engineEvents.filter(
+    ({ event, id, atMs }) => event === 'run' && id.startsWith(`${BATCH}i`) && atMs > judgedFromMs,
   );
-  if (wasTried) return undefined;
-  const steadyMs = endMs - calmFromMs;
-  if (steadyMs < MAX_UNPLACED_MS) throw new CannotRun('too little steady state');
+  deployment.log(`items that began to run later than that: ${late.length}`);
+  const last = late.at(-1);
+  if (last === undefined) return undefined;
   return (
-    `item ${garbled.id} of an accepted batch, which no worker has run, was at no worker ` +
-    `for ${Math.round(steadyMs / 1000)} s of steady state with idle workers`
+    `${late.length} items of an ended batch ran later than ${CANCEL_MS} ms after the ` +
+    `confirmation of its end, the last one after ${last.atMs - endedMs} ms`
   );
 };
 
--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -31,16 +31,17 @@
     | 'head'
     | 'dropped'
     | 'finished'
-    | 'answered'
+    | 'answered 200'
+    | 'answered 504'
     | 'order'
-    | 'version'
-    | 'garbled';
+    | 'version';
   readonly id: string;
   readonly after?: number;
 }
 
 export interface Engine {
   readonly id: string;
+  readonly address: string;
   readonly child: ChildProcess;
 }
 
@@ -53,7 +54,14 @@
   child: ChildProcess | undefined;
 }
 
-const DEFAULT_ENGINE = { slots: 2, queue: 4, firstEventMs: 50, eventGapMs: 45, unframed: false };
+const DEFAULT_ENGINE = {
+  slots: 2,
+  queue: 4,
+  firstEventMs: 50,
+  eventGapMs: 45,
+  unframed: false,
+  plainMs: 15,
+};
 
 /** A value of the entry machines' role in the deploy file. */
 const deployFileValue = async (name: string): Promise<string> => {
@@ -111,29 +119,29 @@
     this.log(`trainer: version ${version} named`);
   }
 
-  /**
-   * Starts the servers of a service, as processes of their own, and registers them.
-   *
-   * @param firstSettings - settings that only the first of them has
-   */
+  /** Starts the servers of a service, as processes of their own, and registers them. */
   startEngines(
     service: string,
     count: number,
     settings: Partial<EngineSettings> = {},
-    firstSettings: Partial<EngineSettings> = {},
   ): Promise<Engine[]> {
     return Promise.all(
       Array.from({ length: count }, (_, index) =>
         this.#startEngine(service, `zone-${(index % 2) + 1}`, {
           ...DEFAULT_ENGINE,
           ...settings,
-          ...(index === 0 ? firstSettings : {}),
           id: `${service}-${index + 1}`,
         }),
       ),
     );
   }
 
+  /** Makes the plain requests of a server take longer. */
+  async slowDown({ id, address }: Engine, factor: number): Promise<void> {
+    await call(address, { method: 'PUT', url: '/slowdown', body: String(factor) });
+    this.log(`server ${id}: requests take ${factor} times as long`);
+  }
+
   /** Removes the entry of a server that is gone. */
   async unregister(id: string): Promise<void> {
     await call(this.platform.address, { method: 'DELETE', url: `/objects/servers/${id}` });
@@ -144,7 +152,9 @@
   async startNodes(count: number, service: string): Promise<Node> {
     const template = await deployFileValue('template');
     const settings = await readFile(path.join(ROOT, template), 'utf8');
-    const hosts = Array.from({ length: count }, (_, index) => `127.0.0.${11 + index}`);
+    // An address of its own for each machine, as the deploy file's template has a fixed port.
+    const network = `127.${1 + Math.floor(Math.random() * 250)}.${Math.floor(Math.random() * 250)}`;
+    const hosts = Array.from({ length: count }, (_, index) => `${network}.${11 + index}`);
     const ports = await Promise.all(hosts.map((host) => findFreePorts(host, 5)));
     const seeds = hosts.map((host, index) => `${host}:${ports[index]?.[2]}`).slice(0, 3);
     for (const [index, ip] of hosts.entries()) {
@@ -284,7 +294,7 @@
       if (name === 'version') register(Number(request), 2);
     });
     register(1, 1);
-    return { id, child };
+    return { id, child, address: `127.0.0.1:${port}` };
   }
 
   #spawn(program: string, args: readonly string[]): ChildProcess {
--- a/review/lib/messages.ts
+++ b/review/lib/messages.ts
@@ -61,6 +61,8 @@
   /** Services of model workers. */
   readonly modelServices: readonly string[];
   readonly singleVersion?: boolean;
+  /** `max-attempts` of the route for reward calls. @default 3 */
+  readonly rewardAttempts?: number;
 }
 
 /** A desired state with a rollout route and a route for reward calls. */
@@ -69,6 +71,7 @@
   rolloutService,
   modelServices,
   singleVersion = false,
+  rewardAttempts = 3,
 }: ConfigOptions) => {
   const route = (name: string, kind: string, service: string) => ({
     ...{ name, host: HOST, 'path-prefix': `/${name}/`, kind, service },
@@ -81,7 +84,7 @@
         ...route('rollout', 'rollout', rolloutService),
         ...{ 'result-deadline-ms': 40_000, 'item-ttl-s': 60, 'single-version': singleVersion },
       },
-      route('score', 'idempotent', 'reward'),
+      { ...route('score', 'idempotent', 'reward'), 'max-attempts': rewardAttempts },
     ],
     services: [
       ...modelServices.map((name) => ({
--- a/review/lib/standInEngine.ts
+++ b/review/lib/standInEngine.ts
@@ -18,8 +18,8 @@
   readonly eventGapMs: number;
   /** Streams without a length, which end with their channel. */
   readonly unframed: boolean;
-  /** Number of the item request, counted from 1, that gets bytes that are no answer to it. */
-  readonly garbledRequest?: number;
+  /** Duration of a plain request, in ms. */
+  readonly plainMs: number;
 }
 
 interface Order {
@@ -33,12 +33,6 @@
 /** Duration of a change of the weights, in ms. */
 const LOAD_MS = 900;
 
-/** Duration of a plain request, in ms. */
-const PLAIN_REQUEST_MS = 15;
-
-const GARBAGE =
-  'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n';
-
 const settings = JSON.parse(process.argv[2] ?? '{}') as EngineSettings;
 
 let running = 0;
@@ -55,8 +49,8 @@
 
 let highestFence = 0;
 
-/** Item requests so far. */
-let itemRequests = 0;
+/** How many times as long plain requests take. */
+let slowdown = 1;
 
 const say = (event: string, fields: object = {}): void => {
   process.stdout.write(`${JSON.stringify({ atMs: Date.now(), event, ...fields })}\n`);
@@ -159,17 +153,36 @@
   say('finished', { id, after });
 };
 
-const runPlain = async (response: http.ServerResponse, id: string): Promise<void> => {
-  await sleepMs(PLAIN_REQUEST_MS);
+/** Runs a plain request. One whose time budget ends before it is complete is answered with 504 then. */
+const runPlain = async (
+  response: http.ServerResponse,
+  id: string,
+  leftMs: number,
+): Promise<void> => {
+  say('run', { id });
+  const workMs = settings.plainMs * slowdown;
+  await sleepMs(Math.max(0, Math.min(workMs, leftMs)));
+  if (response.destroyed) {
+    say('dropped', { id });
+    return;
+  }
+  const statusCode = workMs > leftMs ? 504 : 200;
+  response.writeHead(statusCode);
   response.end(`answer of ${id}`);
-  say('answered', { id });
+  say(`answered ${statusCode}`, { id });
 };
 
 const serve = async (
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): Promise<void> => {
+  const arrivedMs = performance.now();
   const body = await readBody(request);
+  if (request.url === '/slowdown') {
+    slowdown = Number(body);
+    response.end();
+    return;
+  }
   if (request.url === '/report') {
     sendReport(response);
     return;
@@ -191,12 +204,6 @@
   }
   say('reached', { id });
   const isItem = request.url?.startsWith('/items/') ?? false;
-  if (isItem) itemRequests += 1;
-  if (isItem && itemRequests === settings.garbledRequest) {
-    say('garbled', { id });
-    request.socket.end(GARBAGE);
-    return;
-  }
   const isFull = running >= settings.slots && waiting.length >= settings.queue;
   if ((isItem && busy) || isFull) {
     response.writeHead(503, { 'x-not-executed': '1' }).end();
@@ -206,8 +213,12 @@
   response.setHeader('x-server-stamp', `mac.${settings.id}.${id}`);
   response.setHeader('x-instance-load', `${running},${waiting.length},${settings.slots}`);
   try {
-    if (!isItem) await runPlain(response, id);
-    else await runItem(request, response, id, (JSON.parse(body) as { events: number }).events);
+    if (isItem) {
+      await runItem(request, response, id, (JSON.parse(body) as { events: number }).events);
+    } else {
+      const budgetMs = Number(request.headers['x-deadline-ms'] ?? Infinity);
+      await runPlain(response, id, arrivedMs + budgetMs - performance.now());
+    }
   } finally {
     releaseSlot();
   }
