fix(batches): a batch that ends while it is being loaded no longer runs

Cause: a batch was added to the dispatcher from the record that was current when its loading began. PoolDispatcher.end does nothing for a batch that it does not have yet, and nothing looked at the record again. The same held while the result log of a batch is taken over and for a record that is removed meanwhile.

Change: BatchLoader knows the loads in progress; an end or a removal cancels them, and PoolDispatcher.add looks at the signal after the take-over of the log, before it adds the batch. The notification of an end counts as unprocessed while the batch is being loaded. Log line batch-load-cancelled.

--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -87,18 +87,18 @@
 // worker 4.4 s after the end was acknowledged).
 test('no item starts while the batch view is 2.7 s old, unless the platform is lost', async () => {
   const { clock, dispatcher, view, started } = startDispatcher();
-  await dispatcher.add(...batchOf('a'), false);
+  await dispatcher.add(...batchOf('a'));
   await clock.advanceAsync(100);
   expect(started).toEqual(['a-item']);
   view.ageMs = 2700;
-  await dispatcher.add(...batchOf('b'), false);
+  await dispatcher.add(...batchOf('b'));
   await clock.advanceAsync(100);
   expect(started).toEqual(['a-item']);
   view.ageMs = 10;
   await clock.advanceAsync(100);
   expect(started).toEqual(['a-item', 'b-item']);
   Object.assign(view, { ageMs: 60_000, platformLost: true });
-  await dispatcher.add(...batchOf('c'), false);
+  await dispatcher.add(...batchOf('c'));
   await clock.advanceAsync(100);
   expect(started).toEqual(['a-item', 'b-item', 'c-item']);
   dispatcher[Symbol.dispose]();
@@ -111,7 +111,7 @@
   const { clock, dispatcher, started } = startDispatcher(({ view }) =>
     Object.assign(view, { ageMs: view.ageMs + 1000 }),
   );
-  await dispatcher.add(...batchOf('a', 8), false);
+  await dispatcher.add(...batchOf('a', 8));
   await clock.advanceAsync(20);
   expect(started.length).toEqual(3);
   dispatcher[Symbol.dispose]();
@@ -122,7 +122,7 @@
   const { clock, dispatcher, started } = startDispatcher(({ clock: busy }) =>
     Object.assign(busy, { busyMs: busy.busyMs + 60 }),
   );
-  await dispatcher.add(...batchOf('a', 8), false);
+  await dispatcher.add(...batchOf('a', 8));
   let atFirstPause = 0;
   clock.schedule(0, () => {
     atFirstPause = started.length;
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -1,10 +1,9 @@
 import type {
-  BatchItem,
   BatchRecord,
   DispatcherRecord,
   ItemProgress,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
-import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
+import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { messageOf } from '../../shared/errors.ts';
 import type { Random } from '../../shared/random.ts';
@@ -22,17 +21,16 @@
 import type { OrderCalls } from '../weights/orderCalls.ts';
 import { WeightLoads } from '../weights/weightLoads.ts';
 import type { BatchAcceptor } from './batchAcceptor.ts';
+import { BatchLoader } from './batchLoader.ts';
 import {
   BATCHES_PREFIX,
   decodeBatch,
-  decodeItems,
   itemsKey,
   logPrefix,
   progressPrefix,
 } from './batchObjects.ts';
 import {
   BATCHES_LONG_POLL_MS,
-  BATCH_LOAD_RETRY_MS,
   BATCH_CHANGE_GRACE_MS,
   MAX_ORDER_TRANSIT_MS,
   RETENTION_SWEEP_INTERVAL_MS,
@@ -46,7 +44,6 @@
 import type { GenerationCalls } from './generationCalls.ts';
 import type { ItemScorer } from './itemScorer.ts';
 import { PoolDispatcher } from './poolDispatcher.ts';
-import { LogTakenError } from './resultLog.ts';
 
 /** Weight versions that trainers have published. */
 export interface PublishedWeights {
@@ -96,6 +93,8 @@
 
   #dispatcher: PoolDispatcher | undefined;
 
+  #loader: BatchLoader | undefined;
+
   /** Follows the batch records while this node is elected. */
   #batchFollower: ObjectFollower | undefined;
 
@@ -171,8 +170,14 @@
     });
     resources.add(dispatcher);
     this.#dispatcher = dispatcher;
+    const loader = new BatchLoader({
+      ...this.#options,
+      dispatcher,
+      onLogTaken: () => this.election.recheck(),
+    });
+    this.#loader = loader;
     this.workersChanged();
-    void this.#takeOver(dispatcher, resources, term, former);
+    void this.#takeOver(dispatcher, loader, resources, term, former);
   }
 
   /**
@@ -183,7 +188,10 @@
     const { clock, logger } = this.#options;
     clock.schedule(BATCH_CHANGE_GRACE_MS, () => {
       const dispatcher = this.#dispatcher;
-      if (dispatcher === undefined || dispatcher.hasProcessed(batchId, ended)) return;
+      if (dispatcher === undefined) return;
+      // A batch that is being loaded was seen as accepted, and not yet as ended.
+      const isLoading = this.#loader?.isLoading(batchId) ?? false;
+      if (isLoading ? !ended : dispatcher.hasProcessed(batchId, ended)) return;
       logger.info('batch-change-missed', { batch: batchId, ended });
       this.#batchFollower?.refresh();
     });
@@ -199,6 +207,7 @@
     const resources = this.#resources;
     this.#resources = undefined;
     this.#dispatcher = undefined;
+    this.#loader = undefined;
     this.#batchFollower = undefined;
     await resources?.[Symbol.asyncDispose]();
   }
@@ -206,6 +215,7 @@
   /** Requests the former dispatcher's progress, then starts to follow the batch records. */
   async #takeOver(
     dispatcher: PoolDispatcher,
+    loader: BatchLoader,
     resources: DisposableStore,
     term: number,
     former: DispatcherRecord | undefined,
@@ -230,7 +240,7 @@
       waitMs: () => BATCHES_LONG_POLL_MS,
       onEvent: (event) => {
         const takeOver = isFirstListing && former !== undefined;
-        this.#handleBatchEvent(dispatcher, event, takeOver, byBatch);
+        this.#handleBatchEvent(dispatcher, loader, event, takeOver, byBatch);
       },
       onApplied: () => {
         isFirstListing = false;
@@ -255,22 +265,24 @@
 
   #handleBatchEvent(
     dispatcher: PoolDispatcher,
+    loader: BatchLoader,
     { type, object }: PlatformEvent,
     takeOver: boolean,
     progress: ReadonlyMap<string, ItemProgress[]>,
   ): void {
     const id = object.key.slice(BATCHES_PREFIX.length);
     if (type === 'removed') {
+      loader.cancel(id, 'removed');
       dispatcher.forget(id);
       return;
     }
     const record = this.#decode(object.key, object.value);
     if (record === undefined || record.pool !== this.pool) return;
     // A batch that ended before it was loaded here is not loaded; its results are read from the platform.
-    if (record.endedAtMs > 0n) dispatcher.end(record.id);
-    else if (!dispatcher.has(record.id)) {
-      void this.#loadBatch(dispatcher, record, takeOver, progress.get(record.id));
-    }
+    if (record.endedAtMs > 0n) {
+      loader.cancel(id, 'ended');
+      dispatcher.end(id);
+    } else if (!dispatcher.has(id)) void loader.load(record, takeOver, progress.get(id));
   }
 
   #decode(key: string, value: unknown): BatchRecord | undefined {
@@ -282,38 +294,6 @@
     }
   }
 
-  /** Reads the items of a batch and adds it to the dispatcher. Retries while the platform does not respond. */
-  async #loadBatch(
-    dispatcher: PoolDispatcher,
-    record: BatchRecord,
-    takeOver: boolean,
-    progress: readonly ItemProgress[] | undefined,
-  ): Promise<void> {
-    const { clock, logger, acceptor } = this.#options;
-    while (!dispatcher.closed && !dispatcher.has(record.id)) {
-      try {
-        const items = acceptor.itemsOf(record.id) ?? (await this.#readItems(record));
-        await dispatcher.add(record, items, takeOver, progress);
-        return;
-      } catch (error) {
-        logger.warn('batch-load-failed', { batch: record.id, message: messageOf(error) });
-        if (error instanceof LogTakenError) {
-          this.election.recheck();
-          return;
-        }
-        await sleep(clock, BATCH_LOAD_RETRY_MS);
-      }
-    }
-  }
-
-  async #readItems({ id, partCount }: BatchRecord): Promise<BatchItem[]> {
-    const { platform } = this.#options;
-    const parts = await Promise.all(
-      Array.from({ length: partCount }, (_, part) => platform.read(itemsKey(id, part))),
-    );
-    return parts.flatMap((object) => decodeItems(object?.value));
-  }
-
   /** Removes batches that are past their retention. A batch that was never ended is kept for twice as long. */
   async #removeExpired(follower: ObjectFollower, dispatcher: PoolDispatcher): Promise<void> {
     const { clock, retentionMs, platform, logger } = this.#options;
--- /dev/null
+++ b/src/node/batches/batchLoader.ts
@@ -0,0 +1,95 @@
+import type { BatchItem, BatchRecord, ItemProgress } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformClient } from '../platform/platformClient.ts';
+import type { BatchAcceptor } from './batchAcceptor.ts';
+import { decodeItems, itemsKey } from './batchObjects.ts';
+import { BATCH_LOAD_RETRY_MS } from './constants.ts';
+import type { PoolDispatcher } from './poolDispatcher.ts';
+import { LogTakenError } from './resultLog.ts';
+
+export interface BatchLoaderOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly platform: PlatformClient;
+  readonly acceptor: Pick<BatchAcceptor, 'itemsOf'>;
+  readonly dispatcher: Pick<PoolDispatcher, 'add' | 'closed' | 'has'>;
+  /** Called when a dispatcher of a later term owns the result log of a batch. */
+  readonly onLogTaken: () => void;
+}
+
+/** Why a batch is no longer to be loaded. */
+export type LoadCancelReason = 'ended' | 'removed';
+
+interface Load {
+  readonly abort: AbortController;
+  readonly started: Stopwatch;
+}
+
+/** Reads the items of batches and adds the batches to a dispatcher. */
+export class BatchLoader {
+  readonly #options: BatchLoaderOptions;
+
+  /** Loads in progress by batch. */
+  readonly #loads = new Map<string, Load>();
+
+  constructor(options: BatchLoaderOptions) {
+    this.#options = options;
+  }
+
+  isLoading(batchId: string): boolean {
+    return this.#loads.has(batchId);
+  }
+
+  /**
+   * Loads a batch. Retries while the platform does not respond, until the batch is loaded or the load is cancelled.
+   *
+   * @param takeOver - whether a former dispatcher may have run items of the batch
+   * @param progress - progress that the former dispatcher handed over
+   */
+  async load(
+    record: BatchRecord,
+    takeOver: boolean,
+    progress: readonly ItemProgress[] | undefined,
+  ): Promise<void> {
+    if (this.#loads.has(record.id)) return;
+    const { clock, logger, acceptor, dispatcher, onLogTaken } = this.#options;
+    const load = { abort: new AbortController(), started: new Stopwatch(clock) };
+    this.#loads.set(record.id, load);
+    const { signal } = load.abort;
+    while (!signal.aborted && !dispatcher.closed && !dispatcher.has(record.id)) {
+      try {
+        const items = acceptor.itemsOf(record.id) ?? (await this.#readItems(record));
+        if (signal.aborted) break;
+        await dispatcher.add(record, items, { takeOver, progress, signal });
+      } catch (error) {
+        logger.warn('batch-load-failed', { batch: record.id, message: messageOf(error) });
+        if (error instanceof LogTakenError) {
+          onLogTaken();
+          break;
+        }
+        await sleep(clock, BATCH_LOAD_RETRY_MS, signal);
+      }
+    }
+    if (this.#loads.get(record.id) === load) this.#loads.delete(record.id);
+  }
+
+  /** Stops loading a batch, so that it is not added from a record that is out of date. */
+  cancel(batchId: string, reason: LoadCancelReason): void {
+    const load = this.#loads.get(batchId);
+    if (load === undefined) return;
+    this.#loads.delete(batchId);
+    load.abort.abort();
+    const loadingMs = Math.round(load.started.elapsedMs());
+    this.#options.logger.info('batch-load-cancelled', { batch: batchId, reason, loadingMs });
+  }
+
+  async #readItems({ id, partCount }: BatchRecord): Promise<BatchItem[]> {
+    const { platform } = this.#options;
+    const parts = await Promise.all(
+      Array.from({ length: partCount }, (_, part) => platform.read(itemsKey(id, part))),
+    );
+    return parts.flatMap((object) => decodeItems(object?.value));
+  }
+}
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -70,6 +70,20 @@
   readonly onSuperseded: () => void;
 }
 
+/** How a batch is added to a dispatcher. */
+export interface AddOptions {
+  /**
+   * Whether a former dispatcher may have run items of the batch.
+   *
+   * @default false
+   */
+  readonly takeOver?: boolean;
+  /** Progress that the former dispatcher handed over. @default none */
+  readonly progress?: readonly ItemProgress[] | undefined;
+  /** Aborted when the batch must not be added any more. */
+  readonly signal?: AbortSignal;
+}
+
 /** Results of a batch as read at its dispatcher. */
 export interface DispatcherRead {
   readonly total: number;
@@ -132,17 +146,11 @@
     return ended ? batch === undefined || batch.ended : batch !== undefined;
   }
 
-  /**
-   * Adds a batch and schedules its items.
-   *
-   * @param takeOver - whether a former dispatcher may have run items of the batch
-   * @param progress - progress that the former dispatcher handed over
-   */
+  /** Adds a batch and schedules its items. */
   async add(
     record: BatchRecord,
     items: readonly BatchItem[],
-    takeOver: boolean,
-    progress: readonly ItemProgress[] = [],
+    { takeOver = false, progress = [], signal }: AddOptions = {},
   ): Promise<void> {
     const { logger, platform, clock, random, term, writer, partialTexts, onSuperseded } =
       this.#options;
@@ -153,7 +161,7 @@
     });
     const checkpoints = new CheckpointStore({ platform, logger, term, batchId: record.id });
     const restored = takeOver ? (await Promise.all([checkpoints.read(), log.takeOver()]))[0] : [];
-    if (this.#closed || this.#batches.has(record.id)) return;
+    if (signal?.aborted || this.#closed || this.#batches.has(record.id)) return;
     const batch = new BatchState(record, items, log);
     this.#checkpointStores.set(record.id, checkpoints);
     this.#batches.set(record.id, batch);
