fix(batches): batches of a pool that lost its last route are still dispatched after all nodes restarted

Cause: nodes joined the dispatcher elections of the pools that the batch routes of their tables lead to. The pool of a batch stands in its record, where nothing looked.

Change: the dispatcher of a pool, which follows the records of all pools, joins the election of any pool with an open batch and claims it without waiting for preferred candidates. A node whose tables have no batch route lists the open batches once. Expired batches of pools without a route are removed by any dispatcher. Log line pool-joined.

--- /dev/null
+++ b/src/node/batches/__tests__/batchNodeHarness.ts
@@ -0,0 +1,151 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  BatchItemSchema,
+  type BatchRecord,
+  BatchRecordSchema,
+  DispatcherRecordSchema,
+} from '../../../gen/hyssoppulley/v1/batch_pb.ts';
+import { NodeIdentitySchema } from '../../../gen/hyssoppulley/v1/peer_pb.ts';
+import { seededRandom } from '../../../shared/random.ts';
+import { VirtualClock } from '../../../shared/virtualClock.ts';
+import { RequestLimits } from '../../decisions/requestLimits.ts';
+import type { GatewayAdapter } from '../../gateway/adapter.ts';
+import type { GatewayRoute, GatewayTables } from '../../gateway/gatewayTables.ts';
+import { RouteIndex } from '../../gateway/routeIndex.ts';
+import type { TablesFollower } from '../../gateway/tablesFollower.ts';
+import { type RegisteredWorker, WorkerRegistry } from '../../gateway/workerRegistry.ts';
+import type { RequestPermits } from '../../limits/requestPermits.ts';
+import { silentLogger } from '../../observability/logger.ts';
+import { createMetrics } from '../../observability/metrics.ts';
+import {
+  batchKey,
+  dispatcherKey,
+  encodeBatch,
+  encodeDispatcher,
+  encodeItems,
+  itemsKey,
+} from '../batchObjects.ts';
+import { BatchSubsystem, type BatchSubsystemOptions } from '../batchSubsystem.ts';
+import type { GenerationEnd } from '../generationCalls.ts';
+import { HeldPlatform } from './heldPlatform.ts';
+
+/** Pool to which the batch route leads. */
+const POOL = 'p';
+
+/** Pool to which no route leads. */
+export const UNROUTED_POOL = 'former';
+
+/** Time for which results stay readable, in ms. */
+export const RETENTION_MS = 120_000;
+
+const workerOf = (pool: string): RegisteredWorker => ({
+  ...{ id: `w-${pool}`, pool, address: '127.0.0.1:1', availabilityZone: 'z', slots: 8 },
+  ...{ draining: false, startedAtMs: 1, heartbeatCount: 1, models: [{ name: 'm', version: 1 }] },
+});
+
+const BATCH_ROUTE: GatewayRoute = {
+  ...{ name: 'r', host: 'h', pathPrefix: '/b/', kind: 'batch', maxAttempts: 3, timeoutMs: 1000 },
+  ...{ pools: [{ pool: POOL, weight: 1 }], priority: 0, targetLatencyMs: 100, resumable: false },
+};
+
+/** One node, alone in its deployment, with a worker in each of two pools. The runs of the workers never end. */
+export class BatchNodeHarness implements AsyncDisposable {
+  readonly clock = new VirtualClock();
+
+  readonly platform = new HeldPlatform();
+
+  /** Ids of the items whose runs have started. */
+  readonly started: string[] = [];
+
+  readonly #batches: BatchSubsystem;
+
+  /** @param routes - route table @default one batch route */
+  constructor(routes: readonly GatewayRoute[] = [BATCH_ROUTE]) {
+    const common = {
+      ...{ clock: this.clock, platform: this.platform, logger: silentLogger },
+      random: seededRandom(1),
+    };
+    const registry = new WorkerRegistry({
+      ...common,
+      decode: ({ key }) => workerOf(key.slice('servers/'.length)),
+      onChange: () => {},
+    });
+    for (const pool of [POOL, UNROUTED_POOL]) {
+      registry.applyEvent({
+        type: 'written',
+        object: { key: `servers/${pool}`, version: 1, operationId: '', value: {} },
+      });
+    }
+    const engine = { slots: 8, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] };
+    const pools = new Map([POOL, UNROUTED_POOL].map((pool) => [pool, { engine }]));
+    const tables = { routes, pools } as unknown as GatewayTables;
+    this.#batches = new BatchSubsystem({
+      ...common,
+      ...{ registry, limits: new RequestLimits(), metrics: createMetrics() },
+      ...{ maxValueBytes: 100_000, retentionMs: RETENTION_MS, weightsLongPollMs: 1000 },
+      view: {
+        self: create(NodeIdentitySchema, {
+          ...{ name: 'n', incarnation: 'n-1', capacityMillicores: 675 },
+        }),
+        leaving: false,
+        peers: () => [],
+      },
+      health: { lost: false },
+      tables: { tables, routes: new RouteIndex(routes) } as TablesFollower,
+      permits: {
+        obtain: () => Promise.resolve({ permits: [], retryAfterMs: 0, issuer: undefined }),
+      } as unknown as RequestPermits,
+      adapter: {
+        generationCalls: {
+          generate: (_worker, { requestId }) => {
+            this.started.push(requestId);
+            return new Promise<GenerationEnd>(() => {});
+          },
+        },
+        orderCalls: {
+          order: () => Promise.resolve('refused'),
+          report: () => Promise.resolve(undefined),
+        },
+        publishedVersions: { prefix: 'versions/', decode: () => undefined },
+      } as Pick<GatewayAdapter, 'generationCalls' | 'orderCalls' | 'publishedVersions'>,
+      orderRules: { fenced: true, leaseMs: 3000 },
+    } as unknown as BatchSubsystemOptions);
+  }
+
+  /** Starts the node's part in dispatching, as the first tables do. */
+  start(): void {
+    this.#batches.tablesChanged();
+  }
+
+  /** Stores a record by which another node, which has ended since, dispatched the pool. */
+  async addFormerDispatcher(): Promise<void> {
+    const former = create(DispatcherRecordSchema, { node: 'former', incarnation: 'f', term: 1 });
+    await this.platform.write(dispatcherKey(POOL), encodeDispatcher(former));
+  }
+
+  /** Stores an accepted batch of one item, `ID-item`. */
+  async addBatch(id: string, pool = POOL): Promise<BatchRecord> {
+    const record = create(BatchRecordSchema, {
+      ...{ id, pool, model: 'm', itemCount: 1, partCount: 1, maxAttempts: 3 },
+      submittedAtMs: BigInt(this.clock.nowMs()),
+    });
+    const item = create(BatchItemSchema, { id: `${id}-item`, group: 'g' });
+    await this.platform.write(itemsKey(id, 0), encodeItems([item]));
+    await this.platform.write(batchKey(id), encodeBatch(record));
+    return record;
+  }
+
+  /** Marks a batch as ended, as the node does that a trainer asked for it. */
+  async endBatch(record: BatchRecord): Promise<void> {
+    const ended = { ...record, endedAtMs: BigInt(this.clock.nowMs()) };
+    await this.platform.write(batchKey(record.id), encodeBatch(ended));
+  }
+
+  async removeBatch({ id }: BatchRecord): Promise<void> {
+    await this.platform.remove(batchKey(id));
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#batches[Symbol.asyncDispose]();
+  }
+}
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -24,10 +24,10 @@
 import { BatchLoader } from './batchLoader.ts';
 import {
   BATCHES_PREFIX,
-  decodeBatch,
   itemsKey,
   logPrefix,
   progressPrefix,
+  tryDecodeBatch,
 } from './batchObjects.ts';
 import {
   BATCHES_LONG_POLL_MS,
@@ -76,6 +76,12 @@
   readonly orderRules: Pick<FirstOrderConditions, 'fenced' | 'leaseMs'>;
   /** How long results stay readable after the submission, in ms. */
   readonly retentionMs: number;
+  /** Whether this node waits for preferred candidates before it claims the pool. @default true */
+  readonly yieldsToPreferred?: boolean;
+  /** Whether a batch route leads to a pool. */
+  readonly isRouted: (pool: string) => boolean;
+  /** Called for a batch of another pool that has not ended. */
+  readonly onOtherOpenBatch: (record: BatchRecord) => void;
   /** Asks the former dispatcher to stop and to hand over its progress. Returns no progress when it does not respond. */
   readonly release: (former: DispatcherRecord, term: number) => Promise<ItemProgress[]>;
 }
@@ -100,9 +106,8 @@
 
   constructor(options: BatchCoordinatorOptions) {
     this.#options = options;
-    const { pool, platform, clock, random, logger, view, health } = options;
     this.election = new DispatcherElection({
-      ...{ pool, platform, clock, random, logger, view, health },
+      ...options,
       onElected: (term, former) => this.#startDispatching(term, former),
       onLost: () => void this.#stopDispatching(),
     });
@@ -276,8 +281,12 @@
       dispatcher.forget(id);
       return;
     }
-    const record = this.#decode(object.key, object.value);
-    if (record === undefined || record.pool !== this.pool) return;
+    const record = tryDecodeBatch(object, this.#options.logger);
+    if (record === undefined) return;
+    if (record.pool !== this.pool) {
+      if (record.endedAtMs === 0n) this.#options.onOtherOpenBatch(record);
+      return;
+    }
     // A batch that ended before it was loaded here is not loaded; its results are read from the platform.
     if (record.endedAtMs > 0n) {
       loader.cancel(id, 'ended');
@@ -285,21 +294,17 @@
     } else if (!dispatcher.has(id)) void loader.load(record, takeOver, progress.get(id));
   }
 
-  #decode(key: string, value: unknown): BatchRecord | undefined {
-    try {
-      return decodeBatch(value);
-    } catch (error) {
-      this.#options.logger.warn('batch-unreadable', { key, message: messageOf(error) });
-      return undefined;
-    }
-  }
-
-  /** Removes batches that are past their retention. A batch that was never ended is kept for twice as long. */
+  /**
+   * Removes batches that are past their retention, also those of pools that no route leads to. A batch that was never
+   * ended is kept for twice as long.
+   */
   async #removeExpired(follower: ObjectFollower, dispatcher: PoolDispatcher): Promise<void> {
     const { clock, retentionMs, platform, logger } = this.#options;
-    for (const { key, value, version } of follower.objects.values()) {
-      const record = this.#decode(key, value);
-      if (record === undefined || record.pool !== this.pool) continue;
+    for (const object of follower.objects.values()) {
+      const { key, version } = object;
+      const record = tryDecodeBatch(object, logger);
+      if (record === undefined) continue;
+      if (record.pool !== this.pool && this.#options.isRouted(record.pool)) continue;
       const ageMs = clock.nowMs() - Number(record.submittedAtMs);
       const isOver = record.endedAtMs > 0n || ageMs > 2 * retentionMs;
       if (ageMs < retentionMs || !isOver) continue;
--- a/src/node/batches/batchObjects.ts
+++ b/src/node/batches/batchObjects.ts
@@ -9,6 +9,9 @@
   type DispatcherRecord,
   DispatcherRecordSchema,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { messageOf } from '../../shared/errors.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { PlatformObject } from '../platform/platformClient.ts';
 
 /** Key prefixes (object kinds) under which batches are stored at the platform. */
 export const BATCHES_PREFIX = 'batches/';
@@ -44,6 +47,19 @@
 export const decodeBatch = (value: unknown): BatchRecord =>
   fromJson(BatchRecordSchema, value as JsonValue, READ_OPTIONS);
 
+/** Decodes a batch record; undefined, with a log line, if it cannot be read. */
+export const tryDecodeBatch = (
+  { key, value }: Pick<PlatformObject, 'key' | 'value'>,
+  logger: Logger,
+): BatchRecord | undefined => {
+  try {
+    return decodeBatch(value);
+  } catch (error) {
+    logger.warn('batch-unreadable', { key, message: messageOf(error) });
+    return undefined;
+  }
+};
+
 export const encodeItems = (items: BatchItem[]): JsonValue =>
   toJson(BatchItemsSchema, { $typeName: 'hyssoppulley.v1.BatchItems', items });
 export const decodeItems = (value: unknown): BatchItem[] =>
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../../shared/clock.ts';
+import { type Clock, sleep } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import type { Random } from '../../shared/random.ts';
 import type { GatewayAdapter } from '../gateway/adapter.ts';
@@ -28,6 +28,8 @@
   type EndResult,
   releaseFormerDispatcher,
 } from './batchService.ts';
+import { BATCHES_PREFIX, tryDecodeBatch } from './batchObjects.ts';
+import { BATCH_LOAD_RETRY_MS } from './constants.ts';
 import { dispatcherLease, type ElectionView } from './dispatcherElection.ts';
 import { ItemScorer } from './itemScorer.ts';
 
@@ -68,6 +70,8 @@
   /** Coordinators by pool. */
   readonly #coordinators = new Map<string, BatchCoordinator>();
 
+  readonly #disposed = new AbortController();
+
   constructor(options: BatchSubsystemOptions) {
     this.#options = options;
     const { clock, logger, platform, forwarder, tables, view, peerClients } = options;
@@ -95,15 +99,10 @@
     );
   }
 
-  /** Joins the dispatcher election of every pool that a batch route refers to. */
+  /** Joins the dispatcher election of every pool that a batch route leads to. */
   tablesChanged(): void {
-    const routes = this.#options.tables.tables?.routes ?? [];
-    for (const { kind, pools } of routes) {
-      if (kind !== 'batch') continue;
-      for (const { pool } of pools) {
-        if (!this.#coordinators.has(pool)) this.#coordinators.set(pool, this.#newCoordinator(pool));
-      }
-    }
+    for (const pool of this.#routedPools()) this.#join(pool);
+    if (this.#coordinators.size === 0) void this.#joinPoolsOfOpenBatches();
     for (const { dispatcher } of this.coordinators()) dispatcher?.schedule();
   }
 
@@ -148,6 +147,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#disposed.abort();
     await Promise.all(this.coordinators().map((each) => each[Symbol.asyncDispose]()));
   }
 
@@ -199,11 +199,54 @@
       );
   }
 
-  #newCoordinator(pool: string): BatchCoordinator {
+  /** Pools that batch routes of the tables in force lead to. */
+  #routedPools(): Set<string> {
+    const routes = this.#options.tables.tables?.routes ?? [];
+    return new Set(
+      routes
+        .filter(({ kind }) => kind === 'batch')
+        .flatMap(({ pools }) => pools.map(({ pool }) => pool)),
+    );
+  }
+
+  /**
+   * Joins the dispatcher election of a pool.
+   *
+   * @param openBatch - a batch because of which the pool is joined, although no route may lead there any more
+   */
+  #join(pool: string, openBatch?: string): void {
+    if (this.#coordinators.has(pool) || this.#disposed.signal.aborted) return;
+    this.#options.logger.info('pool-joined', { pool, openBatch });
+    // Only the dispatchers of other pools see the batches of a pool without a route.
+    const yieldsToPreferred = openBatch === undefined;
+    this.#coordinators.set(pool, this.#newCoordinator(pool, yieldsToPreferred));
+  }
+
+  /** Joins the pools of open batches. For a node without a dispatcher that would see these batches. */
+  async #joinPoolsOfOpenBatches(): Promise<void> {
+    const { platform, clock, logger } = this.#options;
+    const { signal } = this.#disposed;
+    while (this.#coordinators.size === 0 && !signal.aborted) {
+      try {
+        for (const object of await platform.list(BATCHES_PREFIX)) {
+          const record = tryDecodeBatch(object, logger);
+          if (record?.endedAtMs === 0n) this.#join(record.pool, record.id);
+        }
+        return;
+      } catch (error) {
+        logger.info('open-batches-unread', { message: messageOf(error) });
+        await sleep(clock, BATCH_LOAD_RETRY_MS, signal);
+      }
+    }
+  }
+
+  #newCoordinator(pool: string, yieldsToPreferred: boolean): BatchCoordinator {
     const { tables, adapter, peerClients, logger } = this.#options;
     return new BatchCoordinator({
       ...this.#options,
-      pool,
+      ...{ pool, yieldsToPreferred },
+      isRouted: (other) => this.#routedPools().has(other),
+      onOtherOpenBatch: (record) => this.#join(record.pool, record.id),
       tables: () => tables.tables,
       generations: adapter.generationCalls,
       orders: adapter.orderCalls,
--- a/src/node/batches/dispatcherElection.ts
+++ b/src/node/batches/dispatcherElection.ts
@@ -68,6 +68,12 @@
   readonly view: ElectionView;
   /** Whether this node has lost its connection to the platform. */
   readonly health: Pick<PlatformHealth, 'lost'>;
+  /**
+   * Whether this node waits for the candidates that are preferred to it. Not where they may not know of the pool.
+   *
+   * @default true
+   */
+  readonly yieldsToPreferred?: boolean;
   /** Called when this node has become the dispatcher. `former` is the previous dispatcher. */
   readonly onElected: (term: number, former: DispatcherRecord | undefined) => void;
   /** Called when this node is no longer the dispatcher. */
@@ -289,9 +295,10 @@
 
   /** @param excludedNode - name of a node that does not count as a candidate */
   #claimDelayMs(excludedNode = ''): number | undefined {
-    const { view, pool, health } = this.#options;
+    const { view, pool, health, yieldsToPreferred = true } = this.#options;
     const { self, leaving } = view;
     const selfCandidate = candidateOf(self, !leaving && !health.lost);
+    if (!yieldsToPreferred) return claimDelayMs(pool, selfCandidate, []);
     const peers = view
       .peers()
       .map((peer) =>
