fix(batches): a single-version text that no worker can continue starts anew

Cause: a text that has begun allows only its own version, and versions of workers only rise. It was given up only when a run stopped with wrong-version, but placement starts no such run.

The decisions on items move to decisions/items/.

--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -2,11 +2,16 @@
 import { create } from '@bufbuild/protobuf';
 import { expect } from 'earl';
 import { InMemoryPlatform } from '../../../../playground/inMemoryPlatform.ts';
-import { BatchItemSchema, BatchRecordSchema } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
+import {
+  BatchItemSchema,
+  BatchRecordSchema,
+  ItemProgressSchema,
+} from '../../../gen/hyssoppulley/v1/batch_pb.ts';
 import { seededRandom } from '../../../shared/random.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
 import type { BatchViewState } from '../../decisions/batchView.ts';
 import { RequestLimits } from '../../decisions/requestLimits.ts';
+import type { DispatchedRequest } from '../../gateway/workerCalls.ts';
 import type { RegisteredWorker } from '../../gateway/workerRegistry.ts';
 import { WorkerRegistry } from '../../gateway/workerRegistry.ts';
 import { silentLogger } from '../../observability/logger.ts';
@@ -19,7 +24,7 @@
 
 const WORKER: RegisteredWorker = {
   ...{ id: 'w', pool: 'p', address: '127.0.0.1:1', availabilityZone: 'z', slots: 8 },
-  ...{ draining: false, startedAtMs: 1, heartbeatCount: 1, models: [{ name: 'm', version: 1 }] },
+  ...{ draining: false, startedAtMs: 1, heartbeatCount: 1, models: [{ name: 'm', version: 2 }] },
 };
 
 /** A clock that also advances while code runs. */
@@ -51,6 +56,7 @@
   });
   const view = { ageMs: 0, platformLost: false };
   const started: string[] = [];
+  const requests: DispatchedRequest[] = [];
   const dispatcher = new PoolDispatcher({
     ...common,
     ...{ pool: 'p', term: 1, writer: 'n-1', registry, weights, limits: new RequestLimits() },
@@ -58,8 +64,9 @@
     metrics: createMetrics(),
     engine: () => ({ slots: 8, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] }),
     calls: {
-      generate: (_worker, { requestId }) => {
-        started.push(requestId);
+      generate: (_worker, request) => {
+        started.push(request.requestId);
+        requests.push(request);
         onStart({ clock, view });
         return new Promise<GenerationEnd>(() => {});
       },
@@ -71,7 +78,7 @@
     onSuperseded: () => {},
   });
   dispatcher.workersChanged();
-  return { clock, dispatcher, view, started };
+  return { clock, dispatcher, view, started, requests };
 };
 
 const batchOf = (id: string, itemCount = 1) => {
@@ -132,3 +139,19 @@
   expect(started.length).toEqual(8);
   dispatcher[Symbol.dispose]();
 });
+
+// Guards against an item that never reaches a worker again: its text began under a version that all workers have left,
+// on a route whose texts must come from one version (review/2).
+test('a single-version text that no worker can continue starts anew', async () => {
+  const { clock, dispatcher, requests } = startDispatcher();
+  const [record, items] = batchOf('a');
+  const progress = create(ItemProgressSchema, {
+    ...{ batchId: 'a', itemId: 'a-item', events: ['x', 'y'], eventVersions: [1, 1] },
+  });
+  await dispatcher.add({ ...record, singleVersion: true }, items, { progress: [progress] });
+  await clock.advanceAsync(1000);
+  expect(requests.map(({ requestId, resumeAfter }) => [requestId, resumeAfter])).toEqual([
+    ['a-item', undefined],
+  ]);
+  dispatcher[Symbol.dispose]();
+});
--- a/src/node/batches/__tests__/runSupervision.test.ts
+++ b/src/node/batches/__tests__/runSupervision.test.ts
@@ -14,6 +14,7 @@
 const startRun = (elapsedMs: number) => {
   const clock = new VirtualClock();
   const workerState = new EngineWorkers({
+    newestVersion: () => 0,
     permitsOf: () => Infinity,
     ...{ clock, pool: 'p', weights, engine: () => undefined },
     registry: { usable: () => workers } as unknown as WorkerRegistry,
--- a/src/node/batches/checkpointStore.ts
+++ b/src/node/batches/checkpointStore.ts
@@ -6,7 +6,7 @@
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { newId } from '../../shared/random.ts';
-import { CheckpointTracker, mergeProgress } from '../decisions/checkpoints.ts';
+import { CheckpointTracker, mergeProgress } from '../decisions/items/checkpoints.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import { progressKey, progressPrefix } from './batchObjects.ts';
@@ -33,6 +33,7 @@
     failedAttempts,
     whole: isTextComplete,
     eventOffset,
+    textId: text.id,
   });
 
 /** Progress of items in open batches whose results are not stored in the result log yet. */
@@ -72,7 +73,9 @@
             .items,
       );
     const progress = [...mergeProgress(parts).values()];
-    for (const { itemId, events } of progress) this.#tracker.recordRestored(itemId, events.length);
+    for (const { itemId, textId, events } of progress) {
+      this.#tracker.recordStored(itemId, textId, events.length);
+    }
     return progress;
   }
 
@@ -82,6 +85,7 @@
     const due = this.#tracker.due(
       items.map(({ item, text, isTextComplete }) => ({
         id: item.id,
+        textId: text.id,
         events: text.events.length,
         isTextComplete,
       })),
@@ -106,8 +110,8 @@
         outcome: result.status,
       });
       if (result.status !== 'written') return;
-      for (const { itemId, eventOffset, events } of parts) {
-        this.#tracker.recordStored(itemId, eventOffset + events.length);
+      for (const { itemId, textId, eventOffset, events } of parts) {
+        this.#tracker.recordStored(itemId, textId, eventOffset + events.length);
       }
     } catch (error) {
       logger.warn('checkpoint-write-failed', { batch: batchId, message: messageOf(error) });
--- a/src/node/batches/engineWorkers.ts
+++ b/src/node/batches/engineWorkers.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../shared/clock.ts';
-import type { PlacementWorker } from '../decisions/itemPlacement.ts';
+import type { PlacementWorker } from '../decisions/items/itemPlacement.ts';
 import type { AssignableWorker } from '../decisions/workerAssignment.ts';
 import type { FreeSlots } from '../decisions/runRelocation.ts';
 import { EventGapTracker } from '../decisions/eventGapTracker.ts';
@@ -15,6 +15,8 @@
   readonly registry: WorkerRegistry;
   readonly weights: WeightLoads;
   readonly engine: () => EnginePool | undefined;
+  /** Newest published weight version of a model. */
+  readonly newestVersion: (model: string) => number;
   /** Number of items that the request limit of a worker allows to start now. */
   readonly permitsOf: (worker: string) => number;
 }
@@ -72,6 +74,16 @@
       }));
   }
 
+  /** Versions of a model that the workers have, or that they are loading. */
+  weightVersions(model: string): number[] {
+    const { weights, newestVersion } = this.#options;
+    return this.usable().flatMap(({ id }) => {
+      const version = weights.versionOf(id, model);
+      if (version !== undefined) return [version];
+      return weights.isLoading(id) ? [newestVersion(model)] : [];
+    });
+  }
+
   /** The workers in the form that `assignWorkersToModels` needs. */
   forAssignment(runningOf: (worker: string) => (model: string) => number): AssignableWorker[] {
     const nowMs = this.#options.clock.monotonicMs();
@@ -100,8 +112,12 @@
 
   /** Time without an event after which a run counts as stalled, in ms. */
   get stallMs(): number {
-    const typicalGapMs = this.#eventGaps.medianGapMs ?? MAX_STALL_MS / STALL_GAP_FACTOR;
-    return Math.min(MAX_STALL_MS, Math.max(MIN_STALL_MS, typicalGapMs * STALL_GAP_FACTOR));
+    return Math.min(MAX_STALL_MS, Math.max(MIN_STALL_MS, this.eventGapMs * STALL_GAP_FACTOR));
+  }
+
+  /** Typical time between two events of a run, in ms. */
+  get eventGapMs(): number {
+    return this.#eventGaps.medianGapMs ?? MAX_STALL_MS / STALL_GAP_FACTOR;
   }
 
   /** Records that a worker processes a prompt. */
--- a/src/node/batches/generationCalls.ts
+++ b/src/node/batches/generationCalls.ts
@@ -1,4 +1,4 @@
-import type { GenerationEvent } from '../decisions/itemText.ts';
+import type { GenerationEvent } from '../decisions/items/itemText.ts';
 import type { CalledWorker, DispatchedRequest, WorkerLoad } from '../gateway/workerCalls.ts';
 
 /** Outcome of a generation, as reported by its worker. */
--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -1,6 +1,6 @@
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
-import type { EventOutcome } from '../decisions/itemText.ts';
+import type { EventOutcome } from '../decisions/items/itemText.ts';
 import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
 import type { LogFields } from '../observability/logger.ts';
 import { WorkerCallError } from '../dataPath/workerHttpClient.ts';
--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -1,5 +1,5 @@
 import type { BatchItem, ItemProgress } from '../../gen/hyssoppulley/v1/batch_pb.ts';
-import { ItemText, type VersionRules } from '../decisions/itemText.ts';
+import { ItemText, type VersionRules } from '../decisions/items/itemText.ts';
 import type { BatchState } from './batchState.ts';
 
 /** Phase of an item. `finished`: its result is not stored yet; `listed`: its result is stored and readable. */
@@ -21,6 +21,8 @@
 
   #isTextComplete = false;
 
+  #restarts = 0;
+
   constructor(batch: BatchState, item: BatchItem, rules: VersionRules) {
     this.batch = batch;
     this.item = item;
@@ -82,17 +84,27 @@
     this.#failedAttempts += 1;
   }
 
+  /**
+   * Gives up the text, so that the item starts anew.
+   *
+   * @param term - term of this dispatcher; other dispatchers may have restarted the text as well
+   */
+  restartText(term: number): void {
+    this.#restarts += 1;
+    this.text.restart(`${term}.${this.#restarts}`);
+  }
+
   /**
    * Restores progress that was made earlier. Has an effect only while the item waits for a worker.
    *
    * @returns whether the text was restored; false also when its weight versions are not allowed
    */
   restoreProgress(
-    earlier: Pick<ItemProgress, 'events' | 'eventVersions' | 'whole' | 'failedAttempts'>,
+    earlier: Pick<ItemProgress, 'events' | 'eventVersions' | 'whole' | 'textId' | 'failedAttempts'>,
   ): boolean {
     if (this.#phase !== 'waiting') return false;
     this.#failedAttempts = Math.max(this.#failedAttempts, earlier.failedAttempts);
-    if (!this.text.restore(earlier.events, earlier.eventVersions)) return false;
+    if (!this.text.restore(earlier.events, earlier.eventVersions, earlier.textId)) return false;
     this.#isTextComplete = earlier.whole;
     return true;
   }
--- a/src/node/batches/partialTextCache.ts
+++ b/src/node/batches/partialTextCache.ts
@@ -34,9 +34,10 @@
       if (earlier === undefined) continue;
       const events = [...earlier.text.events];
       const eventVersions = [...earlier.text.eventVersions];
-      const { isTextComplete: whole } = earlier;
+      const { isTextComplete: whole, text } = earlier;
       // Failed attempts of the earlier batch do not count towards the limit of this one.
-      if (!state.restoreProgress({ events, eventVersions, whole, failedAttempts: 0 })) continue;
+      const progress = { events, eventVersions, whole, textId: text.id, failedAttempts: 0 };
+      if (!state.restoreProgress(progress)) continue;
       this.#items.delete(state.item.id);
       reused += 1;
     }
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -11,7 +11,7 @@
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
-import { type Placement, placeItems } from '../decisions/itemPlacement.ts';
+import { type Placement, placeItems } from '../decisions/items/itemPlacement.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { RequestPermits } from '../limits/requestPermits.ts';
@@ -40,6 +40,7 @@
 import { unstoredProgress, CheckpointStore } from './checkpointStore.ts';
 import { stopSlowRuns, stopStalledRuns } from './runSupervision.ts';
 import { sharedPromptOf, toWaitingItem } from './waitingItem.ts';
+import { TextRestarts } from './textRestarts.ts';
 import { WeightRefresher } from './weightRefresher.ts';
 import { limitReadSize, ResultLog } from './resultLog.ts';
 
@@ -111,6 +112,8 @@
 
   readonly #refresher: WeightRefresher;
 
+  readonly #textRestarts: TextRestarts;
+
   readonly #viewGuard: StaleViewGuard;
 
   readonly #timers = new DisposableStore();
@@ -127,6 +130,7 @@
       permitsOf: (id) => this.#permits.available(id),
     });
     this.#refresher = new WeightRefresher({ ...options, workers: this.#workers });
+    this.#textRestarts = new TextRestarts({ ...options, workers: this.#workers });
     this.#viewGuard = new StaleViewGuard(options);
     this.#timers.add(repeatEvery(options.clock, RUN_CHECK_INTERVAL_MS, () => this.#checkRuns()));
     this.#timers.add(repeatEvery(options.clock, CHECKPOINT_INTERVAL_MS, () => this.#checkpoint()));
@@ -287,11 +291,13 @@
   #startWaitingItems(workers: readonly RegisteredWorker[]): void {
     const waiting = this.#waitingItems();
     const turn = new Stopwatch(this.#options.clock);
+    const placementWorkers = this.#workers.forPlacement(this.#runningByWorker());
+    this.#textRestarts.restartHeldTexts(waiting.values(), placementWorkers);
     const placements = placeItems(
       [...waiting].map(([key, state]) =>
         toWaitingItem(key, state, this.#options.engine()?.tokensPerEvent ?? 1),
       ),
-      this.#workers.forPlacement(this.#runningByWorker()),
+      placementWorkers,
     );
     for (const placement of placements) {
       // On a small VM the starts of a large step take seconds, in which the view gets too old and nothing else is handled.
@@ -370,7 +376,7 @@
     } else if (isStopped && end.reason === 'stalled') {
       this.#workers.recordResult(worker.id, 'silent');
     } else if (isStopped && end.reason === 'wrong-version') {
-      if (state.batch.record.singleVersion) state.text.clear();
+      if (state.batch.record.singleVersion) state.restartText(this.#options.term);
     }
     this.schedule();
   }
--- a/src/node/batches/waitingItem.ts
+++ b/src/node/batches/waitingItem.ts
@@ -1,5 +1,5 @@
 import type { BatchItem } from '../../gen/hyssoppulley/v1/batch_pb.ts';
-import type { WaitingItem } from '../decisions/itemPlacement.ts';
+import type { WaitingItem } from '../decisions/items/itemPlacement.ts';
 import type { ItemState } from './itemState.ts';
 
 /** Head start of a batch over one of the next lower priority, in ms: about a quarter of a training step. */
--- a/src/node/decisions/__tests__/itemText.test.ts
+++ b/src/node/decisions/items/__tests__/itemText.test.ts
@@ -36,12 +36,12 @@
 });
 
 // Guards against two weight versions in a text that must come from a single one.
-test('a single-version text refuses a second version until it is cleared', () => {
+test('a single-version text refuses a second version until it is restarted', () => {
   const text = new ItemText({ minVersion: 1, singleVersion: true });
   text.accept(event(1, 2));
   expect(text.allows(3)).toEqual(false);
   expect(text.accept(event(2, 3))).toEqual('wrong-version');
-  text.clear();
+  text.restart('1.1');
   expect(text.accept(event(1, 3))).toEqual('taken');
   expect(text.versions).toEqual([3]);
 });
--- a/src/node/decisions/checkpoints.ts
+++ b/src/node/decisions/items/checkpoints.ts
@@ -1,4 +1,4 @@
-import type { ItemProgress } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import type { ItemProgress } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
 
 /** Minimum length of a text to checkpoint, in events: regenerating a shorter one costs less than storing it. */
 export const MIN_EVENTS_TO_CHECKPOINT = 24;
@@ -9,29 +9,32 @@
 /** An item whose text may need a checkpoint. */
 export interface CheckpointItem {
   readonly id: string;
+  /** Identifies the item's text among those that were started anew. */
+  readonly textId: string;
   readonly events: number;
   /** Whether the text is complete and its result is not stored yet. */
   readonly isTextComplete: boolean;
 }
 
+/** The events of one text that are stored. */
+interface StoredText {
+  readonly textId: string;
+  readonly events: number;
+}
+
 /** Decides which events to checkpoint, so that each event is stored only once. */
 export class CheckpointTracker {
-  /** Number of events stored so far, by item. */
-  readonly #storedEvents = new Map<string, number>();
-
-  /** Records how many events of an item an earlier dispatcher stored. */
-  recordRestored(item: string, events: number): void {
-    this.#storedEvents.set(item, events);
-  }
+  readonly #stored = new Map<string, StoredText>();
 
   /**
    * Returns the items that need a checkpoint, each with the index of the first event to store: the number of events
-   * stored so far, or 0 if the text was restarted and is now shorter than what was stored.
+   * stored so far, or 0 if the text was started anew or is now shorter than what was stored.
    */
   due(items: Iterable<CheckpointItem>): Map<string, number> {
     const due = new Map<string, number>();
-    for (const { id, events, isTextComplete } of items) {
-      const storedCount = this.#storedEvents.get(id) ?? 0;
+    for (const { id, textId, events, isTextComplete } of items) {
+      const stored = this.#stored.get(id);
+      const storedCount = stored?.textId === textId ? stored.events : 0;
       const offset = storedCount > events ? 0 : storedCount;
       const newEvents = events - offset;
       if (
@@ -44,9 +47,9 @@
     return due;
   }
 
-  /** Records that the first `events` events of an item are stored. */
-  recordStored(item: string, events: number): void {
-    this.#storedEvents.set(item, events);
+  /** Records that the first `events` events of an item's text are stored, by this dispatcher or an earlier one. */
+  recordStored(item: string, textId: string, events: number): void {
+    this.#stored.set(item, { textId, events });
   }
 }
 
@@ -59,7 +62,7 @@
   const merged = new Map<string, ItemProgress>();
   for (const part of parts) {
     const known = merged.get(part.itemId);
-    const before = known?.events.length ?? 0;
+    const before = known?.textId === part.textId ? known.events.length : 0;
     // The events before this part are missing, so it cannot be appended.
     if (part.eventOffset > before) continue;
     merged.set(part.itemId, {
--- a/src/node/decisions/itemText.ts
+++ b/src/node/decisions/items/itemText.ts
@@ -1,4 +1,4 @@
-import { invariant } from '../../shared/invariants.ts';
+import { invariant } from '../../../shared/invariants.ts';
 
 /** One event of a generation stream. */
 export interface GenerationEvent {
@@ -36,10 +36,17 @@
   /** Weight version of each event. */
   readonly #eventVersions: number[] = [];
 
+  #id = '';
+
   constructor(rules: VersionRules) {
     this.#rules = rules;
   }
 
+  /** Identifies the text among those that were started anew for the item; empty for the first one. */
+  get id(): string {
+    return this.#id;
+  }
+
   /** Data of all events in order. */
   get events(): readonly string[] {
     return this.#events;
@@ -78,7 +85,7 @@
    *
    * @returns false, with the text unchanged, if the text is not empty or the events do not satisfy the version rules
    */
-  restore(events: readonly string[], eventVersions: readonly number[]): boolean {
+  restore(events: readonly string[], eventVersions: readonly number[], id = ''): boolean {
     const { minVersion, singleVersion } = this.#rules;
     const fits =
       this.#events.length === 0 &&
@@ -89,11 +96,13 @@
     if (!fits) return false;
     this.#events.push(...events);
     this.#eventVersions.push(...eventVersions);
+    this.#id = id;
     return true;
   }
 
-  /** Removes all events, so that the text can be restarted with another version. */
-  clear(): void {
+  /** Removes all events, so that the text can be started anew with another version. */
+  restart(id: string): void {
+    this.#id = id;
     this.#events.length = 0;
     this.#eventVersions.length = 0;
   }
