fix(gateway): responses without end no longer make requests of other callers fail

Callers saw: while a worker sends bodies without end for some requests, others on the same node get a 502 now and then, though the worker answered them whole.

Cause: all responses that a node buffers share 64 MiB; when these were used up, the response whose next chunk arrived was broken off, whichever it was.

Change: ResponseMemory evicts the largest of the responses that are being read.

--- a/src/node/dataPath/workerHttpClient.ts
+++ b/src/node/dataPath/workerHttpClient.ts
@@ -1,7 +1,6 @@
 import http, { type OutgoingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { Clock } from '../../shared/clock.ts';
-import type { ByteBudget } from '../../shared/byteBudget.ts';
 import { BaseError, messageOf } from '../../shared/errors.ts';
 import type { WorkerEndpoint } from '../membership/membershipView.ts';
 import {
@@ -11,6 +10,7 @@
   MAX_SHORT_RESPONSE_BYTES,
   SHORT_CALL_TIMEOUT_MS,
 } from './constants.ts';
+import type { ResponseMemory } from './responseMemory.ts';
 import { parseWorkerAddress } from './workerAddress.ts';
 
 /** A call to a worker that got no complete response. */
@@ -50,28 +50,23 @@
 /**
  * Reads a complete response body. Throws when it is truncated or larger than `maxBytes`.
  *
- * @param budget - limit on the bytes of all responses that are being read @default no common limit
+ * @param memory - memory that it shares with other responses @default no common limit
  */
 export const readResponseBody = async (
   response: http.IncomingMessage,
   maxBytes: number,
-  budget?: ByteBudget,
+  memory?: ResponseMemory,
 ): Promise<Buffer> => {
+  using share = memory?.add(() =>
+    response.destroy(new WorkerCallError('too many bytes of responses are buffered on this node')),
+  );
   const chunks: Buffer[] = [];
   let sizeBytes = 0;
-  let reservedBytes = 0;
-  try {
-    for await (const chunk of response as AsyncIterable<Buffer>) {
-      sizeBytes += chunk.length;
-      if (sizeBytes > maxBytes) throw new WorkerCallError(`response larger than ${maxBytes} bytes`);
-      if (budget?.tryReserve(chunk.length) === false) {
-        throw new WorkerCallError('too many bytes of responses are buffered on this node');
-      }
-      reservedBytes = sizeBytes;
-      chunks.push(chunk);
-    }
-  } finally {
-    budget?.release(reservedBytes);
+  for await (const chunk of response as AsyncIterable<Buffer>) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > maxBytes) throw new WorkerCallError(`response larger than ${maxBytes} bytes`);
+    chunks.push(chunk);
+    share?.grow(chunk.length);
   }
   if (!response.complete) throw new WorkerCallError('the response was truncated');
   return Buffer.concat(chunks);
@@ -142,7 +137,7 @@
         });
         socket.once('close', () => timer[Symbol.dispose]());
       });
-      request.on('error', (error) => {
+      const fail = (error: Error) => {
         // Node would report a reset as the regular end of a response without a length.
         workerResponse?.destroy(error);
         reject(
@@ -151,7 +146,8 @@
             props: { notConnected: !connected },
           }),
         );
-      });
+      };
+      request.on('error', fail);
       if (body === undefined || typeof body === 'string' || Buffer.isBuffer(body)) {
         request.end(body);
       } else {
--- a/src/node/gateway/readResponse.ts
+++ b/src/node/gateway/readResponse.ts
@@ -1,5 +1,5 @@
 import { invariant } from '../../shared/invariants.ts';
-import { ByteBudget } from '../../shared/byteBudget.ts';
+import { ResponseMemory } from '../dataPath/responseMemory.ts';
 import { readResponseBody, WorkerCallError } from '../dataPath/workerHttpClient.ts';
 import { MAX_BUFFERED_RESPONSE_BYTES, MAX_BUFFERED_RESPONSES_BYTES } from './constants.ts';
 import type { ResponseReader } from './workerAttempts.ts';
@@ -9,9 +9,9 @@
  * share one limit on the bytes in memory.
  */
 export const createResponseReader =
-  (budget = new ByteBudget(MAX_BUFFERED_RESPONSES_BYTES)): ResponseReader =>
+  (memory = new ResponseMemory(MAX_BUFFERED_RESPONSES_BYTES)): ResponseReader =>
   async (worker, response) => {
-    const body = await readResponseBody(response.body, MAX_BUFFERED_RESPONSE_BYTES, budget);
+    const body = await readResponseBody(response.body, MAX_BUFFERED_RESPONSE_BYTES, memory);
     const { statusCode, headers, notRun, stamp } = response;
     const reason = `worker returned ${statusCode}`;
     if (notRun) return { worker, mayHaveRun: false, reason };
