fix: a request ends when its connection closes without a response, whatever bytes came before

Callers saw: no answer at all when a worker sent a 101 head that nobody had asked for; an item of a batch was never sent again.

Cause: Node closes the connection after such a head and emits neither a response nor an error; the request's signal has no effect. WorkerHttpClient and the clients of the platform, scorers, keyed requests and other nodes waited for one of the two events.

Evidence: endlessBytes.test.ts with the bytes of a 101 head: a generation, an order, a report, a read and a long poll at the platform had not ended after 60 s.

--- a/src/node/dataPath/dispatchOnce.ts
+++ b/src/node/dataPath/dispatchOnce.ts
@@ -1,6 +1,7 @@
 import http, { type IncomingHttpHeaders, type OutgoingHttpHeaders } from 'node:http';
 import net from 'node:net';
 import type { Clock } from '../../shared/clock.ts';
+import { onEndWithoutResponse } from '../../shared/endWithoutResponse.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { parseWorkerAddress } from './workerAddress.ts';
 
@@ -106,6 +107,7 @@
         resolve,
       );
       request.on('error', reject);
+      onEndWithoutResponse(request, reject);
       request.end(body);
     });
     const readResult = await readResponseBody(response, maxResponseBytes);
--- a/src/node/dataPath/workerHttpClient.ts
+++ b/src/node/dataPath/workerHttpClient.ts
@@ -1,6 +1,7 @@
 import http, { type OutgoingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { Clock } from '../../shared/clock.ts';
+import { onEndWithoutResponse } from '../../shared/endWithoutResponse.ts';
 import { BaseError, messageOf } from '../../shared/errors.ts';
 import type { WorkerEndpoint } from '../membership/membershipView.ts';
 import {
@@ -148,6 +149,7 @@
         );
       };
       request.on('error', fail);
+      onEndWithoutResponse(request, fail, signal);
       if (body === undefined || typeof body === 'string' || Buffer.isBuffer(body)) {
         request.end(body);
       } else {
--- a/src/node/training/ownerForwarder.ts
+++ b/src/node/training/ownerForwarder.ts
@@ -1,5 +1,6 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
+import { onEndWithoutResponse } from '../../shared/endWithoutResponse.ts';
 import { FORWARD_PREFIX, HOP_HEADER } from '../constants.ts';
 import { forwardHeaders, forwardNodeHeaders } from '../dataPath/forwardHeaders.ts';
 import { requestError } from '../dataPath/problem.ts';
@@ -82,6 +83,7 @@
         outgoing.destroy(new Error('the owner did not respond in time')),
       );
       outgoing.on('error', reject);
+      onEndWithoutResponse(outgoing, reject);
       // Cancels the request when the trainer disconnects, so that the owner does not keep the pull waiting.
       response.on('close', () => outgoing.destroy());
       request.on('error', () => outgoing.destroy());
--- a/src/node/training/scorerClient.ts
+++ b/src/node/training/scorerClient.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { onEndWithoutResponse } from '../../shared/endWithoutResponse.ts';
 import type { WorkerEndpoint } from '../membership/membershipView.ts';
 import type { Scorer } from './sampleGenerator.ts';
 import { GenerationError } from './tokenCollector.ts';
@@ -61,13 +62,14 @@
   #call(scorer: WorkerEndpoint, body: string, signal: AbortSignal): Promise<string> {
     return new Promise((resolve, reject) => {
       const timeout = AbortSignal.timeout(this.#options.timeoutMs);
+      const callSignal = AbortSignal.any([signal, timeout]);
       const request = http.request(
         `http://${scorer.address}/score`,
         {
           method: 'POST',
           agent: this.#agent,
           headers: { 'content-type': 'application/json' },
-          signal: AbortSignal.any([signal, timeout]),
+          signal: callSignal,
         },
         (response) => {
           let text = '';
@@ -84,6 +86,7 @@
         },
       );
       request.on('error', reject);
+      onEndWithoutResponse(request, reject, callSignal);
       request.end(body);
     });
   }
