fix(batches): finished items are not given up because their scorers are slow

Cause: every answer that was not a score counted as a failure of the call, also a 504 at the time budget.

--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -31,8 +31,9 @@
 /** Time budget of a scoring call, in ms. */
 export const SCORING_BUDGET_MS = 2000;
 
-/** Delay before a scoring call that received no response is repeated, in ms. */
+/** First and longest delay before a scoring call that received no score is repeated, in ms. */
 export const SCORING_RETRY_MS = 50;
+export const MAX_SCORING_RETRY_MS = 400;
 
 /** Interval between checks for silent and slow workers, in ms. A run produces about two events in this time. */
 export const RUN_CHECK_INTERVAL_MS = 50;
@@ -67,8 +68,7 @@
 /** Maximum size of the results in one response, in bytes. */
 export const MAX_READ_BYTES = 900_000;
 
-/** Status codes by which a worker reports that an attempt failed, and that the item can never be completed. */
-export const ITEM_FAILED_STATUS = 500;
+/** Status code by which a worker reports that the item can never be completed. */
 export const ITEM_UNPROCESSABLE_STATUS = 422;
 
 /** Share of a pool that may load weights at the same time. With more, the weight store serves each more slowly. */
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -12,6 +12,7 @@
 import { repeatEvery } from '../../shared/repeat.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
 import { type Placement, placeItems } from '../decisions/items/itemPlacement.ts';
+import { REQUEST_FAILED_STATUS } from '../gateway/constants.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { RequestPermits } from '../limits/requestPermits.ts';
@@ -23,7 +24,6 @@
 import {
   BROKEN_STREAM_BACKOFF_MS,
   CHECKPOINT_INTERVAL_MS,
-  ITEM_FAILED_STATUS,
   ITEM_UNPROCESSABLE_STATUS,
   MAX_PLACEMENT_TURN_MS,
   REJECTION_BACKOFF_MS,
@@ -382,7 +382,7 @@
   }
 
   #handleItemFailure({ state, worker }: ItemRun, statusCode: number): void {
-    if (statusCode === ITEM_FAILED_STATUS) state.recordFailure();
+    if (statusCode === REQUEST_FAILED_STATUS) state.recordFailure();
     const exhausted = state.failedAttempts >= state.batch.record.maxAttempts;
     if (statusCode === ITEM_UNPROCESSABLE_STATUS || exhausted) this.#finish(state, undefined);
     else this.#pauseWorker(worker.id, REJECTION_BACKOFF_MS);
--- a/src/node/gateway/constants.ts
+++ b/src/node/gateway/constants.ts
@@ -1,3 +1,6 @@
+/** Status by which a worker reports that it ran a request and that the request failed. */
+export const REQUEST_FAILED_STATUS = 500;
+
 /** Largest worker response that is buffered for validation before it is returned to the caller, in bytes. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024;
 
--- a/src/node/gateway/forwardedRequest.ts
+++ b/src/node/gateway/forwardedRequest.ts
@@ -26,7 +26,7 @@
       readonly headers: HeaderList;
       readonly body: Buffer;
       readonly stamp: string | undefined;
-      /** Number of workers that returned a 5xx response, including this response if it is one. */
+      /** Number of workers that reported that the request itself failed, including this response if it says so. */
       readonly failures: number;
     }
   | {
--- a/src/node/gateway/forwarder.ts
+++ b/src/node/gateway/forwarder.ts
@@ -6,6 +6,7 @@
   MAX_REFUSALS,
   MIN_HEDGE_DELAY_MS,
   REFUSAL_RETRY_DELAY_MS,
+  REQUEST_FAILED_STATUS,
   RETRY_BUDGET_FRACTION,
 } from './constants.ts';
 import type { ForwardedRequest, ForwardOutcome, ResponseOutcome } from './forwardedRequest.ts';
@@ -92,7 +93,10 @@
       if (retryAfterMs !== undefined) {
         return { kind: 'not-run', reason: failureReason, retryAfterMs };
       }
-      if (response !== undefined) return response;
+      if (response !== undefined) {
+        const failed = response.statusCode === REQUEST_FAILED_STATUS;
+        return { ...response, failures: failed ? 1 : 0 };
+      }
       if (mayHaveRun) {
         return { kind: signal.aborted ? 'timeout' : 'failed', reason: failureReason };
       }
@@ -145,7 +149,7 @@
       if (result.condemned) return { kind: 'failed', reason: result.reason };
       if (response !== undefined && !is5xx(response.statusCode)) return { ...response, failures };
       if (response !== undefined) {
-        failures += 1;
+        if (response.statusCode === REQUEST_FAILED_STATUS) failures += 1;
         lastFailure = { ...response, failures };
       }
       reason = result.reason;
