fix: a stream without a length that ends before its first event is not complete

Cause: a run without events, in a response that ends with its connection, was taken as the sign that nothing is left of a text, also on the first run and after a run that had broken off.

Change: such an end counts when two attempts in a row ended at the same event, or when the head of a resumed stream names no weight version; never before the first event. decisions/streams holds this and the joining of streams.

--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -36,9 +36,14 @@
   }
 }
 
-/** Starts a dispatcher with one worker whose runs never end. */
+/**
+ * Starts a dispatcher with one worker.
+ *
+ * @param ends - ends of the first runs; the others never end
+ */
 const startDispatcher = (
   onStart: (state: { clock: BusyClock; view: BatchViewState }) => void = () => {},
+  ends: readonly GenerationEnd[] = [],
 ) => {
   const clock = new BusyClock();
   const platform = new InMemoryPlatform();
@@ -68,7 +73,8 @@
         started.push(request.requestId);
         requests.push(request);
         onStart({ clock, view });
-        return new Promise<GenerationEnd>(() => {});
+        const end = ends[started.length - 1];
+        return end === undefined ? new Promise<GenerationEnd>(() => {}) : Promise.resolve(end);
       },
     },
     scorer: {} as ItemScorer,
@@ -155,3 +161,13 @@
   ]);
   dispatcher[Symbol.dispose]();
 });
+
+// Guards against an item that is completed with a text that is cut off: its worker crashed between the head and the first
+// event of a stream without a length (review/4: 2 of 24 items with an empty text).
+test('a run without a length and events does not complete an item', async () => {
+  const { clock, dispatcher, started } = startDispatcher(() => {}, [{ kind: 'uncertain' }]);
+  await dispatcher.add(...batchOf('a'));
+  await clock.advanceAsync(2000);
+  expect(started).toEqual(['a-item', 'a-item']);
+  dispatcher[Symbol.dispose]();
+});
--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -1,5 +1,6 @@
 import type { BatchItem, ItemProgress } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { ItemText, type VersionRules } from '../decisions/items/itemText.ts';
+import { UncertainEnd } from '../decisions/streams/uncertainEnd.ts';
 import type { BatchState } from './batchState.ts';
 
 /** Phase of an item. `finished`: its result is not stored yet; `listed`: its result is stored and readable. */
@@ -23,6 +24,8 @@
 
   #restarts = 0;
 
+  readonly #uncertainEnd = new UncertainEnd();
+
   constructor(batch: BatchState, item: BatchItem, rules: VersionRules) {
     this.batch = batch;
     this.item = item;
@@ -84,6 +87,11 @@
     this.#failedAttempts += 1;
   }
 
+  /** Records that a run may have ended as a broken one. Returns whether the text is complete. */
+  confirmEnd(): boolean {
+    return this.#uncertainEnd.confirm(this.text.events.length);
+  }
+
   /**
    * Gives up the text, so that the item starts anew.
    *
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -362,9 +362,11 @@
     }
     state.requeue(worker.id);
     const isStopped = end.kind === 'stopped';
-    if (end.kind === 'complete' || (end.kind === 'uncertain' && run.events === 0)) {
+    if (end.kind === 'complete' || (end.kind === 'uncertain' && state.confirmEnd())) {
       this.#workers.recordResult(worker.id, 'answered');
       void this.#score(state);
+    } else if (end.kind === 'uncertain') {
+      if (run.events === 0) this.#pauseWorker(worker.id, BROKEN_STREAM_BACKOFF_MS);
     } else if (end.kind === 'failed') {
       this.#handleItemFailure(run, end.statusCode);
     } else if (end.kind === 'not-run') {
--- a/src/node/decisions/eventStreamJoin.ts
+++ b/src/node/decisions/streams/eventStreamJoin.ts
@@ -1,4 +1,4 @@
-import { BaseError } from '../../shared/errors.ts';
+import { BaseError } from '../../../shared/errors.ts';
 
 /** An attempt's bytes do not continue the event stream. Nothing of the offending event was accepted. */
 export const EventStreamError = BaseError.subclass('EventStreamError');
--- a/src/node/gateway/streamForwarder.ts
+++ b/src/node/gateway/streamForwarder.ts
@@ -1,6 +1,7 @@
 import { type Clock, sleep } from '../../shared/clock.ts';
 import { MAX_EVENT_CHARS } from '../dataPath/constants.ts';
-import { EventStreamJoin } from '../decisions/eventStreamJoin.ts';
+import { WorkerCallError } from '../dataPath/workerHttpClient.ts';
+import { EventStreamJoin } from '../decisions/streams/eventStreamJoin.ts';
 import { RetryBudgets } from '../decisions/retryBudgets.ts';
 import {
   MAX_REFUSALS,
@@ -148,9 +149,10 @@
     return async (worker, response) => {
       if (!isEventStream(response)) return attempts.readResponse(worker, response);
       const end = await relay.relay(response, stall);
-      if (end === 'uncertain' && mayRepeat) {
+      if (end !== 'complete' && mayRepeat) {
         return { worker, mayHaveRun: true, reason: 'the end of the stream is not certain' };
       }
+      if (end === 'empty') throw new WorkerCallError('the stream ended without an event');
       relay.finish(response);
       return { worker, streamed: true, mayHaveRun: true, reason: 'complete' };
     };
--- a/src/node/gateway/streamRelay.ts
+++ b/src/node/gateway/streamRelay.ts
@@ -1,4 +1,5 @@
-import type { EventStreamJoin } from '../decisions/eventStreamJoin.ts';
+import type { EventStreamJoin } from '../decisions/streams/eventStreamJoin.ts';
+import { UncertainEnd } from '../decisions/streams/uncertainEnd.ts';
 import { STREAM_STALL_MS } from './constants.ts';
 import type { StreamSink } from './forwardedRequest.ts';
 import type { StallTimer } from './stallTimer.ts';
@@ -20,6 +21,8 @@
 
   readonly #join: EventStreamJoin;
 
+  readonly #end = new UncertainEnd();
+
   #started = false;
 
   constructor(sink: StreamSink, join: EventStreamJoin) {
@@ -40,13 +43,14 @@
   /**
    * Passes on the events of one attempt.
    *
-   * @returns `uncertain`: the stream may have been cut off, because the response had no length
+   * @returns `uncertain`: the stream may have been cut off, because the response had no length; `empty`: so had a response
+   *   without events
    * @throws Error when the stream breaks off or does not continue what the caller has, or when the caller has left
    */
   async relay(
     response: WorkerResponse,
     stall: StallTimer | undefined,
-  ): Promise<'complete' | 'uncertain'> {
+  ): Promise<'complete' | 'uncertain' | 'empty'> {
     const { body, weightVersion } = response;
     const before = this.lastEventId;
     this.#join.startAttempt(weightVersion);
@@ -64,8 +68,12 @@
       body.destroy();
       throw error;
     }
-    if (!isSelfDelimiting(response) && this.lastEventId > before) return 'uncertain';
-    return 'complete';
+    if (isSelfDelimiting(response)) return 'complete';
+    const isEmpty = this.lastEventId === before;
+    // A stream that is resumed after its last event has no weight version in its head.
+    if (isEmpty && before > 0 && weightVersion === undefined) return 'complete';
+    if (this.#end.confirm(this.lastEventId)) return 'complete';
+    return isEmpty ? 'empty' : 'uncertain';
   }
 
   /** Sends the head of a response without events, unless one has been sent. */
