fix(batches): results and checkpoints are divided into objects that the platform accepts

Cause: all pending results were written in one object; the refused write was repeated unchanged for good. The same held for checkpoints of texts.

Evidence: resultLog.test.ts, two tests that fail when results are not divided.

Change: results are divided by their stored size and written one entry after the other; one that fits into no object is listed as dead with a log line; a checkpoint contains what fits.

--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -65,6 +65,7 @@
   const dispatcher = new PoolDispatcher({
     ...common,
     ...{ pool: 'p', term: 1, writer: 'n-1', registry, weights, limits: new RequestLimits() },
+    maxValueBytes: 100_000,
     permits: { obtain: () => Promise.resolve({ permits: [], retryAfterMs: 0, issuer: undefined }) },
     metrics: createMetrics(),
     engine: () => ({ slots: 8, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] }),
--- a/src/node/batches/__tests__/resultLog.test.ts
+++ b/src/node/batches/__tests__/resultLog.test.ts
@@ -3,12 +3,19 @@
 import { expect } from 'earl';
 import fc from 'fast-check';
 import { InMemoryPlatform } from '../../../../playground/inMemoryPlatform.ts';
-import { type ItemResult, ItemResultSchema } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
+import {
+  type ItemResult,
+  ItemResultSchema,
+  ItemState,
+} from '../../../gen/hyssoppulley/v1/batch_pb.ts';
 import { seededRandom } from '../../../shared/random.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
 import { silentLogger } from '../../observability/logger.ts';
 import { readLog, ResultLog } from '../resultLog.ts';
 
+/** Maximum size of a stored object's value, in bytes. */
+const MAX_VALUE_BYTES = 20_000;
+
 const resultOf = (itemId: string): ItemResult => create(ItemResultSchema, { itemId });
 const idsOf = (results: readonly ItemResult[]) => results.map(({ itemId }) => itemId);
 
@@ -22,6 +29,7 @@
     const log = new ResultLog({
       ...{ platform, clock, random: seededRandom(term), logger: silentLogger, batchId: 'b', term },
       writer: `writer-${term}`,
+      maxValueBytes: MAX_VALUE_BYTES,
       onAdopted: (results) => adopted.push(...idsOf(results)),
       onTakenOver: () => taken.push(term),
     });
@@ -77,6 +85,35 @@
   expect(await stored()).toEqual(['a', 'b']);
 });
 
+// Guards against results that are never listed: those that were pending at once did not fit into one object, and the refused
+// write was repeated for good (seen in a trial of the review: 1 of 96 results listed).
+test('results that do not fit into one object are stored in several', async () => {
+  const { clock, open, platform } = createBatch();
+  const { log } = open(1);
+  const texts = Array.from({ length: 12 }, (_, index) => `i${index}`);
+  for (const itemId of texts) {
+    log.append(create(ItemResultSchema, { itemId, events: ['x'.repeat(3000)] }));
+  }
+  await clock.advanceAsync(2000);
+  expect(idsOf(log.results)).toEqual(texts);
+  for (const { value } of platform.objects.values()) {
+    expect(JSON.stringify(value).length < MAX_VALUE_BYTES).toEqual(true);
+  }
+});
+
+// Guards against one result that keeps all others of its batch from being listed.
+test('a result that fits into no object is listed as dead, and the others are listed', async () => {
+  const { clock, open } = createBatch();
+  const { log } = open(1);
+  log.append(create(ItemResultSchema, { itemId: 'large', events: ['x'.repeat(30_000)] }));
+  log.append(resultOf('small'));
+  await clock.advanceAsync(2000);
+  expect(log.results.map(({ itemId, state }) => [itemId, state])).toEqual([
+    ['large', ItemState.DEAD],
+    ['small', ItemState.UNSPECIFIED],
+  ]);
+});
+
 // Guards against positions that change, results that are stored twice, and stored results that a dispatcher does not
 // see, in any order of writes, lost responses, outages and take-overs.
 test('random take-overs and faults neither change positions nor give an item two of them', async () => {
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -54,6 +54,8 @@
 export interface BatchCoordinatorOptions {
   readonly pool: string;
   readonly platform: PlatformObjects;
+  /** Maximum size of a stored object's value, in bytes. */
+  readonly maxValueBytes: number;
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
--- a/src/node/batches/batchObjects.ts
+++ b/src/node/batches/batchObjects.ts
@@ -8,6 +8,10 @@
   BatchRecordSchema,
   type DispatcherRecord,
   DispatcherRecordSchema,
+  type ItemProgress,
+  ItemProgressSchema,
+  type ItemResult,
+  ItemResultSchema,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { messageOf } from '../../shared/errors.ts';
 import type { Logger } from '../observability/logger.ts';
@@ -84,20 +88,39 @@
   item.headers.reduce((sum, { name, value }) => sum + name.length + value.length + 32, 0) +
   Math.ceil(((item.body.length + (item.scoring?.body.length ?? 0)) * 4) / 3);
 
-/** Splits items into parts that each fit into one object of at most `maxValueBytes`. */
-export const splitItems = (items: readonly BatchItem[], maxValueBytes: number): BatchItem[][] => {
-  const parts: BatchItem[][] = [];
+/** Largest content of an object, in bytes. */
+export const maxContentBytes = (maxValueBytes: number): number => maxValueBytes - ENVELOPE_BYTES;
+
+/** Splits values into parts of at most `maxBytes`. A value that is larger gets a part of its own. */
+export const splitBySize = <T>(
+  values: readonly T[],
+  sizeBytesOf: (value: T) => number,
+  maxBytes: number,
+): T[][] => {
+  const parts: T[][] = [];
   let remainingBytes = 0;
-  for (const item of items) {
-    const sizeBytes = storedSizeBytes(item);
+  for (const value of values) {
+    const sizeBytes = sizeBytesOf(value);
     const part = parts.at(-1);
     if (part === undefined || sizeBytes > remainingBytes) {
-      parts.push([item]);
-      remainingBytes = maxValueBytes - ENVELOPE_BYTES - sizeBytes;
+      parts.push([value]);
+      remainingBytes = maxBytes - sizeBytes;
     } else {
-      part.push(item);
+      part.push(value);
       remainingBytes -= sizeBytes;
     }
   }
   return parts;
 };
+
+/** Splits items into parts that each fit into one object of at most `maxValueBytes`. */
+export const splitItems = (items: readonly BatchItem[], maxValueBytes: number): BatchItem[][] =>
+  splitBySize(items, storedSizeBytes, maxContentBytes(maxValueBytes));
+
+/** Stored size of a result, in bytes. */
+export const resultSizeBytes = (result: ItemResult): number =>
+  Buffer.byteLength(JSON.stringify(toJson(ItemResultSchema, result))) + 1;
+
+/** Stored size of an item's progress, in bytes. */
+export const progressSizeBytes = (progress: ItemProgress): number =>
+  Buffer.byteLength(JSON.stringify(toJson(ItemProgressSchema, progress))) + 1;
--- a/src/node/batches/checkpointStore.ts
+++ b/src/node/batches/checkpointStore.ts
@@ -9,7 +9,13 @@
 import { CheckpointTracker, mergeProgress } from '../decisions/items/checkpoints.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
-import { progressKey, progressPrefix } from './batchObjects.ts';
+import {
+  maxContentBytes,
+  progressKey,
+  progressPrefix,
+  progressSizeBytes,
+  splitBySize,
+} from './batchObjects.ts';
 import type { BatchState } from './batchState.ts';
 import type { ItemState } from './itemState.ts';
 
@@ -18,6 +24,8 @@
   readonly logger: Logger;
   readonly batchId: string;
   readonly term: number;
+  /** Maximum size of a stored object's value, in bytes. */
+  readonly maxValueBytes: number;
 }
 
 /** Progress of an item from event `eventOffset` on. */
@@ -91,10 +99,15 @@
       })),
     );
     if (due.size === 0) return;
-    const { platform, logger, batchId, term } = this.#options;
-    const parts = items
+    const { platform, logger, batchId, term, maxValueBytes } = this.#options;
+    const maxBytes = maxContentBytes(maxValueBytes);
+    const fitting = items
       .filter(({ item }) => due.has(item.id))
-      .map((state) => progressOf(state, due.get(state.item.id)));
+      .map((state) => progressOf(state, due.get(state.item.id)))
+      .filter((progress) => progressSizeBytes(progress) <= maxBytes);
+    // Items that do not fit into this object are due again at the next checkpoint.
+    const [parts] = splitBySize(fitting, progressSizeBytes, maxBytes);
+    if (parts === undefined) return;
     this.#writing = true;
     this.#checkpointCount += 1;
     try {
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -50,6 +50,8 @@
   /** Incarnation of this node. */
   readonly writer: string;
   readonly platform: PlatformClient;
+  /** Maximum size of a stored object's value, in bytes. */
+  readonly maxValueBytes: number;
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
@@ -156,14 +158,14 @@
     items: readonly BatchItem[],
     { takeOver = false, progress = [], signal }: AddOptions = {},
   ): Promise<void> {
-    const { logger, platform, clock, random, term, writer, partialTexts, onSuperseded } =
-      this.#options;
+    const { logger, partialTexts, onSuperseded } = this.#options;
+    const stored = { ...this.#options, batchId: record.id };
     const log = new ResultLog({
-      ...{ platform, clock, random, logger, term, writer, batchId: record.id },
+      ...stored,
       onAdopted: (results) => this.#batches.get(record.id)?.markStored(results),
       onTakenOver: onSuperseded,
     });
-    const checkpoints = new CheckpointStore({ platform, logger, term, batchId: record.id });
+    const checkpoints = new CheckpointStore(stored);
     const restored = takeOver ? (await Promise.all([checkpoints.read(), log.takeOver()]))[0] : [];
     if (signal?.aborted || this.#closed || this.#batches.has(record.id)) return;
     const batch = new BatchState(record, items, log);
@@ -184,7 +186,7 @@
       ended: batch.ended,
       reused,
       continued: [...batch.items.values()].filter(({ text }) => text.events.length > 0).length,
-      term,
+      term: stored.term,
     });
     for (const state of batch.items.values()) {
       if (state.isTextComplete && state.phase === 'waiting') void this.#score(state);
--- a/src/node/batches/resultLog.ts
+++ b/src/node/batches/resultLog.ts
@@ -3,6 +3,8 @@
   type BatchLogEntry,
   BatchLogEntrySchema,
   type ItemResult,
+  ItemResultSchema,
+  ItemState as ResultState,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { BaseError, messageOf } from '../../shared/errors.ts';
@@ -11,7 +13,15 @@
 import type { PlatformClient } from '../platform/platformClient.ts';
 import { writeUntilResolved } from '../platform/writeUntilResolved.ts';
 import { Notifier } from '../../shared/notifier.ts';
-import { decodeLogEntry, encodeLogEntry, logKey, logPrefix } from './batchObjects.ts';
+import {
+  decodeLogEntry,
+  encodeLogEntry,
+  logKey,
+  logPrefix,
+  maxContentBytes,
+  resultSizeBytes,
+  splitBySize,
+} from './batchObjects.ts';
 import { LOG_WRITE_INTERVAL_MS, LOG_WRITE_LIMIT_MS, MAX_READ_BYTES } from './constants.ts';
 
 /** Thrown when another node has taken over the log and this node may no longer write to it. */
@@ -50,6 +60,8 @@
   readonly term: number;
   /** Incarnation of this node. */
   readonly writer: string;
+  /** Maximum size of a stored object's value, in bytes. */
+  readonly maxValueBytes: number;
   /** Called with results that a former dispatcher stored after this one had read the log. */
   readonly onAdopted: (results: readonly ItemResult[]) => void;
   /** Called when another node has taken over the log. */
@@ -122,9 +134,17 @@
     }
   }
 
-  /** Queues a result, to be stored with the next entry. */
+  /** Queues a result, to be stored with one of the next entries. One that fits into none is stored as a dead item. */
   append(result: ItemResult): void {
-    this.#pending.push(result);
+    const { logger, batchId } = this.#options;
+    const sizeBytes = resultSizeBytes(result);
+    const fits = sizeBytes <= this.#maxEntryBytes;
+    if (!fits) {
+      logger.error('result-too-large', { batch: batchId, item: result.itemId, sizeBytes });
+    }
+    this.#pending.push(
+      fits ? result : create(ItemResultSchema, { itemId: result.itemId, state: ResultState.DEAD }),
+    );
     this.#scheduleFlush(LOG_WRITE_INTERVAL_MS);
   }
 
@@ -140,6 +160,10 @@
     this.changes.notify();
   }
 
+  get #maxEntryBytes(): number {
+    return maxContentBytes(this.#options.maxValueBytes);
+  }
+
   #scheduleFlush(delayMs: number): void {
     if (this.#closed || this.#writing || this.#pending.length === 0) return;
     this.#timer?.[Symbol.dispose]();
@@ -152,8 +176,14 @@
     if (this.#closed || this.#writing) return;
     this.#writing = true;
     const { clock } = this.#options;
-    let results = this.#pending;
-    this.#pending = [];
+    const [first = [], ...others] = splitBySize(
+      this.#pending,
+      resultSizeBytes,
+      this.#maxEntryBytes,
+    );
+    let results = first;
+    this.#pending = others.flat();
+    const hasMore = others.length > 0;
     while (!this.#closed && results.length > 0) {
       const outcome = await this.#write(this.#entryCount, this.#createEntry(results, undefined));
       if (outcome === 'stored') {
@@ -167,7 +197,7 @@
     this.#writing = false;
     this.#lastWrite = new Stopwatch(clock);
     this.changes.notify();
-    this.#scheduleFlush(LOG_WRITE_INTERVAL_MS);
+    this.#scheduleFlush(hasMore ? 0 : LOG_WRITE_INTERVAL_MS);
   }
 
   /**
