feat(poison): trials run on half of a pool's workers at once, one on each

After the end of a busy worker all its requests are suspected; one trial at a time for a pool would hold those of a large node for seconds. A trial is alone among the suspected requests on its worker, so a deadly one still ends only one more.

--- a/src/node/decisions/poisonRequests/poisonRequests.ts
+++ b/src/node/decisions/poisonRequests/poisonRequests.ts
@@ -2,7 +2,7 @@
 export interface WorkerEnd {
   /** Worker and its start. */
   readonly worker: string;
-  /** Whether the request ran as a trial: no other suspected request was running on its node. */
+  /** Whether the request ran as a trial: its node ran no other suspected request on the worker. */
   readonly trial: boolean;
   readonly atMs: number;
 }
@@ -16,8 +16,8 @@
 }
 
 /**
- * What to do with a request. `suspected`: it runs only as a trial, one at a time. `condemned`: it is not sent to a worker
- * any more.
+ * What to do with a request. `suspected`: it runs only as a trial, alone among those on its worker. `condemned`: it is not
+ * sent to a worker any more.
  */
 export type PoisonVerdict = 'unsuspected' | 'suspected' | 'condemned';
 
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -50,7 +50,7 @@
   readonly resumeAfter?: number;
   /** Whether the attempt only saves time, so that it may not use up the request limit of a worker. @default false */
   readonly optional?: boolean;
-  /** Whether this is the only suspected request that this node runs. @default false */
+  /** Whether this is the only suspected request that this node runs on the worker. @default false */
   readonly trial?: boolean;
   readonly read: ResponseReader;
   readonly classifyAborted: AbortClassifier;
@@ -97,18 +97,19 @@
     return this.#startTrial(request, route, options);
   }
 
-  /** Sends a suspected request while no other one runs, unless it is condemned by then. */
+  /** Sends a suspected request to a worker without another one, unless it is condemned by then. */
   async #startTrial(
     request: ForwardedRequest,
     route: GatewayRoute,
     options: AttemptOptions,
   ): Promise<AttemptResult> {
-    const { poison, logger } = this.#options;
+    const { poison, logger, loadBalancer } = this.#options;
+    const workerCount = loadBalancer.candidates(options.pool, new Set(), true).length;
     const notSent = { worker: { id: '' }, mayHaveRun: false };
     using slot =
       poison.verdictOf(request) === 'condemned'
         ? undefined
-        : await poison.startTrial(options.pool, options.signal);
+        : await poison.startTrial(options.pool, workerCount, options.signal);
     const verdict = poison.verdictOf(request);
     if (verdict === 'condemned') {
       const ends = poison.endsOf(request);
@@ -132,9 +133,10 @@
   ): Promise<AttemptResult> | undefined {
     const remainingMs = request.budgetMs - request.sinceArrival.elapsedMs();
     if (remainingMs < MIN_REMAINING_MS) return undefined;
-    const { loadBalancer, limits } = this.#options;
-    const { pool, tried, optional = false } = options;
-    const candidates = loadBalancer.candidates(pool, tried, tried.size < route.maxAttempts);
+    const { loadBalancer, limits, poison } = this.#options;
+    const { pool, tried, optional = false, trial = false } = options;
+    const avoided = trial ? new Set([...tried, ...poison.trialWorkers]) : tried;
+    const candidates = loadBalancer.candidates(pool, avoided, tried.size < route.maxAttempts);
     const free = candidates.filter(({ id }) => limits.of(id) === undefined);
     const worker = loadBalancer.choose(optional ? free : candidates);
     if (worker === undefined) return undefined;
@@ -198,6 +200,7 @@
     const { id: requestId, method, path, host, headers, body } = request;
     const started = new Stopwatch(clock);
     tried.add(worker.id);
+    if (options.trial) poison.trialWorkers.add(worker.id);
     loadBalancer.begin(worker.id);
     let result: WorkerResult | 'abandoned' = 'failed';
     let load: WorkerLoad | undefined;
@@ -218,6 +221,7 @@
       else isBroken = !notConnected;
     }
     loadBalancer.release(worker.id, result, load);
+    if (options.trial) poison.trialWorkers.delete(worker.id);
     if (isBroken) {
       const others = loadBalancer.inFlightOn(worker.id);
       await poison.recordBroken({ request, worker, pool, trial: options.trial ?? false, others });
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -10,6 +10,9 @@
 /** Longest time for which a suspected request keeps others waiting, in ms; streams and long requests go on beside them. */
 const MAX_TRIAL_MS = 250;
 
+/** Part of a pool's workers on which suspected requests run at the same time, one on each. */
+const MAX_TRIAL_SHARE = 0.5;
+
 export interface PoisonGuardOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -33,6 +36,9 @@
 export class PoisonGuard {
   readonly requests = new PoisonRequests();
 
+  /** Workers on which this node runs a suspected request. */
+  readonly trialWorkers = new Set<string>();
+
   readonly #options: PoisonGuardOptions;
 
   readonly #trials = new TrialSlots();
@@ -69,9 +75,16 @@
   /**
    * Waits until a suspected request may run. The result ends its trial, which also ends after `MAX_TRIAL_MS`; undefined if
    * `signal` was aborted first.
+   *
+   * @param workerCount - number of workers of the pool
    */
-  async startTrial(pool: string, signal: AbortSignal): Promise<Disposable | undefined> {
-    const slot = await this.#trials.acquire(pool, signal);
+  async startTrial(
+    pool: string,
+    workerCount: number,
+    signal: AbortSignal,
+  ): Promise<Disposable | undefined> {
+    const capacity = Math.max(1, Math.floor(workerCount * MAX_TRIAL_SHARE));
+    const slot = await this.#trials.acquire(pool, capacity, signal);
     if (slot === undefined) return undefined;
     let ended = false;
     const end = () => {
--- a/src/node/poison/trialSlots.ts
+++ b/src/node/poison/trialSlots.ts
@@ -1,42 +1,50 @@
-interface Waiter {
-  readonly start: () => void;
+interface PoolTrials {
+  running: number;
+  /** Starts the requests that wait, in order of arrival. */
+  readonly waiting: (() => void)[];
 }
 
-/** Lets one suspected request of a pool run at a time, in order of arrival. */
+/** Limits how many suspected requests of a pool run at the same time. */
 export class TrialSlots {
-  /** Requests that wait, by pool; a pool without an entry has no trial in progress. */
-  readonly #waiting = new Map<string, Waiter[]>();
+  /** Pools with trials in progress. */
+  readonly #pools = new Map<string, PoolTrials>();
 
-  /** Waits for the pool's slot. The result releases it; undefined if `signal` was aborted first. */
-  acquire(pool: string, signal: AbortSignal): Promise<Disposable | undefined> {
+  /**
+   * Waits for a slot of the pool. The result releases it; undefined if `signal` was aborted first.
+   *
+   * @param capacity - number of slots of the pool
+   */
+  acquire(pool: string, capacity: number, signal: AbortSignal): Promise<Disposable | undefined> {
     if (signal.aborted) return Promise.resolve(undefined);
-    const slot = { [Symbol.dispose]: () => this.#release(pool) };
-    const waiting = this.#waiting.get(pool);
-    if (waiting === undefined) {
-      this.#waiting.set(pool, []);
+    const trials = this.#pools.get(pool) ?? { running: 0, waiting: [] };
+    this.#pools.set(pool, trials);
+    const slot = { [Symbol.dispose]: () => this.#release(pool, trials) };
+    if (trials.running < capacity) {
+      trials.running += 1;
       return Promise.resolve(slot);
     }
     return new Promise((resolve) => {
       const leave = () => {
         // eslint-disable-next-line @typescript-eslint/no-use-before-define
-        const index = waiting.indexOf(waiter);
-        if (index >= 0) waiting.splice(index, 1);
+        trials.waiting.splice(trials.waiting.indexOf(start), 1);
         resolve(undefined);
       };
-      const waiter = {
-        start: () => {
-          signal.removeEventListener('abort', leave);
-          resolve(slot);
-        },
+      const start = () => {
+        signal.removeEventListener('abort', leave);
+        resolve(slot);
       };
       signal.addEventListener('abort', leave, { once: true });
-      waiting.push(waiter);
+      trials.waiting.push(start);
     });
   }
 
-  #release(pool: string): void {
-    const next = this.#waiting.get(pool)?.shift();
-    if (next === undefined) this.#waiting.delete(pool);
-    else next.start();
+  #release(pool: string, trials: PoolTrials): void {
+    const start = trials.waiting.shift();
+    if (start !== undefined) {
+      start();
+      return;
+    }
+    Object.assign(trials, { running: trials.running - 1 });
+    if (trials.running === 0) this.#pools.delete(pool);
   }
 }
