feat(batches): items under which workers end are recognised and not sent on

Callers saw: an item that ends its workers was sent to one worker after the other for as long as its batch was open.

Change: the end of a worker is held against the items whose runs it broke off. A suspected item does not start on a worker where another one has just started; one under which three starts of workers ended is not sent on, and its batch goes on.

Evidence: poolDispatcher.test.ts (the item was sent on without end before), itemPlacement.test.ts.

--- a/src/node/batches/__tests__/batchNodeHarness.ts
+++ b/src/node/batches/__tests__/batchNodeHarness.ts
@@ -25,6 +25,7 @@
   encodeItems,
   itemsKey,
 } from '../batchObjects.ts';
+import { PoisonGuard } from '../../poison/poisonGuard.ts';
 import { BatchSubsystem, type BatchSubsystemOptions } from '../batchSubsystem.ts';
 import type { GenerationEnd } from '../generationCalls.ts';
 import { HeldPlatform } from './heldPlatform.ts';
@@ -82,6 +83,7 @@
     this.#batches = new BatchSubsystem({
       ...common,
       ...{ registry, limits: new RequestLimits(), metrics: createMetrics() },
+      poison: new PoisonGuard({ ...common, metrics: createMetrics() }),
       ...{ maxValueBytes: 100_000, retentionMs: RETENTION_MS, weightsLongPollMs: 1000 },
       view: {
         self: create(NodeIdentitySchema, {
--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -9,6 +9,7 @@
 } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
 import { seededRandom } from '../../../shared/random.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
+import { WorkerCallError } from '../../dataPath/workerHttpClient.ts';
 import type { BatchViewState } from '../../decisions/batchView.ts';
 import { RequestLimits } from '../../decisions/requestLimits.ts';
 import type { DispatchedRequest } from '../../gateway/workerCalls.ts';
@@ -17,6 +18,7 @@
 import { silentLogger } from '../../observability/logger.ts';
 import { createMetrics } from '../../observability/metrics.ts';
 import { WeightLoads } from '../../weights/weightLoads.ts';
+import { PoisonGuard } from '../../poison/poisonGuard.ts';
 import { PartialTextCache } from '../partialTextCache.ts';
 import type { GenerationEnd } from '../generationCalls.ts';
 import type { ItemScorer } from '../itemScorer.ts';
@@ -42,17 +44,28 @@
  * @param ends - ends of the first runs; the others never end
  */
 const startDispatcher = (
-  onStart: (state: { clock: BusyClock; view: BatchViewState }) => void = () => {},
-  ends: readonly GenerationEnd[] = [],
+  onStart: (state: {
+    clock: BusyClock;
+    view: BatchViewState;
+    /** Writes the registration of a start of the worker. */
+    register: (startedAtMs: number) => void;
+  }) => void = () => {},
+  ends: readonly (GenerationEnd | 'broken')[] = [],
 ) => {
   const clock = new BusyClock();
   const platform = new InMemoryPlatform();
   const common = { clock, platform, logger: silentLogger, random: seededRandom(1) };
-  const registry = new WorkerRegistry({ ...common, decode: () => WORKER, onChange: () => {} });
-  registry.applyEvent({
-    type: 'written',
-    object: { key: 'servers/w', version: 1, operationId: '', value: {} },
+  const registry = new WorkerRegistry({
+    ...common,
+    decode: ({ value }) => ({ ...WORKER, ...(value as Partial<RegisteredWorker>) }),
+    onChange: () => {},
   });
+  const register = (startedAtMs: number) =>
+    registry.applyEvent({
+      type: 'written',
+      object: { key: 'servers/w', version: startedAtMs, operationId: '', value: { startedAtMs } },
+    });
+  register(1);
   const weights = new WeightLoads({
     ...common,
     calls: { order: () => Promise.resolve('refused'), report: () => Promise.resolve(undefined) },
@@ -66,6 +79,10 @@
     ...common,
     ...{ pool: 'p', term: 1, writer: 'n-1', registry, weights, limits: new RequestLimits() },
     maxValueBytes: 100_000,
+    poison: new PoisonGuard({
+      ...{ ...common, metrics: createMetrics() },
+      hasEnded: () => Promise.resolve(true),
+    }),
     permits: { obtain: () => Promise.resolve({ permits: [], retryAfterMs: 0, issuer: undefined }) },
     metrics: createMetrics(),
     engine: () => ({ slots: 8, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] }),
@@ -73,8 +90,9 @@
       generate: (_worker, request) => {
         started.push(request.requestId);
         requests.push(request);
-        onStart({ clock, view });
+        onStart({ clock, view, register });
         const end = ends[started.length - 1];
+        if (end === 'broken') return Promise.reject(new WorkerCallError('connection reset'));
         return end === undefined ? new Promise<GenerationEnd>(() => {}) : Promise.resolve(end);
       },
     },
@@ -90,9 +108,10 @@
 
 const batchOf = (id: string, itemCount = 1) => {
   const record = create(BatchRecordSchema, { id, pool: 'p', model: 'm', itemCount });
-  const items = Array.from({ length: itemCount }, (_, index) =>
-    create(BatchItemSchema, { id: index === 0 ? `${id}-item` : `${id}-item-${index}`, group: 'g' }),
-  );
+  const items = Array.from({ length: itemCount }, (_, index) => {
+    const itemId = index === 0 ? `${id}-item` : `${id}-item-${index}`;
+    return create(BatchItemSchema, { id: itemId, path: `/${itemId}`, group: 'g' });
+  });
   return [record, items] as const;
 };
 
@@ -172,3 +191,21 @@
   expect(started).toEqual(['a-item', 'a-item']);
   dispatcher[Symbol.dispose]();
 });
+
+// Guards against an item that ends one worker after the other for as long as its batch is open (seen on czujka-ops, day
+// deadly with items: one item was sent to workers 12 times after three had ended).
+test('an item under which three starts of workers ended is not sent on, and the batch goes on', async () => {
+  const ends = Array.from({ length: 9 }, () => 'broken' as const);
+  let starts = 1;
+  const { clock, dispatcher, started } = startDispatcher(({ register }) => {
+    starts += 1;
+    register(starts);
+  }, ends);
+  await dispatcher.add(...batchOf('a'));
+  await clock.advanceAsync(20_000);
+  expect(started).toEqual(['a-item', 'a-item', 'a-item']);
+  await dispatcher.add(...batchOf('b'));
+  await clock.advanceAsync(1000);
+  expect(started.at(-1)).toEqual('b-item');
+  dispatcher[Symbol.dispose]();
+});
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -17,6 +17,7 @@
 import type { Metrics } from '../observability/metrics.ts';
 import { ObjectFollower } from '../platform/objectFollower.ts';
 import type { PlatformEvent, PlatformObjects } from '../platform/platformClient.ts';
+import type { PoisonGuard } from '../poison/poisonGuard.ts';
 import type { PlatformHealth } from '../platform/platformHealth.ts';
 import type { OrderCalls } from '../weights/orderCalls.ts';
 import { WeightLoads } from '../weights/weightLoads.ts';
@@ -66,6 +67,7 @@
   readonly registry: WorkerRegistry;
   readonly limits: RequestLimits;
   readonly permits: Pick<RequestPermits, 'obtain'>;
+  readonly poison: PoisonGuard;
   readonly generations: GenerationCalls;
   readonly orders: OrderCalls;
   readonly scorer: ItemScorer;
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -12,6 +12,7 @@
 import type { Metrics } from '../observability/metrics.ts';
 import { ObjectFollower } from '../platform/objectFollower.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
+import type { PoisonGuard } from '../poison/poisonGuard.ts';
 import type { PlatformHealth } from '../platform/platformHealth.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
 import { preferredEntries } from '../decisions/preferredEntries.ts';
@@ -48,6 +49,7 @@
   readonly adapter: Pick<GatewayAdapter, 'generationCalls' | 'orderCalls' | 'publishedVersions'>;
   readonly limits: RequestLimits;
   readonly permits: RequestPermits;
+  readonly poison: PoisonGuard;
   readonly peerClients: PeerClients;
   readonly maxValueBytes: number;
   readonly maxLoading?: number;
--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -1,6 +1,7 @@
 import type { BatchItem, ItemProgress } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { ItemText, type VersionRules } from '../decisions/items/itemText.ts';
 import { UncertainEnd } from '../decisions/streams/uncertainEnd.ts';
+import type { DigestedRequest } from '../poison/requestDigest.ts';
 import type { BatchState } from './batchState.ts';
 
 /** Phase of an item. `finished`: its result is not stored yet; `listed`: its result is stored and readable. */
@@ -24,12 +25,16 @@
 
   #restarts = 0;
 
+  readonly #request: DigestedRequest & { readonly id: string };
+
   readonly #uncertainEnd = new UncertainEnd();
 
   constructor(batch: BatchState, item: BatchItem, rules: VersionRules) {
     this.batch = batch;
     this.item = item;
     this.text = new ItemText(rules);
+    const { id, path, body } = item;
+    this.#request = { id, method: 'POST', host: batch.record.host, path, body: Buffer.from(body) };
   }
 
   get phase(): ItemPhase {
@@ -41,6 +46,11 @@
     return this.#phase === 'finished' || this.#phase === 'listed';
   }
 
+  /** The item's request, by which it is recognised if workers end under it. */
+  get request(): DigestedRequest & { readonly id: string } {
+    return this.#request;
+  }
+
   /** Number of responses in which a worker reported that the item failed. */
   get failedAttempts(): number {
     return this.#failedAttempts;
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -19,6 +19,7 @@
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
+import type { PoisonGuard } from '../poison/poisonGuard.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
 import { BatchState } from './batchState.ts';
 import {
@@ -40,6 +41,7 @@
 import { unstoredProgress, CheckpointStore } from './checkpointStore.ts';
 import { stopSlowRuns, stopStalledRuns } from './runSupervision.ts';
 import { sharedPromptOf, toWaitingItem } from './waitingItem.ts';
+import { countByWorker, SuspectedItems } from './suspectedItems.ts';
 import { TextRestarts } from './textRestarts.ts';
 import { WeightRefresher } from './weightRefresher.ts';
 import { limitReadSize, ResultLog } from './resultLog.ts';
@@ -59,6 +61,7 @@
   readonly registry: WorkerRegistry;
   readonly limits: RequestLimits;
   readonly permits: Pick<RequestPermits, 'obtain'>;
+  readonly poison: Pick<PoisonGuard, 'verdictOf' | 'recordBroken'>;
   readonly engine: () => EnginePool | undefined;
   readonly calls: GenerationCalls;
   readonly scorer: ItemScorer;
@@ -116,6 +119,8 @@
 
   readonly #textRestarts: TextRestarts;
 
+  readonly #suspected: SuspectedItems;
+
   readonly #viewGuard: StaleViewGuard;
 
   readonly #timers = new DisposableStore();
@@ -133,6 +138,7 @@
     });
     this.#refresher = new WeightRefresher({ ...options, workers: this.#workers });
     this.#textRestarts = new TextRestarts({ ...options, workers: this.#workers });
+    this.#suspected = new SuspectedItems(options);
     this.#viewGuard = new StaleViewGuard(options);
     this.#timers.add(repeatEvery(options.clock, RUN_CHECK_INTERVAL_MS, () => this.#checkRuns()));
     this.#timers.add(repeatEvery(options.clock, CHECKPOINT_INTERVAL_MS, () => this.#checkpoint()));
@@ -278,7 +284,9 @@
     const waiting = new Map<string, ItemState>();
     for (const batch of this.#openBatches()) {
       for (const state of batch.items.values()) {
-        if (state.phase === 'waiting') waiting.set(`${batch.record.id}/${state.item.id}`, state);
+        const mayStart =
+          state.phase === 'waiting' && this.#suspected.verdictOf(state) !== 'condemned';
+        if (mayStart) waiting.set(`${batch.record.id}/${state.item.id}`, state);
       }
     }
     return waiting;
@@ -293,11 +301,19 @@
   #startWaitingItems(workers: readonly RegisteredWorker[]): void {
     const waiting = this.#waitingItems();
     const turn = new Stopwatch(this.#options.clock);
-    const placementWorkers = this.#workers.forPlacement(this.#runningByWorker());
+    const suspectedOn = this.#suspected.recentWorkers(this.#runs.values());
+    const placementWorkers = this.#workers
+      .forPlacement(this.#runningByWorker())
+      .map((worker) => ({ ...worker, hasSuspected: suspectedOn.has(worker.id) }));
     this.#textRestarts.restartHeldTexts(waiting.values(), placementWorkers);
     const placements = placeItems(
       [...waiting].map(([key, state]) =>
-        toWaitingItem(key, state, this.#options.engine()?.tokensPerEvent ?? 1),
+        toWaitingItem(
+          key,
+          state,
+          this.#options.engine()?.tokensPerEvent ?? 1,
+          this.#suspected.verdictOf(state) === 'suspected',
+        ),
       ),
       placementWorkers,
     );
@@ -344,8 +360,11 @@
     this.#workers.recordPrompt(worker.id, sharedPromptOf(state.item));
     const eventsBefore = state.text.events.length;
     const limitPerSecond = this.#options.limits.of(worker.id);
-    void run.execute().then((end) => {
+    void run.execute().then(async (end) => {
       this.#runs.delete(state);
+      if (end.kind === 'broken' && !end.notConnected) {
+        await this.#suspected.recordBroken(run, this.#runs.values());
+      }
       const { logger, metrics, pool } = this.#options;
       logger.info('item-run', { ...runLogFields(run, end, eventsBefore), limitPerSecond });
       metrics.itemRuns.inc({ pool, end: end.kind });
@@ -437,11 +456,7 @@
   }
 
   #runningByWorker(): Map<string, number> {
-    const running = new Map<string, number>();
-    for (const { worker } of this.#runs.values()) {
-      running.set(worker.id, (running.get(worker.id) ?? 0) + 1);
-    }
-    return running;
+    return countByWorker(this.#runs.values());
   }
 
   /** Stops runs on unresponsive or slow workers, so that their items continue on other workers. */
--- a/src/node/batches/waitingItem.ts
+++ b/src/node/batches/waitingItem.ts
@@ -18,6 +18,7 @@
   key: string,
   { item, text, batch, avoidedWorker }: ItemState,
   tokensPerEvent: number,
+  suspected: boolean,
 ): WaitingItem => {
   const done = text.events.length * tokensPerEvent;
   const expected = expectedTokens(item);
@@ -30,5 +31,6 @@
     model: batch.record.model,
     allows: (version) => text.allows(version),
     avoidedWorker,
+    suspected,
   };
 };
--- a/src/node/decisions/items/__tests__/itemPlacement.test.ts
+++ b/src/node/decisions/items/__tests__/itemPlacement.test.ts
@@ -86,3 +86,13 @@
   const placements = placeItems(items, [worker('slow', { slowdown: 3 }), worker('usual')]);
   expect(placements.every((placement) => placement.worker === 'usual')).toEqual(true);
 });
+
+// Guards against several items that may end their worker on the same one: an innocent one would be held to be deadly.
+test('suspected items start on different workers, and not where another one has just started', () => {
+  const items = ['a', 'b', 'c'].map((key) => item(key, { suspected: true }));
+  const workers = [worker('w1'), worker('w2'), worker('w3', { hasSuspected: true })];
+  const placements = placeItems([...items, item('other')], workers);
+  const suspected = placements.filter((placement) => placement.item !== 'other');
+  expect(suspected.map((placement) => placement.worker).sort()).toEqual(['w1', 'w2']);
+  expect(placements.length).toEqual(3);
+});
--- a/src/node/decisions/items/itemPlacement.ts
+++ b/src/node/decisions/items/itemPlacement.ts
@@ -12,6 +12,8 @@
   readonly allows: (version: number) => boolean;
   /** Worker that the item's previous run was taken from; used again only if no other worker is eligible. */
   readonly avoidedWorker?: string;
+  /** Whether a worker ended under the item, so that it starts on no worker with another such item. @default false */
+  readonly suspected?: boolean;
 }
 
 /** The state of a worker that placement decisions use. */
@@ -26,6 +28,8 @@
   readonly versionOf: (model: string) => number | undefined;
   /** Whether the worker has processed the prompt before. */
   readonly hasProcessedPrompt: (prompt: string) => boolean;
+  /** Whether a suspected item has just started there. @default false */
+  readonly hasSuspected?: boolean;
 }
 
 export interface Placement {
@@ -57,6 +61,9 @@
 ): Placement[] => {
   const addedRuns = new Map<string, number>();
   const addedPrompts = new Map<string, Set<string>>();
+  const withSuspected = new Set(
+    workers.filter((worker) => worker.hasSuspected).map(({ id }) => id),
+  );
   const costOf = (worker: PlacementWorker, item: WaitingItem): number => {
     const runs = worker.running + (addedRuns.get(worker.id) ?? 0);
     const hasPrompt =
@@ -69,7 +76,8 @@
     const eligible = workers.filter((worker) => {
       const version = worker.versionOf(item.model);
       const hasFreeSlot = worker.freeSlots > (addedRuns.get(worker.id) ?? 0);
-      return hasFreeSlot && version !== undefined && item.allows(version);
+      const isAlone = !item.suspected || !withSuspected.has(worker.id);
+      return hasFreeSlot && isAlone && version !== undefined && item.allows(version);
     });
     const others = eligible.filter(({ id }) => id !== item.avoidedWorker);
     const chosen = (others.length > 0 ? others : eligible).reduce<PlacementWorker | undefined>(
@@ -78,6 +86,7 @@
       undefined,
     );
     if (chosen !== undefined) {
+      if (item.suspected) withSuspected.add(chosen.id);
       addedRuns.set(chosen.id, (addedRuns.get(chosen.id) ?? 0) + 1);
       const prompts = addedPrompts.get(chosen.id) ?? new Set();
       addedPrompts.set(chosen.id, prompts.add(item.prompt));
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -269,6 +269,7 @@
         adapter,
         limits,
         permits,
+        poison,
       },
       peerClients,
       view: membership,
--- a/src/node/poison/__tests__/trialSlots.test.ts
+++ b/src/node/poison/__tests__/trialSlots.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl';
 import { TrialSlots } from '../trialSlots.ts';
 
-const {signal} = new AbortController();
+const { signal } = new AbortController();
 
 // Guards against several deadly requests at once on many workers, and against suspected requests that never get their turn.
 test('no more trials run than there are slots, and each waiting one gets its turn', async () => {
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -8,7 +8,7 @@
 import { WorkerEndProbe } from './workerEndProbe.ts';
 
 /** Longest time for which a suspected request keeps others waiting, in ms; streams and long requests go on beside them. */
-const MAX_TRIAL_MS = 250;
+export const MAX_TRIAL_MS = 250;
 
 /** Part of a pool's workers on which suspected requests run at the same time, one on each. */
 const MAX_TRIAL_SHARE = 0.5;
