refactor(batches): look for open batches once after a start, and keep no second copy of item bodies

On a deployment without batch routes each change of the tables cost every node a list call; one after the start is enough, as a node that ran when the last batch route was removed has joined its pool. Tests of batches, poison and deadlyRequest pass.

--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -72,6 +72,9 @@
   /** Coordinators by pool. */
   readonly #coordinators = new Map<string, BatchCoordinator>();
 
+  /** Whether this node has had tables since its start. */
+  #hasTables = false;
+
   readonly #disposed = new AbortController();
 
   constructor(options: BatchSubsystemOptions) {
@@ -104,7 +107,8 @@
   /** Joins the dispatcher election of every pool that a batch route leads to. */
   tablesChanged(): void {
     for (const pool of this.#routedPools()) this.#join(pool);
-    if (this.#coordinators.size === 0) void this.#joinPoolsOfOpenBatches();
+    if (!this.#hasTables) void this.#joinPoolsOfOpenBatches();
+    this.#hasTables = true;
     for (const { dispatcher } of this.coordinators()) dispatcher?.schedule();
   }
 
@@ -224,7 +228,7 @@
     this.#coordinators.set(pool, this.#newCoordinator(pool, yieldsToPreferred));
   }
 
-  /** Joins the pools of open batches. For a node without a dispatcher that would see these batches. */
+  /** Joins the pools of open batches if no batch route leads to any pool, whose dispatcher would see these batches. */
   async #joinPoolsOfOpenBatches(): Promise<void> {
     const { platform, clock, logger } = this.#options;
     const { signal } = this.#disposed;
--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -34,7 +34,7 @@
     this.item = item;
     this.text = new ItemText(rules);
     const { id, path, body } = item;
-    this.#request = { id, method: 'POST', host: batch.record.host, path, body: Buffer.from(body) };
+    this.#request = { id, method: 'POST', host: batch.record.host, path, body };
   }
 
   get phase(): ItemPhase {
--- a/src/node/poison/requestDigest.ts
+++ b/src/node/poison/requestDigest.ts
@@ -2,7 +2,9 @@
 import type { ForwardedRequest } from '../gateway/forwardedRequest.ts';
 
 /** What makes two requests equal, whatever their ids. */
-export type DigestedRequest = Pick<ForwardedRequest, 'method' | 'host' | 'path' | 'body'>;
+export interface DigestedRequest extends Pick<ForwardedRequest, 'method' | 'host' | 'path'> {
+  readonly body: Uint8Array;
+}
 
 /** Length of a digest, in hexadecimal digits. */
 const DIGEST_LENGTH = 24;
