fix(poison): ends after an answer count, and news go out without what was sent before

Found on a reading of the change. A request whose three ends an answer had cleared could not be suspected again, as only the first three ends were kept.

Evidence: poisonRequests.test.ts and poisonExchange.test.ts, one new test each, which fail on the former code.

--- a/src/node/decisions/poisonRequests/__tests__/poisonRequests.test.ts
+++ b/src/node/decisions/poisonRequests/__tests__/poisonRequests.test.ts
@@ -36,6 +36,19 @@
   expect(requests.verdictOf('d', 20 + SUSPICION_TTL_MS)).toEqual('unsuspected');
 });
 
+// Guards against a request that ends workers after three earlier ends were cleared by an answer.
+test('ends after an answer count, however many came before it', () => {
+  const requests = new PoisonRequests();
+  for (const [index, worker] of ['a', 'b', 'c'].entries()) {
+    requests.recordEnd('d', end(worker, index));
+  }
+  requests.recordAnswer('d', 10);
+  for (const [index, worker] of ['e', 'f', 'g'].entries()) {
+    requests.recordEnd('d', end(worker, 20 + index));
+  }
+  expect(requests.verdictOf('d', 30)).toEqual('condemned');
+});
+
 // Guards against the end of one worker that counts several times because several nodes or attempts saw it.
 test('the end of one start of a worker counts once, whoever reports it', () => {
   const requests = new PoisonRequests();
--- a/src/node/decisions/poisonRequests/poisonRequests.ts
+++ b/src/node/decisions/poisonRequests/poisonRequests.ts
@@ -83,13 +83,21 @@
     this.#requests.delete(digest);
     this.#requests.set(digest, {
       digest,
-      ends: [...knownEnds, ...added].slice(0, MAX_WORKER_ENDS),
+      // The latest ends count: an answer may have cleared the earlier ones.
+      ends: [...knownEnds, ...added]
+        .sort((left, right) => left.atMs - right.atMs)
+        .slice(-MAX_WORKER_ENDS),
       answeredMs: Math.max(knownAnsweredMs, answeredMs),
     });
     this.#evict(nowMs);
     return true;
   }
 
+  /** What is known of a request. */
+  find(digest: string): SuspectedRequest | undefined {
+    return this.#requests.get(digest);
+  }
+
   /** What is known of all remembered requests. */
   all(nowMs: number): SuspectedRequest[] {
     this.sweep(nowMs);
--- a/src/node/poison/__tests__/poisonExchange.test.ts
+++ b/src/node/poison/__tests__/poisonExchange.test.ts
@@ -21,6 +21,8 @@
 /** Nodes of one deployment. `cut`: names of nodes that others do not reach. */
 const startNodes = (names: readonly string[], cut = new Set<string>()) => {
   const clock = new VirtualClock();
+  /** Numbers of requests in the messages sent. */
+  const sent: number[] = [];
   const nodes = new Map<string, { guard: PoisonGuard; exchange: PoisonExchange }>();
   const add = (name: string) => {
     const common = { clock, logger: silentLogger };
@@ -42,6 +44,7 @@
             }),
       },
       call: (target, message) => {
+        sent.push(message.requests?.length ?? 0);
         const other = nodes.get(target.name);
         if (other === undefined || cut.has(target.name) || cut.has(name)) {
           return Promise.reject(new Error('no answer'));
@@ -57,10 +60,17 @@
   return {
     clock,
     add,
+    sent,
     verdicts: () => [...nodes.values()].map(({ guard }) => guard.verdictOf({ ...REQUEST })),
-    recordEnd: (name: string, id: string, trial: boolean) =>
+    recordEnd: (name: string, id: string, trial: boolean, path = REQUEST.path) =>
       nodes.get(name)?.guard.recordBroken({
-        ...{ request: REQUEST, worker: { ...WORKER, id }, pool: 'p', trial, others: 0 },
+        ...{
+          request: { ...REQUEST, path },
+          worker: { ...WORKER, id },
+          pool: 'p',
+          trial,
+          others: 0,
+        },
       }),
   };
 };
@@ -87,3 +97,13 @@
   await clock.advanceAsync(3000);
   expect(verdicts()).toEqual(['condemned', 'condemned', 'condemned', 'condemned']);
 });
+
+// Guards against messages that all grow with what is remembered while many suspected requests are cleared one by one.
+test('news are sent without what other nodes have been told before', async () => {
+  const { clock, sent, recordEnd } = startNodes(['a', 'b']);
+  for (let index = 0; index < 20; index += 1) await recordEnd('a', 'w1', false, `/x${index}`);
+  await clock.advanceAsync(20);
+  await recordEnd('a', 'w2', true, '/x0');
+  await clock.advanceAsync(20);
+  expect(sent).toEqual([20, 1]);
+});
--- a/src/node/poison/poisonExchange.ts
+++ b/src/node/poison/poisonExchange.ts
@@ -5,6 +5,7 @@
   type ExchangeResponse,
   ExchangeResponseSchema,
   type SuspectedRequest as SuspectedRequestMessage,
+  SuspectedRequestSchema,
 } from '../../gen/hyssoppulley/v1/poison_pb.ts';
 import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
@@ -58,7 +59,8 @@
 
   readonly #store = new DisposableStore();
 
-  #isSendScheduled = false;
+  /** Digests of requests on which there are news to send. */
+  readonly #changed = new Set<string>();
 
   /** Nodes that have told this one what they know. */
   #answers = 0;
@@ -66,7 +68,7 @@
   constructor(options: PoisonExchangeOptions) {
     this.#options = options;
     const { clock, guard } = options;
-    guard.listen(() => this.#scheduleSend());
+    guard.listen((digest) => this.#scheduleSend(digest));
     this.#store.add(repeatEvery(clock, REPEAT_INTERVAL_MS, () => this.#repeat()));
   }
 
@@ -83,12 +85,14 @@
     await this.#store[Symbol.asyncDispose]();
   }
 
-  #scheduleSend(): void {
-    if (this.#isSendScheduled) return;
-    this.#isSendScheduled = true;
-    this.#options.clock.schedule(SEND_DELAY_MS, () => {
-      this.#isSendScheduled = false;
-      const message = { requests: this.#known() };
+  #scheduleSend(digest: string): void {
+    const { clock, guard } = this.#options;
+    this.#changed.add(digest);
+    if (this.#changed.size > 1) return;
+    clock.schedule(SEND_DELAY_MS, () => {
+      const changed = [...this.#changed].flatMap((each) => guard.requests.find(each) ?? []);
+      this.#changed.clear();
+      const message = { requests: this.#toMessages(changed) };
       for (const node of this.#nodesTold()) void this.#send(node, message);
     });
   }
@@ -131,20 +135,23 @@
       : preferredEntries(nodes).slice(0, MAX_NODES_TOLD);
   }
 
-  #known(): MessageInitShape<typeof ExchangeRequestSchema>['requests'] {
+  #known() {
     const { clock, guard } = this.#options;
-    const nowMs = clock.monotonicMs();
-    return guard.requests
-      .all(nowMs)
-      .slice(-MAX_REQUESTS_SENT)
-      .map(({ digest, ends, answeredMs }) => ({
-        digest,
-        ends: ends.map(({ worker, trial, atMs }) => ({
-          ...{ worker, trial },
-          ageMs: Math.round(nowMs - atMs),
-        })),
-        ...(answeredMs === -Infinity ? {} : { answeredAgeMs: Math.round(nowMs - answeredMs) }),
-      }));
+    return this.#toMessages(guard.requests.all(clock.monotonicMs()).slice(-MAX_REQUESTS_SENT));
+  }
+
+  #toMessages(
+    requests: readonly SuspectedRequest[],
+  ): MessageInitShape<typeof SuspectedRequestSchema>[] {
+    const nowMs = this.#options.clock.monotonicMs();
+    return requests.map(({ digest, ends, answeredMs }) => ({
+      digest,
+      ends: ends.map(({ worker, trial, atMs }) => ({
+        ...{ worker, trial },
+        ageMs: Math.round(nowMs - atMs),
+      })),
+      ...(answeredMs === -Infinity ? {} : { answeredAgeMs: Math.round(nowMs - answeredMs) }),
+    }));
   }
 
   #merge(messages: readonly SuspectedRequestMessage[]): void {
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -45,7 +45,7 @@
 
   readonly #hasEnded: (address: string) => Promise<boolean>;
 
-  #onChange: (() => void) | undefined;
+  #onChange: ((digest: string) => void) | undefined;
 
   readonly #digests = new WeakMap<DigestedRequest, string>();
 
@@ -55,8 +55,8 @@
     this.#hasEnded = options.hasEnded ?? ((address) => probe.hasEnded(address));
   }
 
-  /** @param onChange - called when this node has learned something by its own requests */
-  listen(onChange: () => void): void {
+  /** @param onChange - called when this node has learned something by its own requests, with their digest */
+  listen(onChange: (digest: string) => void): void {
     this.#onChange = onChange;
   }
 
@@ -114,7 +114,7 @@
       ends: this.requests.endsOf(digest, atMs),
       verdict: this.requests.verdictOf(digest, atMs),
     });
-    this.#onChange?.();
+    this.#onChange?.(digest);
   }
 
   /** Clears a suspected request that a worker has answered. */
@@ -123,7 +123,7 @@
     const digest = this.#digestOf(request);
     if (!this.requests.recordAnswer(digest, this.#options.clock.monotonicMs())) return;
     this.#options.logger.info('request-cleared', { request: request.id, digest });
-    this.#onChange?.();
+    this.#onChange?.(digest);
   }
 
   #digestOf(request: DigestedRequest): string {
