--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -10,6 +10,7 @@
 import type { PeerClients } from '../membership/peerClients.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
+import { backoffMs } from '../platform/backoff.ts';
 import { ObjectFollower } from '../platform/objectFollower.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import type { PoisonGuard } from '../poison/poisonGuard.ts';
@@ -30,7 +31,7 @@
   releaseFormerDispatcher,
 } from './batchService.ts';
 import { BATCHES_PREFIX, tryDecodeBatch } from './batchObjects.ts';
-import { BATCH_LOAD_RETRY_MS } from './constants.ts';
+import { OPEN_BATCHES_BACKOFF } from './constants.ts';
 import { dispatcherLease, type ElectionView } from './dispatcherElection.ts';
 import { ItemScorer } from './itemScorer.ts';
 
@@ -230,9 +231,9 @@
 
   /** Joins the pools of open batches if no batch route leads to any pool, whose dispatcher would see these batches. */
   async #joinPoolsOfOpenBatches(): Promise<void> {
-    const { platform, clock, logger } = this.#options;
+    const { platform, clock, random, logger } = this.#options;
     const { signal } = this.#disposed;
-    while (this.#coordinators.size === 0 && !signal.aborted) {
+    for (let attempt = 1; this.#coordinators.size === 0 && !signal.aborted; attempt += 1) {
       try {
         for (const object of await platform.list(BATCHES_PREFIX)) {
           const record = tryDecodeBatch(object, logger);
@@ -241,7 +242,7 @@
         return;
       } catch (error) {
         logger.info('open-batches-unread', { message: messageOf(error) });
-        await sleep(clock, BATCH_LOAD_RETRY_MS, signal);
+        await sleep(clock, backoffMs(attempt, random, OPEN_BATCHES_BACKOFF), signal);
       }
     }
   }
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -41,6 +41,9 @@
 /** Delay between attempts to load a batch while the platform does not respond, in ms. */
 export const BATCH_LOAD_RETRY_MS = 250;
 
+/** Bounds of the delay between attempts of a starting node to list the open batches, in ms. */
+export const OPEN_BATCHES_BACKOFF = { baseMs: 250, maxMs: 4000 };
+
 /** Time for the watch to report a batch change that another node announced, in ms; then the batches are listed. */
 export const BATCH_CHANGE_GRACE_MS = 100;
 
