--- a/src/node/batches/__tests__/dispatcherElection.test.ts
+++ b/src/node/batches/__tests__/dispatcherElection.test.ts
@@ -148,3 +148,16 @@
   expect(election?.heldTerm).toEqual(undefined);
   for (const each of elections) each[Symbol.dispose]();
 });
+
+// Guards against two dispatchers of a pool: one that its peers cannot reach, and its successor, with the platform in reach of
+// both.
+test('a holder that its peers do not see gives the pool up soon after its successor claims it', async () => {
+  const { clock, seen, events, elections } = startElections();
+  await clock.advanceAsync(3000);
+  const { holder, other } = namesOf(events);
+  const state = seen.get(holder);
+  if (state) state.suspected = true;
+  await clock.advanceAsync(5000);
+  expect(events).toEqual([`${holder} elected 1`, `${other} elected 2`, `${holder} lost`]);
+  for (const election of elections) election[Symbol.dispose]();
+});
--- a/src/node/decisions/__tests__/workerAssignment.test.ts
+++ b/src/node/decisions/__tests__/workerAssignment.test.ts
@@ -104,3 +104,10 @@
   );
   expect([...later]).toEqual([...shares]);
 });
+
+// Guards against a model whose new version no worker loads, because its share of the work is below half a worker.
+test('a model with a small share of the work has a worker of its own', () => {
+  const weightOf = (model: string) => (model === 'small' ? 1 : 30);
+  const shares = assignWorkersToModels(['large', 'small'], workersOf(6), new Map(), weightOf);
+  expect(counts(shares).get('small')).toEqual(1);
+});
