feat(gateway): types, messages and settings for accounts, duties, worker orders and request memory

Change: schemas of the new calls between nodes and of operator requests, table and registration fields, settings, and their decoding; fields of settings without a value take their defaults, so that one template fits all deployments. Behaviour is unchanged: nothing reads the new fields yet.

--- a/src/node/batches/__tests__/acceptViaPeer.test.ts
+++ b/src/node/batches/__tests__/acceptViaPeer.test.ts
@@ -21,6 +21,7 @@
 
 const submission: BatchSubmission = {
   ...{ id: 'batch', host: 'h', path: '/b/x?y', model: 'm', step: 0, minVersion: 0 },
+  account: '',
   wantedGroups: 0,
   items: [create(BatchItemSchema, { id: 'i', group: 'g' })],
 };
--- a/src/node/batches/batchAcceptor.ts
+++ b/src/node/batches/batchAcceptor.ts
@@ -31,6 +31,8 @@
   /** Groups that the trainer waits for; 0: all. */
   readonly wantedGroups: number;
   readonly items: readonly BatchItem[];
+  /** Client account to which the batch belongs; empty: there are no accounts. */
+  readonly account: string;
 }
 
 /** Outcome of a submission. */
@@ -156,7 +158,7 @@
   }
 
   #recordOf(submission: BatchSubmission, route: GatewayRoute, partCount: number): BatchRecord {
-    const { id, host, path, model, step, minVersion, wantedGroups, items } = submission;
+    const { id, host, path, model, step, minVersion, wantedGroups, items, account } = submission;
     const { batch, maxAttempts, priority, name } = route;
     return create(BatchRecordSchema, {
       ...{
@@ -167,6 +169,7 @@
         step,
         minVersion,
         wantedGroups,
+        account,
         partCount,
         maxAttempts,
         priority,
--- a/src/node/batches/batchService.ts
+++ b/src/node/batches/batchService.ts
@@ -115,11 +115,11 @@
 /** Submits a batch through another node. When the call fails, the batch may still have been accepted. */
 export const acceptViaPeer = async (
   client: BatchClient,
-  { id, host, path, model, step, minVersion, wantedGroups, items }: BatchSubmission,
+  { id, host, path, model, step, minVersion, wantedGroups, items, account }: BatchSubmission,
 ): Promise<AcceptResult> => {
   try {
     const { status, reason } = await client.acceptBatch(
-      { id, host, path, model, step, minVersion, wantedGroups, items: [...items] },
+      { id, host, path, model, step, minVersion, wantedGroups, items: [...items], account },
       { timeoutMs: ACCEPT_TIMEOUT_MS },
     );
     if (status === AcceptStatus.ACCEPTED) return { kind: 'accepted' };
--- a/src/node/gateway/forwardedRequest.ts
+++ b/src/node/gateway/forwardedRequest.ts
@@ -1,6 +1,13 @@
 import type { Stopwatch } from '../../shared/clock.ts';
 import type { HeaderList } from './workerCalls.ts';
 
+/** Client account of a request, as far as forwarding it depends on the account. */
+export interface ForwardingAccount {
+  readonly name: string;
+  /** Takes precedence over the route's priority; 0 is the most urgent. */
+  readonly priority?: number;
+}
+
 /** A caller's request with its complete body. */
 export interface ForwardedRequest {
   readonly id: string;
@@ -10,6 +17,8 @@
   readonly host: string;
   readonly headers: HeaderList;
   readonly body: Buffer;
+  /** Client account that sent the request. @default none */
+  readonly account?: ForwardingAccount;
   /** Started when the request arrived. */
   readonly sinceArrival: Stopwatch;
   /** Time allowed by the caller and the route, counted from the arrival, in ms. */
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -3,6 +3,10 @@
 import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { NodeIdentitySchema, PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import { PermitService } from '../../gen/hyssoppulley/v1/permit_pb.ts';
+import {
+  GatewayOperatorService,
+  ListUploadsResponseSchema,
+} from '../../gen/hyssoppulley/v1/gateway_operator_pb.ts';
 import { PoisonService } from '../../gen/hyssoppulley/v1/poison_pb.ts';
 import { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import { TablesSchema } from '../../gen/hyssoppulley/v1/tables_pb.ts';
@@ -41,6 +45,7 @@
 import { entryAddresses, isPreferredEntry } from './entryAddresses.ts';
 import { Forwarder } from './forwarder.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
+import { createGatewayOperatorHandlers, type GatewayOperatorViews } from './gatewayOperator.ts';
 import type { GatewayServices } from './gatewayServices.ts';
 import { instrumentServices } from './instrumentedServices.ts';
 import { PeerServer } from './peerServer.ts';
@@ -305,6 +310,16 @@
     tables: () => ({ revision: tables.tables?.revision ?? 0, ageMs: tables.ageMs }),
   });
 
+  const operatorViews: GatewayOperatorViews = {
+    revision: () => tables.tables?.revision ?? 0,
+    accounts: () => [],
+    usage: () => [],
+    duties: () => [],
+    workerOrders: () => [],
+    suspects: () => [],
+    clearSuspect: () => false,
+    uploads: () => create(ListUploadsResponseSchema),
+  };
   const servers = store.add(adapter.createServers(services, requests));
   const peerServer = store.add(
     new PeerServer({
@@ -321,6 +336,7 @@
         router.service(RelayService, followers.handlers());
         router.service(PermitService, { issuePermits: (request) => permits.issue(request) });
         router.service(PoisonService, { exchange: (request) => poisonExchange.receive(request) });
+        router.service(GatewayOperatorService, createGatewayOperatorHandlers(operatorViews));
       },
     }),
   );
--- a/src/node/gateway/gatewayTables.ts
+++ b/src/node/gateway/gatewayTables.ts
@@ -35,6 +35,8 @@
   readonly priority: number;
   /** Whether an interrupted stream may be resumed on another worker. */
   readonly resumable: boolean;
+  /** Whether requests need no key of an account. @default false */
+  readonly isPublic?: boolean;
   /** Present on routes of kind `batch`. */
   readonly batch?: BatchRouteSettings;
 }
@@ -50,6 +52,20 @@
   readonly models: readonly string[];
 }
 
+/** Bounds and prices for ordering workers of a pool. Prices are relative to an ordinary worker in a zone of price 1. */
+export interface ScalingBounds {
+  /** Minimum number of workers in each availability zone, ordinary and spot workers together. */
+  readonly minWorkers: number;
+  /** Maximum number of workers in each availability zone, ordinary and spot workers together. */
+  readonly maxWorkers: number;
+  /** Time from an order until the worker serves, in ms. */
+  readonly startMs: number;
+  /** Price of a spot worker relative to an ordinary one; undefined: there are no spot workers. */
+  readonly spotPriceFactor: number | undefined;
+  /** Price of a worker per second, by availability zone. */
+  readonly zonePrices: ReadonlyMap<string, number>;
+}
+
 /** One row of the pool table. */
 export interface GatewayPool {
   readonly name: string;
@@ -57,6 +73,16 @@
   readonly maxConnections: number;
   /** Present on pools of model engines. */
   readonly engine?: EnginePool;
+  /** Present where the number of workers may be changed by orders. */
+  readonly scaling?: ScalingBounds;
+}
+
+/** A client account, which proves itself by any of its keys. */
+export interface Account {
+  readonly name: string;
+  readonly keys: readonly string[];
+  /** Takes precedence over the priority of a route; 0 is the most urgent. @default the route's */
+  readonly priority?: number;
 }
 
 /** Limits on the requests that callers may send. */
@@ -73,4 +99,6 @@
   readonly routes: readonly GatewayRoute[];
   readonly pools: ReadonlyMap<string, GatewayPool>;
   readonly requestLimits: RequestLimits;
+  /** Client accounts; undefined where requests need no key. */
+  readonly accounts?: readonly Account[];
 }
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -207,7 +207,8 @@
     let isBroken = false;
     let attemptResult: AttemptResult;
     try {
-      const message = { requestId, method, path, host, headers, body, remainingMs };
+      const account = request.account?.name;
+      const message = { requestId, method, path, host, headers, body, account, remainingMs };
       const response = await calls.send(worker, { ...message, newConnection, resumeAfter }, signal);
       ({ load } = response);
       attemptResult = await read(worker, response);
--- a/src/node/gateway/workerCalls.ts
+++ b/src/node/gateway/workerCalls.ts
@@ -17,6 +17,8 @@
   /** Headers that are forwarded as the caller sent them. */
   readonly headers: HeaderList;
   readonly body: Buffer;
+  /** Name of the client account on whose behalf the request runs. @default none */
+  readonly account?: string;
   /** Remaining time budget of the caller, in ms; the worker stops when it is used up. Absent: no limit. */
   readonly remainingMs?: number;
   /** Weight version that the worker must have loaded; otherwise it does not execute the request. */
@@ -34,6 +36,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How long work takes on the worker's VM at the moment, in percent of the usual time. @default 100 */
+  readonly pacePercent?: number;
 }
 
 /** Status, headers and unread body of a worker's response. */
--- a/src/node/gateway/workerRegistry.ts
+++ b/src/node/gateway/workerRegistry.ts
@@ -23,6 +23,10 @@
   /** Increases with each registration since the worker's start. */
   readonly heartbeatCount: number;
   readonly models: readonly LoadedModel[];
+  /** Whether the worker is cheaper and may be reclaimed at short notice. @default false */
+  readonly spot?: boolean;
+  /** Time from the registration until the worker stops, in ms; undefined where it does not say so. */
+  readonly leavesInMs?: number;
 }
 
 /** Decodes a registration; undefined when it describes no usable worker. */
--- a/src/node/membership/peerClients.ts
+++ b/src/node/membership/peerClients.ts
@@ -1,6 +1,8 @@
 import http from 'node:http';
 import { type Client, createClient } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
+import { DemandService } from '../../gen/hyssoppulley/v1/demand_pb.ts';
+import { UsageService } from '../../gen/hyssoppulley/v1/usage_pb.ts';
 import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { PermitService } from '../../gen/hyssoppulley/v1/permit_pb.ts';
 import { PoisonService } from '../../gen/hyssoppulley/v1/poison_pb.ts';
@@ -19,6 +21,8 @@
   readonly relay: Client<typeof RelayService>;
   readonly permits: Client<typeof PermitService>;
   readonly poison: Client<typeof PoisonService>;
+  readonly usage: Client<typeof UsageService>;
+  readonly demand: Client<typeof DemandService>;
 }
 
 /** Maximum number of addresses for which clients are cached; the oldest entry is dropped first. */
@@ -61,6 +65,16 @@
     return this.#clientsFor(address).poison;
   }
 
+  /** Client for exchanging the numbers of requests that client accounts ran. */
+  usage(address: PeerAddress): Client<typeof UsageService> {
+    return this.#clientsFor(address).usage;
+  }
+
+  /** Client for reporting the work that waits for workers. */
+  demand(address: PeerAddress): Client<typeof DemandService> {
+    return this.#clientsFor(address).demand;
+  }
+
   [Symbol.dispose](): void {
     this.#agent.destroy();
   }
@@ -82,6 +96,8 @@
       relay: createClient(RelayService, transport),
       permits: createClient(PermitService, transport),
       poison: createClient(PoisonService, transport),
+      usage: createClient(UsageService, transport),
+      demand: createClient(DemandService, transport),
     };
     const [oldest] = this.#clients.keys();
     if (this.#clients.size >= MAX_CLIENTS && oldest !== undefined) this.#clients.delete(oldest);
--- a/src/node/settings/parseDocument.ts
+++ b/src/node/settings/parseDocument.ts
@@ -31,6 +31,9 @@
   return 'an alias';
 };
 
+/** Whether a field has no value, so that its default applies: templates render values that the platform does not set so. */
+const isEmptyScalar = (node: Node): boolean => isScalar(node) && node.value === null;
+
 /** Converts a YAML document to the JSON form of a message by its schema, and collects every fault with its location. */
 class DocumentWalker {
   readonly faults: DocumentFault[] = [];
@@ -59,7 +62,7 @@
       if (field === undefined) {
         const allowed = [...fields.keys()].join(', ');
         this.#addFault(childPath, pair.key as Node, 'an unknown field', `one of ${allowed}`);
-      } else if (pair.value !== null) {
+      } else if (pair.value !== null && !isEmptyScalar(pair.value as Node)) {
         const value = this.#field(field, pair.value as Node, childPath);
         if (value !== undefined) result[key] = value;
       }
--- a/src/node/settings/resolveSettings.ts
+++ b/src/node/settings/resolveSettings.ts
@@ -1,5 +1,6 @@
 import { readFile } from 'node:fs/promises';
 import {
+  type ControlSettings,
   type GatewaySettings,
   type NodeSettings,
   NodeSettingsSchema,
@@ -11,6 +12,20 @@
 /** Settings of a node with all defaults applied. */
 export type ResolvedSettings = ReturnType<typeof resolveSettings>;
 
+const resolveControl = (control: ControlSettings | undefined) =>
+  control === undefined || control.address === ''
+    ? undefined
+    : {
+        address: control.address,
+        duties: control.duties.split(',').filter((name) => name !== ''),
+        callsPerSecond: control.callsPerSecond ?? 50,
+        usageWindowMs: 1000 * (control.usageWindowS ?? 5),
+        usageDueMs: 1000 * (control.usageDueS ?? 10),
+      };
+
+/** The platform's control API, with all defaults applied; undefined where there is none. */
+export type ResolvedControl = NonNullable<ReturnType<typeof resolveControl>>;
+
 const resolveGateway = (gateway: GatewaySettings) => ({
   frontAddress: gateway.frontAddress,
   readyAddress: gateway.readyAddress,
@@ -26,6 +41,11 @@
   maxLoadingWorkers: gateway.maxLoadingWorkers,
   metricsAddress: gateway.metricsAddress,
   datagramAddress: gateway.datagramAddress,
+  memoryMb: gateway.memoryMb ?? 512,
+  fileDescriptors: gateway.fileDescriptors ?? 4096,
+  strictRevocation: gateway.strictRevocation ?? false,
+  revokeAfterMs: gateway.revokeAfterMs ?? 5000,
+  control: resolveControl(gateway.control),
 });
 
 /** Gateway settings, of a node on the users' platform, with all defaults applied. */
