fix(membership): nodes ignore heartbeats of other deployments

Heartbeats carried no deployment. Change: a setting names the deployment; digests of other deployments are ignored in requests, responses and gossip, and a response of one counts as none. Unnamed deployments behave as before. The soak names its deployment. Result: the new test fails without the check in the table and passes with it; tests of membership and settings pass.

--- a/playground/faultSoak/soakDeployment.ts
+++ b/playground/faultSoak/soakDeployment.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import path from 'node:path';
+import { newId } from '../../src/shared/random.ts';
 import { ProcessGroup, type StartedProcess } from '../processes.ts';
 import { sleepMs } from '../standIns/standInServer.ts';
 import { FaultProxy } from './faultProxy.ts';
@@ -108,6 +109,9 @@
 
   readonly workers: SoakWorker[] = [];
 
+  /** Keeps the nodes of soaks that run on the same machine apart when they reuse each other's ports. */
+  readonly #name = newId();
+
   #platformPort = 0;
 
   #lastTablesWrite = Promise.resolve();
@@ -219,6 +223,7 @@
     const file = path.join(await this.#group.temporaryFolder(), `${name}.yaml`);
     const settings = {
       ...{ name, region: 'r', availabilityZone: `z${index % ZONE_COUNT}`, host: '127.0.0.1' },
+      deployment: this.#name,
       platform: { url: `http://127.0.0.1:${platformPort}`, timeoutMs: 1200, callsPerSecond: 100 },
       timing: { heartbeatIntervalMs: 300, suspectAfterMs: 1200, peerTimeoutMs: 700 },
       gateway: {
--- a/src/node/decisions/__tests__/membershipDecisions.test.ts
+++ b/src/node/decisions/__tests__/membershipDecisions.test.ts
@@ -41,6 +41,20 @@
   expect([...table.records()].map((record) => record.digest.identity?.name)).toEqual(['c', 'd']);
 });
 
+// Guards against a node of another deployment that takes the place of a node of the same name, because it was given the
+// address of a node that is gone (fault soak, seed 2302 beside another soak: "node-0 does not know batch").
+test('a digest of a node of another deployment is ignored', () => {
+  const table = new PeerTable({ selfName: 'a', deployment: 'one', ...timing });
+  const own = digest('b', 'b1', 1, 1);
+  if (own.identity) own.identity.deployment = 'one';
+  const foreign = digest('b', 'b2', 2, 9);
+  if (foreign.identity) foreign.identity.deployment = 'two';
+  expect(table.mergeDigest(own, 0, 'direct')).toEqual('new');
+  expect(table.mergeDigest(foreign, 10, 'direct')).toEqual('foreign');
+  expect(table.findIncarnation('b1')?.digest.heartbeatCount).toEqual(1);
+  expect(table.findIncarnation('b2')).toEqual(undefined);
+});
+
 // Guards against a pause of this process after which every peer is suspected.
 test('an exchange that failed during a pause of this process raises suspicion only after suspectAfterMs', () => {
   const table = new PeerTable({ selfName: 'a', ...timing });
--- a/src/node/decisions/peerTable.ts
+++ b/src/node/decisions/peerTable.ts
@@ -10,9 +10,10 @@
 /**
  * How a digest changed the table. `changed`: the peer's state differs or a doubt was refuted. `grown`: only the
  * heartbeat count or the version of the worker registrations grew. `stale`: the digest describes a replaced incarnation.
- * `full`: there was no room for a new peer.
+ * `full`: there was no room for a new peer. `foreign`: the digest describes a node of another deployment.
  */
-export type MergeResult = 'new' | 'restarted' | 'changed' | 'grown' | 'known' | 'stale' | 'full';
+export type MergeResult =
+  'new' | 'restarted' | 'changed' | 'grown' | 'known' | 'stale' | 'full' | 'foreign';
 
 /**
  * Where a digest came from: the peer itself, another node's gossip, or a list of all peers. Only changes from the first
@@ -23,6 +24,8 @@
 export interface PeerTableOptions {
   /** Name of this node; digests of it are never stored. */
   readonly selfName: string;
+  /** Deployment of this node. @default '' */
+  readonly deployment?: string;
   readonly heartbeatIntervalMs: number;
   readonly suspectAfterMs: number;
   /** Timeout of one call to another node, in ms. */
@@ -100,7 +103,7 @@
   #rotationIndex = 0;
 
   constructor(options: PeerTableOptions) {
-    this.#options = { maxPeers: 1024, forgetAfterMs: 600_000, ...options };
+    this.#options = { deployment: '', maxPeers: 1024, forgetAfterMs: 600_000, ...options };
   }
 
   get size(): number {
@@ -119,7 +122,9 @@
   /** Merges a received digest. */
   mergeDigest(digest: PeerDigest, nowMs: number, source: DigestSource): MergeResult {
     const identity = identityOf(digest);
-    if (identity === undefined || identity.name === this.#options.selfName) return 'known';
+    if (identity === undefined) return 'known';
+    if (identity.deployment !== this.#options.deployment) return 'foreign';
+    if (identity.name === this.#options.selfName) return 'known';
     const known = this.#byName.get(identity.name);
     if (known === undefined) return this.#insert(identity.name, digest, nowMs, source);
     const knownIdentity = identityOf(known.digest);
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -136,6 +136,7 @@
     peerPort: peerAddress.port,
     callerPort: splitAddress(gateway.frontAddress).port,
     region: settings.region,
+    deployment: settings.deployment,
     availabilityZone: settings.availabilityZone,
     capacityMillicores: gateway.capacityMillicores,
     datagramPort:
--- a/src/node/membership/heartbeats.ts
+++ b/src/node/membership/heartbeats.ts
@@ -207,11 +207,13 @@
 
   /** Applies a peer's heartbeat and returns the response. */
   handleRequest(request: HeartbeatRequest): HeartbeatResponse {
-    const { table, drains, workers, clock, state } = this.#options;
+    const { self, table, drains, workers, clock, state } = this.#options;
     const nowMs = clock.monotonicMs();
-    this.#learn(request.sender, 'direct');
-    this.#learnGossip(request, 'gossip');
-    if (drains.needsUpdateFrom(request.drains)) this.#drainListSource = request.sender?.identity;
+    if (request.sender?.identity?.deployment === self.deployment) {
+      this.#learn(request.sender, 'direct');
+      this.#learnGossip(request, 'gossip');
+      if (drains.needsUpdateFrom(request.drains)) this.#drainListSource = request.sender.identity;
+    }
     return create(HeartbeatResponseSchema, {
       responder: this.digest(),
       changed: request.wantsAllPeers
@@ -259,10 +261,12 @@
   }
 
   async #sendAndLearn(target: HeartbeatTarget, request: HeartbeatRequest): Promise<boolean> {
-    const { send, clock, drains, onResponse } = this.#options;
+    const { self, send, clock, drains, onResponse } = this.#options;
     const sentAt = new Stopwatch(clock);
     try {
       const response = await send(target, request);
+      // Another deployment may have been given the address of a node that is gone.
+      if (response.responder?.identity?.deployment !== self.deployment) return false;
       this.#learn(response.responder, 'direct');
       this.#learnGossip(response, request.wantsAllPeers ? 'list' : 'gossip');
       if (request.wantsAllPeers) this.#lastFullSyncAt = this.#heartbeatCount;
@@ -289,6 +293,7 @@
     const { self, table, clock, logger, state, onPeerAhead, onNameConflict } = this.#options;
     const identity = digest?.identity;
     if (digest === undefined || identity === undefined) return undefined;
+    if (identity.deployment !== self.deployment) return 'foreign';
     if (identity.name === self.name) {
       if (identity.incarnation !== self.incarnation) onNameConflict(identity);
       return undefined;
--- a/src/node/membership/membership.ts
+++ b/src/node/membership/membership.ts
@@ -107,7 +107,11 @@
     const { self, timing, platform, tables, clock, random, logger, send } = options;
     this.#options = options;
     this.self = self;
-    this.#table = new PeerTable({ selfName: self.name, ...timing });
+    this.#table = new PeerTable({
+      selfName: self.name,
+      deployment: self.deployment,
+      ...timing,
+    });
     this.#registration = new Registration(platform, clock, self);
     this.#drains = new Drains(platform, () => this.#workers.invalidateCache());
     this.#workers = new WorkerDirectory({ platform, tables, clock, logger }, this.#drains);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -92,6 +92,7 @@
     incarnation: newId(),
     host: settings.host,
     region: settings.region,
+    deployment: settings.deployment,
     availabilityZone: settings.availabilityZone,
   });
   const membership = new Membership({
--- a/src/node/settings/resolveSettings.ts
+++ b/src/node/settings/resolveSettings.ts
@@ -55,6 +55,7 @@
 export const resolveSettings = (settings: NodeSettings) => ({
   name: settings.name,
   region: settings.region,
+  deployment: settings.deployment ?? '',
   availabilityZone: settings.availabilityZone,
   host: settings.host ?? '127.0.0.1',
   callerPort: settings.callerPort ?? 7100,
