fix(poison): a batch whose items all end their workers is held as a whole

Change: the dispatcher remembers under which batches workers ended. After two ends without an item that survived, the items of the batch run one at a time; if that ends a worker too, none is started any more. Operators can list suspected requests and clear one (listSuspects, clearSuspect). Result: the new dispatcher test fails without the change (36 starts allowed by the former rule) and passes with it; tests of the folder pass.

--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -209,3 +209,22 @@
   expect(started.at(-1)).toEqual('b-item');
   dispatcher[Symbol.dispose]();
 });
+
+// Guards against a batch whose items each end several workers, because each of them looks like another request (day deadly
+// with the class of batch submissions: 36 workers ended under one batch of 88 items).
+test('a batch whose items all end their workers stops after a few of them, and other batches go on', async () => {
+  const ends = Array.from({ length: 40 }, () => 'broken' as const);
+  let starts = 1;
+  const { clock, dispatcher, started } = startDispatcher(({ register }) => {
+    starts += 1;
+    register(starts);
+  }, ends);
+  await dispatcher.add(...batchOf('a', 12));
+  await clock.advanceAsync(20_000);
+  // Two starts of the worker may end with all eight slots taken; the third one runs a single item.
+  expect(started.length <= 2 * 8 + 1).toEqual(true);
+  const before = started.length;
+  await clock.advanceAsync(20_000);
+  expect(started.length).toEqual(before);
+  dispatcher[Symbol.dispose]();
+});
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -224,6 +224,7 @@
     this.end(batchId);
     this.#batches.get(batchId)?.log.close();
     this.#batches.delete(batchId);
+    this.#suspected.retainBatches((id) => this.#batches.has(id));
     this.#checkpointStores.delete(batchId);
     this.#scoring.delete(batchId);
   }
@@ -281,15 +282,13 @@
   }
 
   #waitingItems(): Map<string, ItemState> {
-    const waiting = new Map<string, ItemState>();
-    for (const batch of this.#openBatches()) {
-      for (const state of batch.items.values()) {
-        const mayStart =
-          state.phase === 'waiting' && this.#suspected.verdictOf(state) !== 'condemned';
-        if (mayStart) waiting.set(`${batch.record.id}/${state.item.id}`, state);
-      }
-    }
-    return waiting;
+    const waiting = this.#openBatches().flatMap((batch) =>
+      [...batch.items.values()].filter(({ phase }) => phase === 'waiting'),
+    );
+    const startable = this.#suspected.startable(waiting, [...this.#runs.values()]);
+    return new Map(
+      startable.map((state) => [`${state.batch.record.id}/${state.item.id}`, state] as const),
+    );
   }
 
   #placeItems(): void {
--- a/src/node/batches/suspectedItems.ts
+++ b/src/node/batches/suspectedItems.ts
@@ -1,11 +1,14 @@
+import { BatchSuspicion } from '../decisions/poisonRequests/batchSuspicion.ts';
 import type { PoisonVerdict } from '../decisions/poisonRequests/poisonRequests.ts';
 import { MAX_TRIAL_MS, type PoisonGuard } from '../poison/poisonGuard.ts';
+import type { Logger } from '../observability/logger.ts';
 import type { ItemRun } from './itemRun.ts';
 import type { ItemState } from './itemState.ts';
 
 export interface SuspectedItemsOptions {
   readonly pool: string;
   readonly poison: Pick<PoisonGuard, 'verdictOf' | 'recordBroken'>;
+  readonly logger: Logger;
 }
 
 /** Counts the runs in progress on each worker. */
@@ -15,10 +18,12 @@
   return running;
 };
 
-/** Recognises items under which workers end. */
+/** Recognises items and batches under which workers end. */
 export class SuspectedItems {
   readonly #options: SuspectedItemsOptions;
 
+  readonly #batches = new BatchSuspicion();
+
   constructor(options: SuspectedItemsOptions) {
     this.#options = options;
   }
@@ -27,13 +32,41 @@
     return this.#options.poison.verdictOf(request);
   }
 
-  /** Holds it against an item if the worker that broke off its run has ended. */
-  recordBroken({ state, worker }: ItemRun, others: Iterable<ItemRun>): Promise<void> {
-    const { poison, pool } = this.#options;
-    return poison.recordBroken({
+  /** The waiting items that may start now: no condemned ones, and one at a time of a suspected batch. */
+  startable(waiting: readonly ItemState[], runs: readonly ItemRun[]): ItemState[] {
+    this.#recordSurvivors(runs);
+    const started = new Set(runs.map(({ state }) => state.batch));
+    return waiting.filter((state) => {
+      if (this.verdictOf(state) === 'condemned') return false;
+      const verdict = this.#batches.verdictOf(state.batch.record.id);
+      if (verdict === 'unsuspected') return true;
+      if (verdict === 'condemned' || started.has(state.batch)) return false;
+      started.add(state.batch);
+      return true;
+    });
+  }
+
+  /** Holds it against an item and its batch if the worker that broke off its run has ended. */
+  async recordBroken({ state, worker }: ItemRun, runs: Iterable<ItemRun>): Promise<void> {
+    const { poison, pool, logger } = this.#options;
+    const others = [...runs].filter((run) => run.state !== state);
+    const hasEnded = await poison.recordBroken({
       ...{ request: state.request, worker, pool, trial: false },
       others: countByWorker(others).get(worker.id) ?? 0,
     });
+    if (!hasEnded) return;
+    const { id } = state.batch.record;
+    const before = this.#batches.verdictOf(id);
+    const isAlone = others.every((run) => run.state.batch !== state.batch);
+    this.#batches.recordEnd(id, `${worker.id}@${worker.startedAtMs}`, isAlone);
+    const verdict = this.#batches.verdictOf(id);
+    if (verdict === before) return;
+    logger.warn('batch-suspicion-changed', { batch: id, pool, verdict, before, isAlone });
+  }
+
+  /** Forgets batches that have ended. */
+  retainBatches(isOpen: (batchId: string) => boolean): void {
+    this.#batches.retain(isOpen);
   }
 
   /** Workers on which a suspected item has started so recently that it may still end them. */
@@ -45,4 +78,15 @@
         .map(({ worker }) => worker.id),
     );
   }
+
+  /** Clears batches with an item that a worker generates without ending. */
+  #recordSurvivors(runs: readonly ItemRun[]): void {
+    for (const { elapsedMs, events, state } of runs) {
+      const survives = elapsedMs > MAX_TRIAL_MS && events > 0;
+      const { id } = state.batch.record;
+      if (survives && this.#batches.recordSurvival(id)) {
+        this.#options.logger.info('batch-suspicion-cleared', { batch: id, item: state.item.id });
+      }
+    }
+  }
 }
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -317,8 +317,8 @@
     usage: () => [],
     duties: () => [],
     workerOrders: () => [],
-    suspects: () => [],
-    clearSuspect: () => false,
+    suspects: () => poison.suspects(),
+    clearSuspect: (digest) => poison.clear(digest),
     uploads: () => create(ListUploadsResponseSchema),
   };
   const servers = store.add(adapter.createServers(services, requests));
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -1,3 +1,8 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  type SuspectStatus,
+  SuspectStatusSchema,
+} from '../../gen/hyssoppulley/v1/gateway_operator_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
 import { PoisonRequests, type PoisonVerdict } from '../decisions/poisonRequests/poisonRequests.ts';
 import type { CalledWorker } from '../gateway/workerCalls.ts';
@@ -101,9 +106,9 @@
     };
   }
 
-  /** Finds out whether the worker has ended, and holds that against the request. */
-  async recordBroken({ request, worker, pool, trial, others }: BrokenAttempt): Promise<void> {
-    if (!(await this.#hasEnded(worker.address))) return;
+  /** Finds out whether the worker has ended, and holds that against the request. Returns whether it has. */
+  async recordBroken({ request, worker, pool, trial, others }: BrokenAttempt): Promise<boolean> {
+    if (!(await this.#hasEnded(worker.address))) return false;
     const { clock, logger, metrics } = this.#options;
     const atMs = clock.monotonicMs();
     const digest = this.#digestOf(request);
@@ -115,6 +120,33 @@
       verdict: this.requests.verdictOf(digest, atMs),
     });
     this.#onChange?.(digest);
+    return true;
+  }
+
+  /**
+   * Clears a suspected request at an operator's request, at this node and the others.
+   *
+   * @returns whether the digest is that of a suspected request
+   */
+  clear(digest: string): boolean {
+    const cleared = this.requests.recordAnswer(digest, this.#options.clock.monotonicMs());
+    this.#options.logger.info('suspicion-cleared-by-operator', { digest, found: cleared });
+    if (cleared) this.#onChange?.(digest);
+    return cleared;
+  }
+
+  /** Suspected requests, for operators. */
+  suspects(): SuspectStatus[] {
+    const nowMs = this.#options.clock.monotonicMs();
+    return this.requests.all(nowMs).flatMap(({ digest, ends }) => {
+      const verdict = this.requests.verdictOf(digest, nowMs);
+      if (verdict === 'unsuspected') return [];
+      const lastEndMs = Math.max(...ends.map(({ atMs }) => atMs));
+      return create(SuspectStatusSchema, {
+        ...{ digest, verdict, workerEnds: this.requests.endsOf(digest, nowMs) },
+        lastEndAgeMs: Math.round(nowMs - lastEndMs),
+      });
+    });
   }
 
   /** Clears a suspected request that a worker has answered. */
