--- a/src/node/poison/__tests__/poisonExchange.test.ts
+++ b/src/node/poison/__tests__/poisonExchange.test.ts
@@ -61,6 +61,7 @@
     clock,
     add,
     sent,
+    guardOf: (name: string) => nodes.get(name)?.guard,
     verdicts: () => [...nodes.values()].map(({ guard }) => guard.verdictOf({ ...REQUEST })),
     recordEnd: (name: string, id: string, trial: boolean, path = REQUEST.path) =>
       nodes.get(name)?.guard.recordBroken({
@@ -107,3 +108,16 @@
   await clock.advanceAsync(20);
   expect(sent).toEqual([20, 1]);
 });
+
+// Guards against a suspicion that an operator has cleared at one node and that other nodes keep or bring back.
+test('a request that an operator clears at one node is sent to workers again at all nodes', async () => {
+  const { clock, recordEnd, guardOf, verdicts } = startNodes(['a', 'b', 'c']);
+  for (const id of ['w1', 'w2', 'w3']) await recordEnd('a', id, false);
+  await clock.advanceAsync(5000);
+  const [suspect] = guardOf('b')?.suspects() ?? [];
+  expect(suspect?.verdict).toEqual('condemned');
+  expect(guardOf('b')?.clear(suspect?.digest ?? '')).toEqual(true);
+  await clock.advanceAsync(5000);
+  expect(verdicts()).toEqual(['unsuspected', 'unsuspected', 'unsuspected']);
+  expect(guardOf('a')?.clear('unknown')).toEqual(false);
+});
