feat(accounts): keys of client accounts, and batches that belong to them

Cause: the operator's tables may hold client accounts; until now every caller could send every request and read every batch. Change: an index of digests is built once a version of the tables; entry servers authenticate before they read a body (401, 503 without tables or while they are not confirmed, public routes); workers get the account's name and never the key; the account's priority precedes the route's; batches belong to the account that submitted them, at their dispatcher, through other nodes and from the platform. Items are stored under a key that depends on the account, so that items of another account under the same id do not become part of a batch. 409 answers a submission whose id another account took. The whole suite was not run.

--- a/src/node/batches/__tests__/batchNodeHarness.ts
+++ b/src/node/batches/__tests__/batchNodeHarness.ts
@@ -10,7 +10,8 @@
 import { VirtualClock } from '../../../shared/virtualClock.ts';
 import { RequestLimits } from '../../decisions/requestLimits.ts';
 import type { GatewayAdapter } from '../../gateway/adapter.ts';
-import type { GatewayRoute, GatewayTables } from '../../gateway/gatewayTables.ts';
+import { AccountIndex } from '../../decisions/accounts/accountIndex.ts';
+import type { Account, GatewayRoute, GatewayTables } from '../../gateway/gatewayTables.ts';
 import { RouteIndex } from '../../gateway/routeIndex.ts';
 import type { TablesFollower } from '../../gateway/tablesFollower.ts';
 import { type RegisteredWorker, WorkerRegistry } from '../../gateway/workerRegistry.ts';
@@ -44,24 +45,40 @@
   ...{ draining: false, startedAtMs: 1, heartbeatCount: 1, models: [{ name: 'm', version: 1 }] },
 });
 
-const BATCH_ROUTE: GatewayRoute = {
+export const BATCH_ROUTE: GatewayRoute = {
   ...{ name: 'r', host: 'h', pathPrefix: '/b/', kind: 'batch', maxAttempts: 3, timeoutMs: 1000 },
   ...{ pools: [{ pool: POOL, weight: 1 }], priority: 0, targetLatencyMs: 100, resumable: false },
 };
 
+/** What several nodes of a deployment share. */
+export interface BatchNodeOptions {
+  readonly platform?: HeldPlatform;
+  readonly accounts?: readonly Account[];
+}
+
 /** One node, alone in its deployment, with a worker in each of two pools. The runs of the workers never end. */
 export class BatchNodeHarness implements AsyncDisposable {
   readonly clock = new VirtualClock();
 
-  readonly platform = new HeldPlatform();
+  readonly platform: HeldPlatform;
 
   /** Ids of the items whose runs have started. */
   readonly started: string[] = [];
 
-  readonly #batches: BatchSubsystem;
+  /** Names of the accounts that were sent with the items, by item. */
+  readonly accountsSent = new Map<string, string | undefined>();
+
+  readonly batches: BatchSubsystem;
 
-  /** @param routes - route table @default one batch route */
-  constructor(routes: readonly GatewayRoute[] = [BATCH_ROUTE]) {
+  /**
+   * @param routes - route table @default one batch route
+   * @param options - platform that other nodes use too, and the client accounts of the tables
+   */
+  constructor(
+    routes: readonly GatewayRoute[] = [BATCH_ROUTE],
+    { platform = new HeldPlatform(), accounts }: BatchNodeOptions = {},
+  ) {
+    this.platform = platform;
     const common = {
       ...{ clock: this.clock, platform: this.platform, logger: silentLogger },
       random: seededRandom(1),
@@ -79,8 +96,8 @@
     }
     const engine = { slots: 8, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] };
     const pools = new Map([POOL, UNROUTED_POOL].map((pool) => [pool, { engine }]));
-    const tables = { routes, pools } as unknown as GatewayTables;
-    this.#batches = new BatchSubsystem({
+    const tables = { routes, pools, accounts } as unknown as GatewayTables;
+    this.batches = new BatchSubsystem({
       ...common,
       ...{ registry, limits: new RequestLimits(), metrics: createMetrics() },
       poison: new PoisonGuard({ ...common, metrics: createMetrics() }),
@@ -93,14 +110,18 @@
         peers: () => [],
       },
       health: { lost: false },
-      tables: { tables, routes: new RouteIndex(routes) } as TablesFollower,
+      tables: {
+        ...{ tables, routes: new RouteIndex(routes) },
+        accounts: accounts && new AccountIndex(accounts),
+      } as TablesFollower,
       permits: {
         obtain: () => Promise.resolve({ permits: [], retryAfterMs: 0, issuer: undefined }),
       } as unknown as RequestPermits,
       adapter: {
         generationCalls: {
-          generate: (_worker, { requestId }) => {
+          generate: (_worker, { requestId, account }) => {
             this.started.push(requestId);
+            this.accountsSent.set(requestId, account);
             return new Promise<GenerationEnd>(() => {});
           },
         },
@@ -116,7 +137,7 @@
 
   /** Starts the node's part in dispatching, as the first tables do. */
   start(): void {
-    this.#batches.tablesChanged();
+    this.batches.tablesChanged();
   }
 
   /** Stores a record by which another node, which has ended since, dispatched the pool. */
@@ -132,7 +153,7 @@
       submittedAtMs: BigInt(this.clock.nowMs()),
     });
     const item = create(BatchItemSchema, { id: `${id}-item`, group: 'g' });
-    await this.platform.write(itemsKey(id, 0), encodeItems([item]));
+    await this.platform.write(itemsKey(record, 0), encodeItems([item]));
     await this.platform.write(batchKey(id), encodeBatch(record));
     return record;
   }
@@ -148,6 +169,6 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await this.#batches[Symbol.asyncDispose]();
+    await this.batches[Symbol.asyncDispose]();
   }
 }
--- a/src/node/batches/batchAcceptor.ts
+++ b/src/node/batches/batchAcceptor.ts
@@ -5,13 +5,18 @@
   BatchRecordSchema,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
 import { newId, type Random } from '../../shared/random.ts';
+import { mayAccessBatch } from '../decisions/accounts/batchOwnership.ts';
+import { priorityOf } from '../decisions/accounts/mostUrgentPriority.ts';
 import type { GatewayRoute } from '../gateway/gatewayTables.ts';
+import type { TablesFollower } from '../gateway/tablesFollower.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient, WriteResult } from '../platform/platformClient.ts';
 import { writeUntilResolved } from '../platform/writeUntilResolved.ts';
 import {
   batchKey,
+  decodeBatch,
   encodeBatch,
   encodeItems,
   isBatchId,
@@ -41,6 +46,8 @@
   | { readonly kind: 'accepted' }
   /** Nothing of the batch runs as a result of this submission. */
   | { readonly kind: 'refused'; readonly reason: string }
+  /** A batch with this id belongs to another account; it is unchanged. */
+  | { readonly kind: 'other-account'; readonly reason: string }
   /** The batch may have been accepted. */
   | { readonly kind: 'unknown'; readonly reason: string }
   | { readonly kind: 'invalid'; readonly reason: string };
@@ -50,6 +57,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly tables: Pick<TablesFollower, 'accounts'>;
   /** Maximum size of a stored object's value, in bytes. */
   readonly maxValueBytes: number;
 }
@@ -61,9 +69,19 @@
   return ids.size === items.length ? undefined : 'item ids must be unique within a batch';
 };
 
-const toAcceptResult = (stored: WriteResult): AcceptResult => {
-  // On a conflict, an earlier submission has already stored the same batch.
-  if (stored.status === 'written' || stored.status === 'conflict') return { kind: 'accepted' };
+/** A submission in progress. */
+interface RunningSubmission {
+  readonly account: string;
+  readonly result: Promise<AcceptResult>;
+}
+
+const OTHER_ACCOUNT: Promise<AcceptResult> = Promise.resolve({
+  kind: 'other-account',
+  reason: 'a batch with this id belongs to another account',
+});
+
+const toAcceptResult = (stored: Exclude<WriteResult, { status: 'conflict' }>): AcceptResult => {
+  if (stored.status === 'written') return { kind: 'accepted' };
   if (stored.status === 'unavailable') return { kind: 'refused', reason: stored.reason };
   return { kind: 'unknown', reason: 'the platform did not confirm whether the batch was stored' };
 };
@@ -76,7 +94,7 @@
   readonly #options: BatchAcceptorOptions;
 
   /** Submissions in progress by batch id. A repeated submission at this node shares the result of the first. */
-  readonly #inProgress = new Map<string, Promise<AcceptResult>>();
+  readonly #inProgress = new Map<string, RunningSubmission>();
 
   /** Items of batches accepted here, so that a dispatcher on this node need not read them from the platform. */
   readonly #items = new Map<string, readonly BatchItem[]>();
@@ -89,11 +107,11 @@
     const reason = validationErrorOf(submission);
     if (reason !== undefined) return Promise.resolve({ kind: 'invalid', reason });
     const running = this.#inProgress.get(submission.id);
-    if (running) return running;
+    if (running) return running.account === submission.account ? running.result : OTHER_ACCOUNT;
     const result = this.#accept(submission, route).finally(() =>
       this.#inProgress.delete(submission.id),
     );
-    this.#inProgress.set(submission.id, result);
+    this.#inProgress.set(submission.id, { account: submission.account, result });
     return result;
   }
 
@@ -108,12 +126,7 @@
     const parts = splitItems(submission.items, maxValueBytes);
     const written = await Promise.all(
       parts.map((items, part) =>
-        this.#create(
-          itemsKey(submission.id, part),
-          encodeItems(items),
-          started,
-          ITEMS_WRITE_LIMIT_MS,
-        ),
+        this.#create(itemsKey(submission, part), encodeItems(items), started, ITEMS_WRITE_LIMIT_MS),
       ),
     );
     // Items without a record form no batch, so an item write with an unknown outcome is reported as a refusal, too.
@@ -132,12 +145,14 @@
         started,
         RECORD_WRITE_LIMIT_MS,
       );
-      result = toAcceptResult(stored);
+      result =
+        stored.status === 'conflict' ? await this.#checkOwner(submission) : toAcceptResult(stored);
     }
     if (result.kind === 'accepted') this.#cacheItems(submission);
     logger.info('batch-submitted', {
       batch: submission.id,
       route: route.name,
+      account: submission.account,
       step: submission.step,
       items: submission.items.length,
       parts: parts.length,
@@ -148,6 +163,22 @@
     return result;
   }
 
+  /** An earlier submission has already stored a batch with this id. Tells whether it is of the same account. */
+  async #checkOwner({ id, account }: BatchSubmission): Promise<AcceptResult> {
+    const { platform, tables } = this.#options;
+    if (tables.accounts === undefined) return { kind: 'accepted' };
+    try {
+      const object = await platform.read(batchKey(id));
+      if (object === undefined) return { kind: 'refused', reason: 'the batch was just removed' };
+      return mayAccessBatch(decodeBatch(object.value).account, account)
+        ? { kind: 'accepted' }
+        : await OTHER_ACCOUNT;
+    } catch (error) {
+      const reason = `failed to read to whom the batch belongs: ${messageOf(error)}`;
+      return { kind: 'unknown', reason };
+    }
+  }
+
   #create(key: string, value: unknown, started: Stopwatch, limitMs: number): Promise<WriteResult> {
     const { platform, clock, random } = this.#options;
     const operationId = newId();
@@ -159,7 +190,8 @@
 
   #recordOf(submission: BatchSubmission, route: GatewayRoute, partCount: number): BatchRecord {
     const { id, host, path, model, step, minVersion, wantedGroups, items, account } = submission;
-    const { batch, maxAttempts, priority, name } = route;
+    const { batch, maxAttempts, name } = route;
+    const priority = priorityOf(this.#options.tables.accounts?.accounts.get(account), route);
     return create(BatchRecordSchema, {
       ...{
         id,
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -11,7 +11,7 @@
 import { firstOrderDelayMs, type FirstOrderConditions } from '../decisions/firstOrderDelay.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
 import type { RequestPermits } from '../limits/requestPermits.ts';
-import type { GatewayTables } from '../gateway/gatewayTables.ts';
+import { type GatewayTables, hasAccounts } from '../gateway/gatewayTables.ts';
 import type { WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
@@ -168,6 +168,7 @@
       weights,
       writer: view.self.incarnation,
       engine: () => this.#options.tables()?.pools.get(pool)?.engine,
+      hasAccounts: () => hasAccounts(this.#options.tables()),
       calls: this.#options.generations,
       newestVersion: (model) => published.newest(model),
       partialTexts: this.#partialTexts,
@@ -319,7 +320,7 @@
           for (const entry of await platform.list(prefix)) await platform.remove(entry.key);
         }
         for (let part = 0; part < record.partCount; part += 1) {
-          await platform.remove(itemsKey(record.id, part));
+          await platform.remove(itemsKey(record, part));
         }
         logger.info('batch-removed', { batch: record.id, ageMs });
       } catch (error) {
--- a/src/node/batches/batchLoader.ts
+++ b/src/node/batches/batchLoader.ts
@@ -85,10 +85,10 @@
     this.#options.logger.info('batch-load-cancelled', { batch: batchId, reason, loadingMs });
   }
 
-  async #readItems({ id, partCount }: BatchRecord): Promise<BatchItem[]> {
+  async #readItems(record: BatchRecord): Promise<BatchItem[]> {
     const { platform } = this.#options;
     const parts = await Promise.all(
-      Array.from({ length: partCount }, (_, part) => platform.read(itemsKey(id, part))),
+      Array.from({ length: record.partCount }, (_, part) => platform.read(itemsKey(record, part))),
     );
     return parts.flatMap((object) => decodeItems(object?.value));
   }
--- a/src/node/batches/batchObjects.ts
+++ b/src/node/batches/batchObjects.ts
@@ -1,3 +1,4 @@
+import { hash } from 'node:crypto';
 import { fromJson, type JsonValue, toJson } from '@bufbuild/protobuf';
 import {
   type BatchItem,
@@ -28,8 +29,21 @@
 export const isBatchId = (id: string): boolean => /^[0-9A-Za-z_-]{1,64}$/.test(id);
 
 export const batchKey = (batchId: string): string => `${BATCHES_PREFIX}${batchId}`;
-export const itemsKey = (batchId: string, part: number): string =>
-  `${ITEMS_PREFIX}${batchId}.${part}`;
+
+/** Length of the part of an items key that stands for the account, in hexadecimal digits. */
+const OWNER_DIGEST_LENGTH = 16;
+
+/**
+ * Key of a part of a batch's items. It depends on the account, because items are stored before the record that decides
+ * to whom the batch belongs: those of another account under the same id must not become part of it.
+ */
+export const itemsKey = (
+  { id, account }: Pick<BatchRecord, 'id' | 'account'>,
+  part: number,
+): string => {
+  const owner = account === '' ? '' : `.${hash('sha256', account).slice(0, OWNER_DIGEST_LENGTH)}`;
+  return `${ITEMS_PREFIX}${id}${owner}.${part}`;
+};
 
 /** Key prefix of a batch's result log. Each batch has its own kind, so that one list call returns the entire log. */
 export const logPrefix = (batchId: string): string => `batch-log-${batchId}/`;
--- a/src/node/batches/batchReader.ts
+++ b/src/node/batches/batchReader.ts
@@ -7,6 +7,7 @@
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
+import { type BatchCaller, mayAccessBatch } from '../decisions/accounts/batchOwnership.ts';
 import type { BatchClient, PeerAddress } from '../membership/peerClients.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
@@ -18,15 +19,19 @@
 /** Results of a batch from a position on. `unavailable`: neither a dispatcher nor the platform could be read. */
 export type BatchRead =
   | { readonly kind: 'found'; readonly total: number; readonly results: readonly ItemResult[] }
-  | { readonly kind: 'no-such-batch' }
+  | { readonly kind: 'no-such-batch'; readonly reason?: 'other-account' }
   | { readonly kind: 'unavailable' };
 
 /** Body of an item of a batch that has not ended. */
 export type ItemRead =
   | { readonly kind: 'found'; readonly body: Uint8Array }
-  | { readonly kind: 'no-such-item' }
+  | { readonly kind: 'no-such-item'; readonly reason?: 'other-account' }
   | { readonly kind: 'unavailable' };
 
+const BATCH_OF_OTHER_ACCOUNT = { kind: 'no-such-batch', reason: 'other-account' } as const;
+
+const ITEM_OF_OTHER_ACCOUNT = { kind: 'no-such-item', reason: 'other-account' } as const;
+
 export interface BatchReaderOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -52,16 +57,26 @@
     this.#options = options;
   }
 
-  /** @param waitMs - how long to wait for a first result before responding, in ms */
-  async read(batchId: string, after: number, waitMs: number): Promise<BatchRead> {
+  /**
+   * @param waitMs - how long to wait for a first result before responding, in ms
+   * @param caller - on whose behalf the batch is read
+   */
+  async read(
+    batchId: string,
+    after: number,
+    waitMs: number,
+    caller: BatchCaller,
+  ): Promise<BatchRead> {
     if (!isBatchId(batchId)) return { kind: 'no-such-batch' };
     const started = new Stopwatch(this.#options.clock);
-    const fromDispatcher = await this.#readFromDispatchers(batchId, after, waitMs);
-    const read = fromDispatcher ?? (await this.#readFromPlatform(batchId, after));
+    const fromDispatcher = await this.#readFromDispatchers(batchId, after, waitMs, caller);
+    const read = fromDispatcher ?? (await this.#readFromPlatform(batchId, after, caller));
     this.#options.logger.info('batch-read', {
       batch: batchId,
+      account: caller,
       after,
       outcome: read.kind,
+      reason: read.kind === 'no-such-batch' ? read.reason : undefined,
       results: read.kind === 'found' ? read.results.length : undefined,
       source: fromDispatcher === undefined ? 'platform' : 'dispatcher',
       tookMs: Math.round(started.elapsedMs()),
@@ -69,15 +84,19 @@
     return read;
   }
 
-  async readItem(batchId: string, itemId: string): Promise<ItemRead> {
+  async readItem(batchId: string, itemId: string, caller: BatchCaller): Promise<ItemRead> {
     if (!isBatchId(batchId)) return { kind: 'no-such-item' };
     for (const { dispatcher } of this.#options.coordinators()) {
+      const owner = dispatcher?.ownerOf(batchId);
+      if (owner !== undefined && !mayAccessBatch(owner, caller)) return ITEM_OF_OTHER_ACCOUNT;
       const item = dispatcher?.findItem(batchId, itemId);
       if (item !== undefined) return { kind: 'found', body: item.body };
     }
     try {
       const record = await this.#readRecord(batchId);
-      if (record === undefined || record.endedAtMs > 0n) return { kind: 'no-such-item' };
+      if (record === undefined) return { kind: 'no-such-item' };
+      if (!mayAccessBatch(record.account, caller)) return ITEM_OF_OTHER_ACCOUNT;
+      if (record.endedAtMs > 0n) return { kind: 'no-such-item' };
       const items = await this.#itemsOf(record);
       const item = items.find(({ id }) => id === itemId);
       return item === undefined ? { kind: 'no-such-item' } : { kind: 'found', body: item.body };
@@ -91,14 +110,17 @@
     batchId: string,
     after: number,
     waitMs: number,
+    caller: BatchCaller,
   ): Promise<BatchRead | undefined> {
     const { coordinators, incarnation } = this.#options;
     for (const { dispatcher, election } of coordinators()) {
+      const owner = dispatcher?.ownerOf(batchId);
+      if (owner !== undefined && !mayAccessBatch(owner, caller)) return BATCH_OF_OTHER_ACCOUNT;
       const local = await dispatcher?.read(batchId, after, waitMs);
       if (local !== undefined) return { kind: 'found', ...local };
       const { holder } = election;
       if (holder !== undefined && holder.incarnation !== incarnation) {
-        const read = await this.#readFromPeer(holder, batchId, after, waitMs);
+        const read = await this.#readFromPeer(holder, batchId, after, waitMs, caller);
         if (read !== undefined) return read;
       }
     }
@@ -110,11 +132,16 @@
     batchId: string,
     after: number,
     waitMs: number,
+    account: BatchCaller,
   ): Promise<BatchRead | undefined> {
     try {
       const response = await this.#options
         .client(holder)
-        .readResults({ batchId, after, waitMs }, { timeoutMs: waitMs + PEER_READ_MARGIN_MS });
+        .readResults(
+          { batchId, after, waitMs, account },
+          { timeoutMs: waitMs + PEER_READ_MARGIN_MS },
+        );
+      if (response.status === ReadStatus.OTHER_ACCOUNT) return BATCH_OF_OTHER_ACCOUNT;
       if (response.status !== ReadStatus.OK) return undefined;
       return { kind: 'found', total: response.total, results: response.results };
     } catch (error) {
@@ -123,11 +150,12 @@
     }
   }
 
-  async #readFromPlatform(batchId: string, after: number): Promise<BatchRead> {
+  async #readFromPlatform(batchId: string, after: number, caller: BatchCaller): Promise<BatchRead> {
     const { platform } = this.#options;
     try {
       const record = await this.#readRecord(batchId);
       if (record === undefined) return { kind: 'no-such-batch' };
+      if (!mayAccessBatch(record.account, caller)) return BATCH_OF_OTHER_ACCOUNT;
       const entries = await readLog(platform, batchId);
       const results = entries.flatMap((entry) => entry.results).slice(after);
       return { kind: 'found', total: record.itemCount, results: limitReadSize(results) };
@@ -142,12 +170,13 @@
     return object && decodeBatch(object.value);
   }
 
-  #itemsOf({ id, partCount }: BatchRecord): Promise<BatchItem[]> {
+  #itemsOf(record: BatchRecord): Promise<BatchItem[]> {
+    const { id, partCount } = record;
     const known = this.#itemCache.get(id);
     if (known) return known;
     const { platform } = this.#options;
     const read = Promise.all(
-      Array.from({ length: partCount }, (_, part) => platform.read(itemsKey(id, part))),
+      Array.from({ length: partCount }, (_, part) => platform.read(itemsKey(record, part))),
     ).then((parts) => parts.flatMap((object) => decodeItems(object?.value)));
     read.catch(() => this.#itemCache.delete(id));
     this.#itemCache.set(id, read);
--- a/src/node/batches/batchService.ts
+++ b/src/node/batches/batchService.ts
@@ -15,6 +15,7 @@
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { newId, type Random } from '../../shared/random.ts';
+import { type BatchCaller, mayAccessBatch } from '../decisions/accounts/batchOwnership.ts';
 import type { BatchClient, PeerAddress } from '../membership/peerClients.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
@@ -32,6 +33,7 @@
   readonly random: Random;
   readonly platform: PlatformClient;
   readonly logger: Logger;
+  readonly caller: BatchCaller;
   /** Called after this node has marked a batch as ended. */
   readonly onEnded: (record: BatchRecord) => void;
 }
@@ -39,7 +41,7 @@
 /** Marks a batch as ended in its record. The dispatcher stops the batch's runs when it sees the change. */
 export const endBatch = async (
   batchId: string,
-  { clock, random, platform, logger, onEnded }: EndBatchOptions,
+  { clock, random, platform, logger, caller, onEnded }: EndBatchOptions,
 ): Promise<EndResult> => {
   if (!isBatchId(batchId)) return 'no-such-batch';
   const started = new Stopwatch(clock);
@@ -49,6 +51,10 @@
       const object = await platform.read(batchKey(batchId));
       if (object === undefined) return 'no-such-batch';
       const record: BatchRecord = decodeBatch(object.value);
+      if (!mayAccessBatch(record.account, caller)) {
+        logger.info('batch-end-refused', { batch: batchId, account: caller });
+        return 'no-such-batch';
+      }
       if (record.endedAtMs > 0n) return 'ended';
       record.endedAtMs = BigInt(Math.round(clock.nowMs()));
       const result = await writeUntilResolved({
@@ -58,7 +64,11 @@
         started,
         limitMs: END_WRITE_LIMIT_MS,
       });
-      logger.info('batch-end-requested', { batch: batchId, outcome: result.status });
+      logger.info('batch-end-requested', {
+        batch: batchId,
+        account: caller,
+        outcome: result.status,
+      });
       if (result.status === 'written') {
         onEnded(record);
         return 'ended';
@@ -71,6 +81,14 @@
   return mayHaveEnded ? 'unknown' : 'unavailable';
 };
 
+/** Statuses of refused submissions between nodes. */
+const ACCEPT_STATUSES = {
+  unknown: AcceptStatus.UNSPECIFIED,
+  refused: AcceptStatus.REFUSED,
+  invalid: AcceptStatus.REFUSED,
+  'other-account': AcceptStatus.OTHER_ACCOUNT,
+} as const;
+
 /** Creates the handlers for batch calls from other nodes. */
 export const createBatchHandlers = (
   coordinators: () => readonly BatchCoordinator[],
@@ -81,11 +99,15 @@
     if (result.kind === 'accepted') {
       return create(AcceptBatchResponseSchema, { status: AcceptStatus.ACCEPTED });
     }
-    const status = result.kind === 'unknown' ? AcceptStatus.UNSPECIFIED : AcceptStatus.REFUSED;
-    return create(AcceptBatchResponseSchema, { status, reason: result.reason });
+    const { kind, reason } = result;
+    return create(AcceptBatchResponseSchema, { status: ACCEPT_STATUSES[kind], reason });
   },
-  async readResults({ batchId, after, waitMs }) {
+  async readResults({ batchId, after, waitMs, account }) {
     for (const { dispatcher } of coordinators()) {
+      const owner = dispatcher?.ownerOf(batchId);
+      if (owner !== undefined && !mayAccessBatch(owner, account)) {
+        return create(ReadResultsResponseSchema, { status: ReadStatus.OTHER_ACCOUNT });
+      }
       const read = await dispatcher?.read(batchId, after, waitMs);
       if (read !== undefined) {
         return create(ReadResultsResponseSchema, {
@@ -123,6 +145,7 @@
       { timeoutMs: ACCEPT_TIMEOUT_MS },
     );
     if (status === AcceptStatus.ACCEPTED) return { kind: 'accepted' };
+    if (status === AcceptStatus.OTHER_ACCOUNT) return { kind: 'other-account', reason };
     return { kind: status === AcceptStatus.REFUSED ? 'refused' : 'unknown', reason };
   } catch (error) {
     return { kind: 'unknown', reason: `call to the other node failed: ${messageOf(error)}` };
--- a/src/node/batches/batchState.ts
+++ b/src/node/batches/batchState.ts
@@ -7,6 +7,12 @@
 import { ItemState } from './itemState.ts';
 import type { ResultLog } from './resultLog.ts';
 
+/** Results of a batch as read at its dispatcher. */
+export interface DispatcherRead {
+  readonly total: number;
+  readonly results: ResultLog['results'];
+}
+
 /** State of a batch and its items at the dispatcher. */
 export class BatchState {
   readonly record: BatchRecord;
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -1,6 +1,7 @@
 import { type Clock, sleep } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import type { Random } from '../../shared/random.ts';
+import type { BatchCaller } from '../decisions/accounts/batchOwnership.ts';
 import type { GatewayAdapter } from '../gateway/adapter.ts';
 import type { Forwarder } from '../gateway/forwarder.ts';
 import type { GatewayRoute } from '../gateway/gatewayTables.ts';
@@ -138,17 +139,18 @@
     });
   }
 
-  read(batchId: string, after: number, waitMs: number): Promise<BatchRead> {
-    return this.#reader.read(batchId, after, waitMs);
+  read(...read: Parameters<BatchReader['read']>): Promise<BatchRead> {
+    return this.#reader.read(...read);
   }
 
-  readItem(batchId: string, itemId: string): Promise<ItemRead> {
-    return this.#reader.readItem(batchId, itemId);
+  readItem(...read: Parameters<BatchReader['readItem']>): Promise<ItemRead> {
+    return this.#reader.readItem(...read);
   }
 
-  end(batchId: string): Promise<EndResult> {
+  end(batchId: string, caller: BatchCaller): Promise<EndResult> {
     return endBatch(batchId, {
       ...this.#options,
+      caller,
       onEnded: ({ pool }) => this.#notifyDispatcher(pool, batchId, true),
     });
   }
--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -22,6 +22,8 @@
   readonly calls: GenerationCalls;
   readonly state: ItemState;
   readonly worker: RegisteredWorker;
+  /** Name of the client account as sent with the item. @default what the trainer set */
+  readonly account?: string;
   /** Called when the response starts, with the weight version that generates it. */
   readonly onVersion: (version: number) => void;
   /** Called with the time since the previous event, in ms. */
@@ -77,7 +79,7 @@
 
   /** Runs the item until the run ends or is stopped. Does not throw. */
   async execute(): Promise<RunEnd> {
-    const { calls, onVersion } = this.#options;
+    const { calls, onVersion, account } = this.#options;
     const { item, text, batch } = this.state;
     const resumeAfter = text.events.length > 0 ? text.events.length : undefined;
     try {
@@ -90,6 +92,7 @@
           host: batch.record.host,
           headers: item.headers.map(({ name, value }) => [name.toLowerCase(), value] as const),
           body: Buffer.from(item.body),
+          account,
           resumeAfter,
           priority: ITEM_ENGINE_PRIORITY,
         },
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -10,6 +10,7 @@
 import type { Random } from '../../shared/random.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
+import { accountOfItems } from '../decisions/accounts/batchOwnership.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
 import { type Placement, placeItems } from '../decisions/items/itemPlacement.ts';
 import { REQUEST_FAILED_STATUS } from '../gateway/constants.ts';
@@ -21,7 +22,7 @@
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { PoisonGuard } from '../poison/poisonGuard.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
-import { BatchState } from './batchState.ts';
+import { BatchState, type DispatcherRead } from './batchState.ts';
 import {
   BROKEN_STREAM_BACKOFF_MS,
   CHECKPOINT_INTERVAL_MS,
@@ -63,6 +64,8 @@
   readonly permits: Pick<RequestPermits, 'obtain'>;
   readonly poison: Pick<PoisonGuard, 'verdictOf' | 'recordBroken'>;
   readonly engine: () => EnginePool | undefined;
+  /** Whether the tables hold client accounts. @default never */
+  readonly hasAccounts?: () => boolean;
   readonly calls: GenerationCalls;
   readonly scorer: ItemScorer;
   readonly weights: WeightLoads;
@@ -90,12 +93,6 @@
   readonly signal?: AbortSignal;
 }
 
-/** Results of a batch as read at its dispatcher. */
-export interface DispatcherRead {
-  readonly total: number;
-  readonly results: BatchState['log']['results'];
-}
-
 /** Runs the items of a pool's batches on the pool's workers. Only the elected node has a dispatcher for the pool. */
 export class PoolDispatcher implements Disposable {
   readonly #options: PoolDispatcherOptions;
@@ -148,6 +145,11 @@
     return this.#closed;
   }
 
+  /** Account to which a batch belongs; undefined for an unknown batch. */
+  ownerOf(batchId: string): string | undefined {
+    return this.#batches.get(batchId)?.record.account;
+  }
+
   has(batchId: string): boolean {
     return this.#batches.has(batchId);
   }
@@ -353,6 +355,7 @@
     const { model } = state.batch.record;
     const run = new ItemRun({
       ...{ clock, calls, state, worker },
+      account: accountOfItems(state.batch.record.account, this.#options.hasAccounts?.() ?? false),
       onVersion: (version) => weights.recordVersion(worker.id, model, version),
       onGap: (gapMs) => this.#workers.recordGap(worker.id, gapMs),
     });
--- a/src/node/gateway/forwardedRequest.ts
+++ b/src/node/gateway/forwardedRequest.ts
@@ -17,7 +17,7 @@
   readonly host: string;
   readonly headers: HeaderList;
   readonly body: Buffer;
-  /** Client account that sent the request. @default none */
+  /** Client account that sent the request; its name is empty on a public route. @default there are no accounts */
   readonly account?: ForwardingAccount;
   /** Started when the request arrived. */
   readonly sinceArrival: Stopwatch;
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -16,6 +16,7 @@
 import { onInvariantViolation } from '../../shared/invariants.ts';
 import { newId, type Random, systemRandom } from '../../shared/random.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
+import { AccountServices } from '../accounts/accountServices.ts';
 import { createBatchHandlers } from '../batches/batchService.ts';
 import { BatchSubsystem } from '../batches/batchSubsystem.ts';
 import { RequestLimits } from '../decisions/requestLimits.ts';
@@ -44,7 +45,6 @@
 import type { GatewayAdapter } from './adapter.ts';
 import { entryAddresses, isPreferredEntry } from './entryAddresses.ts';
 import { Forwarder } from './forwarder.ts';
-import type { GatewayRoute } from './gatewayTables.ts';
 import { createGatewayOperatorHandlers, type GatewayOperatorViews } from './gatewayOperator.ts';
 import type { GatewayServices } from './gatewayServices.ts';
 import { instrumentServices } from './instrumentedServices.ts';
@@ -184,10 +184,15 @@
     new TablesFollower({
       ...{ logger, followers },
       kind: adapter.tables,
-      // eslint-disable-next-line @typescript-eslint/no-use-before-define
-      onChange: () => batches.tablesChanged(),
+      onChange: () => {
+        /* eslint-disable @typescript-eslint/no-use-before-define */
+        accounts.tablesChanged();
+        batches.tablesChanged();
+        /* eslint-enable @typescript-eslint/no-use-before-define */
+      },
     }),
   );
+  const accounts = new AccountServices({ logger, metrics, tables, settings: gateway });
   // A watch may miss a change without an error; heartbeats from a node that has received the change reveal this.
   const refreshIfBehind = (peer: Peer) => {
     clock.schedule(CHANGE_PROPAGATION_GRACE_MS, () => {
@@ -237,13 +242,8 @@
     call: (node, request, timeoutMs) =>
       peerClients.permits(node).issuePermits(request, { timeoutMs }),
   });
-  const isMostUrgent = (route: GatewayRoute, pool: string) =>
-    (tables.tables?.routes ?? []).every(
-      ({ kind, pools, priority }) =>
-        kind === 'batch' ||
-        priority >= route.priority ||
-        pools.every((other) => other.pool !== pool),
-    );
+  const isMostUrgent = (priority: number, pool: string) =>
+    priority <= tables.mostUrgentPriority(pool);
   const poison = new PoisonGuard({ clock, logger, metrics });
   const poisonExchange = store.add(
     new PoisonExchange({
@@ -298,12 +298,14 @@
       const route = tables.routes.find(host, path);
       return route === undefined ? { kind: 'no-route' } : { kind: 'route', route };
     },
+    authenticate: (...request) => accounts.authenticate(...request),
+    authenticateBatchCall: (...request) => accounts.authenticateBatchCall(...request),
     forward: (...request) => forwarder.forward(...request),
     forwardStream: (...request) => streamForwarder.forward(...request),
     submitBatch: (...batch) => batches.submit(...batch),
     readBatch: (...read) => batches.read(...read),
     readItem: (...read) => batches.readItem(...read),
-    endBatch: (batchId) => batches.end(batchId),
+    endBatch: (...end) => batches.end(...end),
   };
   const services = instrumentServices(gatewayServices, {
     ...{ clock, logger, metrics },
@@ -312,7 +314,7 @@
 
   const operatorViews: GatewayOperatorViews = {
     revision: () => tables.tables?.revision ?? 0,
-    accounts: () => [],
+    accounts: () => accounts.status(),
     usage: () => [],
     duties: () => [],
     workerOrders: () => [],
--- a/src/node/gateway/gatewayServices.ts
+++ b/src/node/gateway/gatewayServices.ts
@@ -1,3 +1,5 @@
+import type { Authentication, KeyedRequest } from '../accounts/accountAuthentication.ts';
+import type { BatchCaller } from '../decisions/accounts/batchOwnership.ts';
 import type { AcceptResult, BatchSubmission } from '../batches/batchAcceptor.ts';
 import type { BatchRead, ItemRead } from '../batches/batchReader.ts';
 import type { EndResult } from '../batches/batchService.ts';
@@ -18,6 +20,13 @@
   | { readonly kind: 'no-route' }
   | { readonly kind: 'not-ready' };
 
+/** Host and path of a request, by which its route is found. */
+export interface RequestTarget {
+  readonly host: string;
+  /** Path without the query string. */
+  readonly path: string;
+}
+
 /** Operations that a gateway offers to callers and trainers. */
 export interface GatewayServices {
   /** Whether this node accepts new requests. */
@@ -33,6 +42,10 @@
   requestLimits(): RequestLimits | undefined;
   /** @param request - request id for the log */
   match(host: string, path: string, request: string): RouteMatch;
+  /** Decides on whose behalf a request runs. Called before its body is read. */
+  authenticate(request: KeyedRequest, route: GatewayRoute): Authentication;
+  /** The same for a request about a batch. */
+  authenticateBatchCall(request: KeyedRequest & RequestTarget): Authentication;
   forward(
     request: ForwardedRequest,
     route: GatewayRoute,
@@ -46,7 +59,13 @@
     signal: AbortSignal,
   ): Promise<StreamOutcome>;
   submitBatch(submission: BatchSubmission, route: GatewayRoute): Promise<AcceptResult>;
-  readBatch(batchId: string, after: number, waitMs: number): Promise<BatchRead>;
-  readItem(batchId: string, itemId: string): Promise<ItemRead>;
-  endBatch(batchId: string): Promise<EndResult>;
+  /** @param caller - on whose behalf the batch is read */
+  readBatch(
+    batchId: string,
+    after: number,
+    waitMs: number,
+    caller: BatchCaller,
+  ): Promise<BatchRead>;
+  readItem(batchId: string, itemId: string, caller: BatchCaller): Promise<ItemRead>;
+  endBatch(batchId: string, caller: BatchCaller): Promise<EndResult>;
 }
--- a/src/node/gateway/gatewayTables.ts
+++ b/src/node/gateway/gatewayTables.ts
@@ -99,6 +99,10 @@
   readonly routes: readonly GatewayRoute[];
   readonly pools: ReadonlyMap<string, GatewayPool>;
   readonly requestLimits: RequestLimits;
-  /** Client accounts; undefined where requests need no key. */
+  /** Client accounts; where there are none, requests need no key. */
   readonly accounts?: readonly Account[];
 }
+
+/** Whether requests need a key. */
+export const hasAccounts = (tables: GatewayTables | undefined): boolean =>
+  (tables?.accounts?.length ?? 0) > 0;
--- a/src/node/gateway/instrumentedServices.ts
+++ b/src/node/gateway/instrumentedServices.ts
@@ -59,6 +59,7 @@
     logger.info('request-answered', {
       request: request.id,
       route: route.name,
+      account: request.account?.name,
       outcome: outcomeLabel,
       status: outcome.kind === 'answer' ? outcome.statusCode : undefined,
       events: outcome.kind === 'streamed' ? outcome.events : undefined,
@@ -101,11 +102,18 @@
     },
     submitBatch: (...batch) => measure('submit', () => services.submitBatch(...batch)),
     readBatch: (...read) => measure('read', () => services.readBatch(...read)),
-    async readItem(batchId, itemId) {
-      const read = await measure('read-item', () => services.readItem(batchId, itemId));
-      logger.info('item-read', { batch: batchId, item: itemId, outcome: read.kind });
+    async readItem(batchId, itemId, account) {
+      const read = await measure('read-item', () => services.readItem(batchId, itemId, account));
+      const reason = read.kind === 'no-such-item' ? read.reason : undefined;
+      logger.info('item-read', {
+        batch: batchId,
+        item: itemId,
+        account,
+        outcome: read.kind,
+        reason,
+      });
       return read;
     },
-    endBatch: (batchId) => measure('end', () => services.endBatch(batchId)),
+    endBatch: (...end) => measure('end', () => services.endBatch(...end)),
   };
 };
--- a/src/node/gateway/tablesFollower.ts
+++ b/src/node/gateway/tablesFollower.ts
@@ -1,3 +1,5 @@
+import { AccountIndex, countKeys, MAX_ACCOUNT_KEYS } from '../decisions/accounts/accountIndex.ts';
+import { mostUrgentPriority } from '../decisions/accounts/mostUrgentPriority.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { ObjectFollower } from '../platform/objectFollower.ts';
 import type { PlatformEvent } from '../platform/platformClient.ts';
@@ -23,6 +25,11 @@
 
   #routeIndex = new RouteIndex([]);
 
+  #accounts: AccountIndex | undefined;
+
+  /** Most urgent priority by pool; computed at the first use of a version. */
+  #mostUrgent = new Map<string, number>();
+
   /** Version of the platform object that holds the tables. */
   #version = 0;
 
@@ -42,6 +49,21 @@
     return this.#routeIndex;
   }
 
+  /** Client accounts of the tables; undefined where requests need no key. */
+  get accounts(): AccountIndex | undefined {
+    return this.#accounts;
+  }
+
+  /** The most urgent priority that a request for a pool can have. */
+  mostUrgentPriority(pool: string): number {
+    const known = this.#mostUrgent.get(pool);
+    if (known !== undefined) return known;
+    const accounts = this.#accounts?.accounts.values() ?? [];
+    const priority = mostUrgentPriority(this.#tables?.routes ?? [], accounts, pool);
+    this.#mostUrgent.set(pool, priority);
+    return priority;
+  }
+
   /** Platform version at which the tables last changed. */
   get version(): number {
     return this.#version;
@@ -82,16 +104,36 @@
       logger.warn('tables-outdated', { revision: tables.revision, held: this.#tables.revision });
       return;
     }
+    const { revision, routes, pools, accounts = [] } = tables;
+    const keys = countKeys(accounts);
+    if (keys > MAX_ACCOUNT_KEYS) {
+      const held = this.#tables?.revision;
+      logger.error('tables-rejected', { revision, keys, maxKeys: MAX_ACCOUNT_KEYS, held });
+      return;
+    }
     this.#tables = tables;
     this.#version = object.version;
-    this.#routeIndex = new RouteIndex(tables.routes);
-    const { revision, routes, pools } = tables;
+    this.#routeIndex = new RouteIndex(routes);
+    this.#accounts = accounts.length === 0 ? undefined : new AccountIndex(accounts, this.#accounts);
+    this.#mostUrgent = new Map();
+    this.#logAccountProblems(revision);
     logger.info('tables-in-force', {
       revision,
       routes: routes.length,
       pools: pools.size,
+      accounts: this.#accounts?.accounts.size,
+      keys: this.#accounts?.keyCount,
+      hashedKeys: this.#accounts?.hashedKeys,
       version: object.version,
     });
     onChange();
   }
+
+  #logAccountProblems(revision: number): void {
+    if (this.#accounts === undefined) return;
+    const { count, first } = this.#accounts.problems;
+    for (const problem of first) {
+      this.#options.logger.warn('account-problem', { revision, problems: count, ...problem });
+    }
+  }
 }
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -1,6 +1,7 @@
 import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { WorkerCallError } from '../dataPath/workerHttpClient.ts';
+import { priorityOf } from '../decisions/accounts/mostUrgentPriority.ts';
 import type { WorkerResult } from '../decisions/passiveHealthCheck.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
 import type { RequestPermits } from '../limits/requestPermits.ts';
@@ -64,8 +65,8 @@
   readonly limits: Pick<RequestLimits, 'of'>;
   readonly permits: Pick<RequestPermits, 'obtain'>;
   readonly poison: PoisonGuard;
-  /** Whether no other route of the pool is more urgent. Only requests of such routes wait for a permit. */
-  readonly isMostUrgent: (route: GatewayRoute, pool: string) => boolean;
+  /** Whether no other request for the pool can be more urgent. Only such requests wait for a permit. */
+  readonly isMostUrgent: (priority: number, pool: string) => boolean;
 }
 
 /** Part of the remaining time budget that a request may wait for a permit. */
@@ -157,7 +158,7 @@
     const { clock, loadBalancer, limits, permits, isMostUrgent, logger } = this.#options;
     const { pool, signal } = options;
     const remainingMs = () => request.budgetMs - request.sinceArrival.elapsedMs();
-    const mayWait = free.length === 0 && isMostUrgent(route, pool);
+    const mayWait = free.length === 0 && isMostUrgent(priorityOf(request.account, route), pool);
     const maxDelayMs = mayWait ? remainingMs() * MAX_PERMIT_WAIT_SHARE : 0;
     const grant = await permits.obtain({ pool, workers: limited, maxDelayMs });
     const [permit] = grant.permits;
--- a/src/node/gateway/workerCalls.ts
+++ b/src/node/gateway/workerCalls.ts
@@ -17,7 +17,11 @@
   /** Headers that are forwarded as the caller sent them. */
   readonly headers: HeaderList;
   readonly body: Buffer;
-  /** Name of the client account on whose behalf the request runs. @default none */
+  /**
+   * Name of the client account on whose behalf the request runs; empty: no name is sent.
+   *
+   * @default what the caller sent is forwarded
+   */
   readonly account?: string;
   /** Remaining time budget of the caller, in ms; the worker stops when it is used up. Absent: no limit. */
   readonly remainingMs?: number;
