--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -36,11 +36,8 @@
   MAX_ORDER_TRANSIT_MS,
   RETENTION_SWEEP_INTERVAL_MS,
 } from './constants.ts';
-import {
-  DispatcherElection,
-  type ElectionView,
-  VERIFICATION_TTL_MS,
-} from './dispatcherElection.ts';
+import { type ElectionView, VERIFICATION_TTL_MS } from '../election/holderElection.ts';
+import { DispatcherElection } from './dispatcherElection.ts';
 import { PartialTextCache } from './partialTextCache.ts';
 import type { GenerationCalls } from './generationCalls.ts';
 import type { ItemScorer } from './itemScorer.ts';
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -32,7 +32,8 @@
 } from './batchService.ts';
 import { BATCHES_PREFIX, tryDecodeBatch } from './batchObjects.ts';
 import { OPEN_BATCHES_BACKOFF } from './constants.ts';
-import { dispatcherLease, type ElectionView } from './dispatcherElection.ts';
+import type { ElectionView } from '../election/holderElection.ts';
+import { dispatcherLease } from './dispatcherElection.ts';
 import { ItemScorer } from './itemScorer.ts';
 
 export interface BatchSubsystemOptions {
--- a/src/node/decisions/__tests__/dispatcherClaim.test.ts
+++ b/src/node/decisions/__tests__/holderClaim.test.ts
@@ -1,8 +1,8 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { claimDelayMs, CLAIM_STAGGER_MS, type DispatcherCandidate } from '../dispatcherClaim.ts';
+import { claimDelayMs, CLAIM_STAGGER_MS, type HolderCandidate } from '../holderClaim.ts';
 
-const node = (name: string, capacityMillicores = 675, eligible = true): DispatcherCandidate => ({
+const node = (name: string, capacityMillicores = 675, eligible = true): HolderCandidate => ({
   name,
   incarnation: `${name}-1`,
   capacityMillicores,
--- a/src/node/decisions/dispatcherClaim.ts
+++ b/src/node/decisions/holderClaim.ts
@@ -1,7 +1,7 @@
 import { preferredNode } from './rendezvous.ts';
 
-/** A node that may become the dispatcher of a pool. */
-export interface DispatcherCandidate {
+/** A node that may become the holder of a subject, such as the dispatcher of a pool. */
+export interface HolderCandidate {
   readonly name: string;
   readonly incarnation: string;
   /** CPU capacity in thousandths of a core. */
@@ -14,28 +14,28 @@
 export const CLAIM_STAGGER_MS = 300;
 
 const compareCandidates = (
-  pool: string,
-  left: DispatcherCandidate,
-  right: DispatcherCandidate,
+  subject: string,
+  left: HolderCandidate,
+  right: HolderCandidate,
 ): number => {
   if (left.capacityMillicores !== right.capacityMillicores) {
     return right.capacityMillicores - left.capacityMillicores;
   }
-  return preferredNode(pool, [left.name, right.name]) === left.name ? -1 : 1;
+  return preferredNode(subject, [left.name, right.name]) === left.name ? -1 : 1;
 };
 
 /**
- * Delay before a node claims a pool whose dispatcher is gone, in ms; 0 for the first of the eligible candidates, which
- * are ordered by capacity. Undefined if the node must not claim the pool.
+ * Delay before a node claims a subject whose holder is gone, in ms; 0 for the first of the eligible candidates, which
+ * are ordered by capacity. Undefined if the node must not claim it.
  */
 export const claimDelayMs = (
-  pool: string,
-  self: DispatcherCandidate,
-  peers: readonly DispatcherCandidate[],
+  subject: string,
+  self: HolderCandidate,
+  peers: readonly HolderCandidate[],
 ): number | undefined => {
   if (!self.eligible) return undefined;
   const preferred = peers.filter(
-    (peer) => peer.eligible && compareCandidates(pool, peer, self) < 0,
+    (peer) => peer.eligible && compareCandidates(subject, peer, self) < 0,
   );
   return preferred.length * CLAIM_STAGGER_MS;
 };
--- a/src/node/batches/holderFailureDetector.ts
+++ b/src/node/election/holderFailureDetector.ts
@@ -12,7 +12,7 @@
 }
 
 /**
- * Detects the end of a dispatcher's process by keeping a connection to it open. When the process ends, the connection
+ * Detects the end of a holder's process by keeping a connection to it open. When the process ends, the connection
  * closes and a new one is refused, seconds before missing heartbeats show it.
  */
 export class HolderFailureDetector implements Disposable {
