refactor(batches): the placement of waiting items has a file of its own

Change: ItemPlacer holds it; the dispatcher keeps the start of a run. Result: the tests of src/node/batches pass; the whole suite was not run.

--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -6,12 +6,11 @@
   ItemResultSchema,
   ItemState as ResultState,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
-import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
+import { type Clock, sleep } from '../../shared/clock.ts';
 import type { Random } from '../../shared/random.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
-import { type Placement, placeItems } from '../decisions/items/itemPlacement.ts';
 import { REQUEST_FAILED_STATUS } from '../gateway/constants.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
@@ -26,7 +25,6 @@
   BROKEN_STREAM_BACKOFF_MS,
   CHECKPOINT_INTERVAL_MS,
   ITEM_UNPROCESSABLE_STATUS,
-  MAX_PLACEMENT_TURN_MS,
   REJECTION_BACKOFF_MS,
   RUN_CHECK_INTERVAL_MS,
 } from './constants.ts';
@@ -35,12 +33,13 @@
 import type { PartialTextCache } from './partialTextCache.ts';
 import type { GenerationCalls } from './generationCalls.ts';
 import { runLogFields, ItemRun, type RunEnd } from './itemRun.ts';
+import { ItemPlacer } from './itemPlacer.ts';
 import type { ItemScorer } from './itemScorer.ts';
 import type { ItemState } from './itemState.ts';
 import { StaleViewGuard, type StaleViewGuardOptions } from './staleViewGuard.ts';
 import { unstoredProgress, CheckpointStore } from './checkpointStore.ts';
 import { stopSlowRuns, stopStalledRuns } from './runSupervision.ts';
-import { sharedPromptOf, toWaitingItem } from './waitingItem.ts';
+import { sharedPromptOf } from './waitingItem.ts';
 import { countByWorker, SuspectedItems } from './suspectedItems.ts';
 import { TextRestarts } from './textRestarts.ts';
 import { WeightRefresher } from './weightRefresher.ts';
@@ -117,12 +116,12 @@
 
   readonly #refresher: WeightRefresher;
 
-  readonly #textRestarts: TextRestarts;
-
   readonly #suspected: SuspectedItems;
 
   readonly #viewGuard: StaleViewGuard;
 
+  readonly #placer: ItemPlacer;
+
   readonly #timers = new DisposableStore();
 
   #placementScheduled = false;
@@ -137,9 +136,16 @@
       permitsOf: (id) => this.#permits.available(id),
     });
     this.#refresher = new WeightRefresher({ ...options, workers: this.#workers });
-    this.#textRestarts = new TextRestarts({ ...options, workers: this.#workers });
     this.#suspected = new SuspectedItems(options);
     this.#viewGuard = new StaleViewGuard(options);
+    this.#placer = new ItemPlacer({
+      ...options,
+      ...{ workers: this.#workers, permits: this.#permits, suspected: this.#suspected },
+      viewGuard: this.#viewGuard,
+      textRestarts: new TextRestarts({ ...options, workers: this.#workers }),
+      schedule: () => this.schedule(),
+      startRun: (state, worker) => this.#startRun(state, worker),
+    });
     this.#timers.add(repeatEvery(options.clock, RUN_CHECK_INTERVAL_MS, () => this.#checkRuns()));
     this.#timers.add(repeatEvery(options.clock, CHECKPOINT_INTERVAL_MS, () => this.#checkpoint()));
   }
@@ -294,59 +300,13 @@
 
   #placeItems(): void {
     const workers = this.#workers.usable();
-    if (this.#viewGuard.mayStartRuns()) this.#startWaitingItems(workers);
-    this.#refresher.refresh(workers, this.#openBatches(), [...this.#runs.values()]);
-  }
-
-  #startWaitingItems(workers: readonly RegisteredWorker[]): void {
-    const waiting = this.#waitingItems();
-    const turn = new Stopwatch(this.#options.clock);
-    const suspectedOn = this.#suspected.recentWorkers(this.#runs.values());
-    const placementWorkers = this.#workers
-      .forPlacement(this.#runningByWorker())
-      .map((worker) => ({ ...worker, hasSuspected: suspectedOn.has(worker.id) }));
-    this.#textRestarts.restartHeldTexts(waiting.values(), placementWorkers);
-    const placements = placeItems(
-      [...waiting].map(([key, state]) =>
-        toWaitingItem(
-          key,
-          state,
-          this.#options.engine()?.tokensPerEvent ?? 1,
-          this.#suspected.verdictOf(state) === 'suspected',
-        ),
-      ),
-      placementWorkers,
-    );
-    for (const placement of placements) {
-      // On a small VM the starts of a large step take seconds, in which the view gets too old and nothing else is handled.
-      if (!this.#viewGuard.mayStartRuns()) return;
-      if (turn.elapsedMs() > MAX_PLACEMENT_TURN_MS) {
-        this.schedule();
-        return;
-      }
-      this.#startRun(placement, waiting, workers);
+    if (this.#viewGuard.mayStartRuns()) {
+      this.#placer.place(this.#waitingItems(), [...this.#runs.values()], workers);
     }
-    const unplaced = waiting.size - placements.length;
-    if (unplaced > 0) this.#askForPermits(unplaced);
-  }
-
-  /** Asks for permits to start waiting items on workers that have free slots but a request limit. */
-  #askForPermits(waitingCount: number): void {
-    const running = this.#runningByWorker();
-    const open = this.#workers.withFreeSlots(running);
-    const freeSlots = open.reduce((sum, { freeSlots: free }) => sum + free, 0);
-    const workers = open.map(({ worker }) => worker);
-    void this.#permits.ask(workers, Math.min(waitingCount, freeSlots), () => this.schedule());
+    this.#refresher.refresh(workers, this.#openBatches(), [...this.#runs.values()]);
   }
 
-  #startRun(
-    { item: key, worker: workerId }: Placement,
-    waiting: ReadonlyMap<string, ItemState>,
-    workers: readonly RegisteredWorker[],
-  ): void {
-    const state = waiting.get(key);
-    const worker = workers.find(({ id }) => id === workerId);
-    if (state === undefined || worker === undefined) return;
+  #startRun(state: ItemState, worker: RegisteredWorker): void {
     state.start();
     this.#permits.use(worker.id);
     const { clock, calls, weights } = this.#options;
