--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -30,6 +30,7 @@
   type EndResult,
   releaseFormerDispatcher,
 } from './batchService.ts';
+import type { DispatcherDemand } from './batchDemand.ts';
 import { BATCHES_PREFIX, tryDecodeBatch } from './batchObjects.ts';
 import { OPEN_BATCHES_BACKOFF } from './constants.ts';
 import type { ElectionView } from '../election/holderElection.ts';
@@ -106,6 +107,11 @@
     );
   }
 
+  /** Demand of the pools that this node dispatches. */
+  demands(): DispatcherDemand[] {
+    return this.coordinators().flatMap(({ dispatcher }) => dispatcher?.demand() ?? []);
+  }
+
   /** Joins the dispatcher election of every pool that a batch route leads to. */
   tablesChanged(): void {
     for (const pool of this.#routedPools()) this.#join(pool);
--- a/src/node/batches/engineWorkers.ts
+++ b/src/node/batches/engineWorkers.ts
@@ -120,6 +120,11 @@
     return this.#eventGaps.medianGapMs ?? MAX_STALL_MS / STALL_GAP_FACTOR;
   }
 
+  /** Typical time between two events of a run, in ms; 0 while it has not been measured. */
+  get measuredGapMs(): number {
+    return this.#eventGaps.medianGapMs ?? 0;
+  }
+
   /** Records that a worker processes a prompt. */
   recordPrompt(worker: string, prompt: string): void {
     const prompts = this.#prompts.get(worker) ?? new Set();
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -20,6 +20,7 @@
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { PoisonGuard } from '../poison/poisonGuard.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
+import { batchDemands, type DispatcherDemand } from './batchDemand.ts';
 import { BatchState } from './batchState.ts';
 import {
   BROKEN_STREAM_BACKOFF_MS,
@@ -262,6 +263,17 @@
     this.schedule();
   }
 
+  /** Work that the open batches still need from workers. */
+  demand(): DispatcherDemand {
+    const { clock, engine, pool, term } = this.#options;
+    const { tokensPerEvent = 1, slots = 1 } = engine() ?? {};
+    return {
+      ...{ pool, term, tokensPerEvent, slotsPerWorker: slots },
+      batches: batchDemands(this.#openBatches(), tokensPerEvent, clock.nowMs()),
+      eventGapMs: Math.round(this.#workers.measuredGapMs),
+    };
+  }
+
   /** Schedules a placement of waiting items. Several calls before it runs result in one placement. */
   schedule(): void {
     if (this.#placementScheduled || this.#closed) return;
--- a/src/node/batches/waitingItem.ts
+++ b/src/node/batches/waitingItem.ts
@@ -13,20 +13,28 @@
 export const expectedTokens = ({ expectedOutputTokens, maxOutputTokens }: BatchItem): number =>
   expectedOutputTokens || maxOutputTokens;
 
+/**
+ * Expected number of tokens that an item still generates. An item that exceeds its expected length is likely to be one of
+ * the longest, so its estimate grows with its text.
+ */
+export const remainingTokens = ({ item, text }: ItemState, tokensPerEvent: number): number => {
+  const done = text.events.length * tokensPerEvent;
+  const expected = expectedTokens(item);
+  return done < expected ? expected - done : done / 2;
+};
+
 /** Converts an item to the form that the item placement needs. */
 export const toWaitingItem = (
   key: string,
-  { item, text, batch, avoidedWorker }: ItemState,
+  state: ItemState,
   tokensPerEvent: number,
   suspected: boolean,
 ): WaitingItem => {
-  const done = text.events.length * tokensPerEvent;
-  const expected = expectedTokens(item);
+  const { item, text, batch, avoidedWorker } = state;
   return {
     key,
     batchRank: Number(batch.record.submittedAtMs) + batch.record.priority * PRIORITY_STEP_MS,
-    // An item that exceeds its expected length is likely to be one of the longest, so its estimate grows with its text.
-    expectedTokens: done < expected ? expected - done : done / 2,
+    expectedTokens: remainingTokens(state, tokensPerEvent),
     prompt: sharedPromptOf(item),
     model: batch.record.model,
     allows: (version) => text.allows(version),
--- a/src/node/decisions/workerOrders/orderedWorkers.ts
+++ b/src/node/decisions/workerOrders/orderedWorkers.ts
@@ -118,9 +118,10 @@
     this.#ordered = count;
   }
 
-  recordResult(result: OrderResult, nowMs: number): void {
+  /** @param count - number in the answered order; the answer to an order that a later one replaced is ignored */
+  recordResult(count: number, result: OrderResult, nowMs: number): void {
     const sent = this.#uncertain;
-    if (sent === undefined || result === 'unknown') return;
+    if (sent?.count !== count || result === 'unknown') return;
     this.#uncertain = undefined;
     if (result === 'accepted') return;
     this.#ordered = sent.former;
--- a/src/node/decisions/workerOrders/workerOrderPlanner.ts
+++ b/src/node/decisions/workerOrders/workerOrderPlanner.ts
@@ -126,8 +126,12 @@
     });
   }
 
-  recordResult({ availabilityZone, spot }: WorkerOrder, result: OrderResult, nowMs: number): void {
-    this.#subjects.get(`${availabilityZone}/${spot}`)?.recordResult(result, nowMs);
+  recordResult(
+    { availabilityZone, spot, count }: WorkerOrder,
+    result: OrderResult,
+    nowMs: number,
+  ): void {
+    this.#subjects.get(`${availabilityZone}/${spot}`)?.recordResult(count, result, nowMs);
   }
 
   #observe(
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -99,6 +99,18 @@
       buckets: [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5],
       registers,
     }),
+    workerOrders: new Counter({
+      name: 'hyssoppulley_worker_orders_total',
+      help: 'Orders for workers, by pool and result',
+      labelNames: ['pool', 'result'],
+      registers,
+    }),
+    workersNeeded: new Gauge({
+      name: 'hyssoppulley_workers_needed',
+      help: 'Workers that a pool needs by the last decision, by pool',
+      labelNames: ['pool'],
+      registers,
+    }),
     itemRuns: new Counter({
       name: 'hyssoppulley_item_runs_total',
       help: 'Item runs on workers, by pool and how they ended',
