feat(duties): nodes perform duties at the platform's control API, one node at a time

Change: src/node/duties runs a duty (Duty, DutyContext, DutySubsystem.run) while this node holds its record duties/<name>; platform/controlClient.ts makes the calls, each once on a connection of its own. GuardedControlCalls withholds a call unless a read of the record that was sent at most 500 ms ago proves the holder, adds the credentials and gives the duty up after a 409. Without fencing a new holder waits 0.5 s + the lease + 12 s, after which no call of its predecessor can be executed; with fencing 1 s. A planned stop releases the record; without fencing only when no call of the holder may still be executed. Not shown by a single test, as another check holds: the wait in maySend (verify has it too), an unknown claim counted as held (the record is read before the first call), released records counted as free.

--- a/src/node/gateway/adapter.ts
+++ b/src/node/gateway/adapter.ts
@@ -1,4 +1,5 @@
 import type { OrderCalls } from '../weights/orderCalls.ts';
+import type { ControlApi } from '../duties/controlCalls.ts';
 import type { GenerationCalls } from '../batches/generationCalls.ts';
 import type { PlatformObject } from '../platform/platformClient.ts';
 import type { RequestTracker } from '../requestTracker.ts';
@@ -40,5 +41,7 @@
   readonly eventVersionField: string;
   readonly generationCalls: GenerationCalls;
   readonly orderCalls: OrderCalls;
+  /** The control API of the platform; absent where the settings name none. */
+  readonly control?: ControlApi;
   readonly createServers: (services: GatewayServices, requests: RequestTracker) => GatewayServers;
 }
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -18,6 +18,7 @@
 import { repeatEvery } from '../../shared/repeat.ts';
 import { createBatchHandlers } from '../batches/batchService.ts';
 import { BatchSubsystem } from '../batches/batchSubsystem.ts';
+import { DutySubsystem } from '../duties/dutySubsystem.ts';
 import { RequestLimits } from '../decisions/requestLimits.ts';
 import { ServingLease } from '../decisions/servingLease.ts';
 import {
@@ -219,7 +220,7 @@
       datagrams?.send ?? ((target, request) => sendByHttp(target, request, timing.peerTimeoutMs)),
     servingLease: new ServingLease(timing.isolationMs),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
-    heldLeases: () => batches.heldLeases(),
+    heldLeases: () => [...batches.heldLeases(), ...duties.heldLeases()],
     preparedRevision: () => 0,
     drainsEnabled: false,
     platformLost: () => health.lost,
@@ -286,6 +287,14 @@
       weightsLongPollMs: DISPATCHER_LONG_POLL_MS,
     }),
   );
+  const duties = store.add(
+    new DutySubsystem({
+      ...{ platform, clock, random, logger, metrics, health, view: membership },
+      control: adapter.control,
+      fenced: gateway.ordersFenced,
+      leaseMs: gateway.orderLeaseMs,
+    }),
+  );
   const requests = new RequestTracker();
   const gatewayServices: GatewayServices = {
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
@@ -314,7 +323,7 @@
     revision: () => tables.tables?.revision ?? 0,
     accounts: () => [],
     usage: () => [],
-    duties: () => [],
+    duties: () => duties.statuses(),
     workerOrders: () => [],
     suspects: () => [],
     clearSuspect: () => false,
@@ -344,7 +353,9 @@
     ...{ clock, logger, requests },
     keepServingMs: gateway.graceMs - STOP_MARGIN_MS - REQUEST_COMPLETION_MS,
     deadlineMs: gateway.graceMs - STOP_MARGIN_MS,
-    announce: () => membership.announceLeaving(),
+    announce: async () => {
+      await Promise.all([membership.announceLeaving(), duties.release()]);
+    },
     closeListener: () => servers.stopAccepting(),
     abortRequests: () => servers.abortRequests(),
     handOvers: [],
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -46,6 +46,18 @@
       labelNames: ['change'],
       registers,
     }),
+    dutyCalls: new Counter({
+      name: 'hyssoppulley_duty_calls_total',
+      help: 'Calls to the control API, by duty, call and result',
+      labelNames: ['duty', 'call', 'result'],
+      registers,
+    }),
+    dutyHeld: new Gauge({
+      name: 'hyssoppulley_duty_held',
+      help: 'Whether this node holds a duty (1) or not (0), by duty',
+      labelNames: ['duty'],
+      registers,
+    }),
     permits: new Counter({
       name: 'hyssoppulley_request_permits_total',
       help: 'Permits asked for to send requests to workers with a request limit, by pool and outcome (granted, denied)',
