feat(gateway): workers are chosen by predicted completion where they report their load

Cause: workers share their VMs, and the same work takes 4 to 8 times longer on some of them for seconds. The selector counts requests only, so a slow worker keeps its share.

Change: decisions/placement predicts when a worker completes a request from its reported pace and age, the time of its answers at this node, its oldest request and what is ahead; two random candidates, the own zone preferred within a bound. LoadBalancer uses it for pools whose workers have reported load, and attempts log what was known. Pools without reports are served as before.

--- a/src/node/gateway/loadBalancer.ts
+++ b/src/node/gateway/loadBalancer.ts
@@ -3,6 +3,9 @@
 import { InFlightCounts } from '../decisions/inFlightCounts.ts';
 import { selectWorkerByDefault, type WorkerSelector } from '../decisions/workerSelection.ts';
 import { type WorkerResult, PassiveHealthCheck } from '../decisions/passiveHealthCheck.ts';
+import { AnswerTimes } from '../decisions/placement/answerTimes.ts';
+import { selectByPredictedCompletion } from '../decisions/placement/predictedCompletion.ts';
+import { WorkerReports } from '../decisions/placement/workerReports.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
 import type { WorkerLoad } from './workerCalls.ts';
 import type { RegisteredWorker, WorkerRegistry } from './workerRegistry.ts';
@@ -13,12 +16,24 @@
   readonly registry: WorkerRegistry;
   /** Availability zone of this node. */
   readonly availabilityZone: string;
-  /** @default selectWorkerByDefault */
+  /** Used for all pools. @default by whether the pool's workers report their load */
   readonly select?: WorkerSelector;
 }
 
-/** Maximum age at which a worker's load report is still used, in ms. */
-const LOAD_REPORT_MAX_AGE_MS = 500;
+/** Assumed time of the work of a route without answers so far, as a fraction of its target latency. */
+const ASSUMED_WORK_SHARE = 0.5;
+
+type PlacedRoute = Pick<GatewayRoute, 'name' | 'targetLatencyMs'>;
+
+/** One request on a worker. */
+export interface Placement {
+  readonly worker: string;
+  readonly route: string;
+  /** When the request was sent, monotonic ms. */
+  readonly sentMs: number;
+  /** What was known of the worker, for the log. */
+  readonly known: Readonly<Record<string, number | undefined>>;
+}
 
 /** Chooses workers by this node's in-flight counts, the load that workers report and the results of past requests. */
 export class LoadBalancer {
@@ -28,7 +43,12 @@
 
   readonly #inFlight = new InFlightCounts();
 
-  readonly #loads = new Map<string, { readonly others: number; readonly atMs: number }>();
+  /** Requests in flight of this node by worker, oldest first. */
+  readonly #placements = new Map<string, Set<Placement>>();
+
+  readonly #reports = new WorkerReports();
+
+  readonly #answerTimes = new AnswerTimes();
 
   constructor(options: LoadBalancerOptions) {
     this.#options = options;
@@ -63,24 +83,45 @@
     return this.healthCheck.selectUsable(untried.length > 0 ? untried : all, clock.monotonicMs());
   }
 
-  /** Chooses one of the workers by load and availability zone. */
-  choose(usable: readonly RegisteredWorker[]): RegisteredWorker | undefined {
+  /**
+   * Chooses one of the workers by availability zone and load, or by predicted completion where workers report their load.
+   *
+   * @param route - route of the request that is placed
+   */
+  choose(usable: readonly RegisteredWorker[], route: PlacedRoute): RegisteredWorker | undefined {
     const { clock, availabilityZone, random, select } = this.#options;
     const nowMs = clock.monotonicMs();
-    const candidates = usable.map((worker) => ({
-      worker,
-      name: worker.id,
-      availabilityZone: worker.availabilityZone,
-      inFlight: this.#inFlight.of(worker.id),
-      reportedRunning: this.#reportedOthers(worker.id, nowMs),
-    }));
-    const chosen = (select ?? selectWorkerByDefault)(candidates, { availabilityZone, random });
-    return chosen?.worker;
+    const candidates = usable.map((worker) => this.#candidateOf(worker, nowMs));
+    const context = { availabilityZone, random };
+    if (select === undefined && usable.some(({ id }) => this.#reports.has(id))) {
+      const { targetLatencyMs } = route;
+      const placement = { ...context, targetLatencyMs, workMs: this.workMs(route) };
+      return selectByPredictedCompletion(candidates, placement)?.worker;
+    }
+    return (select ?? selectWorkerByDefault)(candidates, context)?.worker;
+  }
+
+  /** Usual time of a route's work at this node, in ms. */
+  workMs({ name, targetLatencyMs }: PlacedRoute): number {
+    return this.#answerTimes.usualMs(name) ?? targetLatencyMs * ASSUMED_WORK_SHARE;
   }
 
   /** Counts a request in flight on a worker. Each call is paired with one of `release`. */
-  begin(worker: string): void {
+  begin(worker: string, route: PlacedRoute): Placement {
+    const sentMs = this.#options.clock.monotonicMs();
+    const report = this.#reports.of(worker, sentMs);
+    const known = {
+      workMs: Math.round(this.workMs(route)),
+      inFlight: this.#inFlight.of(worker),
+      others: report?.others,
+      pacePercent: report?.pace === undefined ? undefined : Math.round(100 * report.pace),
+      reportAgeMs: report === undefined ? undefined : Math.round(report.ageMs),
+    };
+    const placement = { worker, route: route.name, sentMs, known };
     this.#inFlight.add(worker);
+    const placements = this.#placements.get(worker) ?? new Set();
+    this.#placements.set(worker, placements.add(placement));
+    return placement;
   }
 
   /** Number of this node's requests in flight on a worker. */
@@ -89,29 +130,48 @@
   }
 
   /** Ends a request that `begin` counted and records its result, unless it was abandoned. */
-  release(worker: string, result: WorkerResult | 'abandoned', load: WorkerLoad | undefined): void {
+  release(
+    placement: Placement,
+    result: WorkerResult | 'abandoned',
+    load: WorkerLoad | undefined,
+  ): void {
+    const { worker, route, sentMs } = placement;
     const nowMs = this.#options.clock.monotonicMs();
     if (load !== undefined) {
-      const others = Math.max(0, load.running + load.waiting - this.#inFlight.of(worker));
-      this.#loads.set(worker, { others, atMs: nowMs });
+      this.#reports.record(worker, load, this.#inFlight.of(worker), nowMs);
     }
     this.#inFlight.remove(worker);
+    const placements = this.#placements.get(worker);
+    placements?.delete(placement);
+    if (placements?.size === 0) this.#placements.delete(worker);
+    if (result !== 'refused' && result !== 'failed') {
+      const complete = result === 'answered';
+      this.#answerTimes.record({ route, worker, tookMs: nowMs - sentMs, complete }, nowMs);
+    }
     if (result !== 'abandoned') this.healthCheck.record(worker, result, nowMs);
   }
 
   /** Drops the state of workers that are no longer registered. */
   sweep(): void {
     const { registry } = this.#options;
-    this.healthCheck.retain((id) => registry.find(id) !== undefined);
-    for (const id of this.#loads.keys()) {
-      if (registry.find(id) === undefined) this.#loads.delete(id);
-    }
+    const isKnown = (id: string) => registry.find(id) !== undefined;
+    this.healthCheck.retain(isKnown);
+    this.#reports.retain(isKnown);
+    this.#answerTimes.retain(isKnown);
   }
 
-  #reportedOthers(worker: string, nowMs: number): number | undefined {
-    const load = this.#loads.get(worker);
-    return load !== undefined && nowMs - load.atMs < LOAD_REPORT_MAX_AGE_MS
-      ? load.others
-      : undefined;
+  #candidateOf(worker: RegisteredWorker, nowMs: number) {
+    const { id, availabilityZone } = worker;
+    const report = this.#reports.of(id, nowMs);
+    const [oldest] = this.#placements.get(id) ?? [];
+    return {
+      ...{ worker, name: id, availabilityZone, slots: report?.slots ?? worker.slots },
+      inFlight: this.#inFlight.of(id),
+      reportedRunning: report?.others,
+      pace: report?.pace,
+      paceAgeMs: report?.ageMs,
+      slowness: this.#answerTimes.slownessOf(id, nowMs),
+      oldestInFlightMs: oldest === undefined ? 0 : nowMs - oldest.sentMs,
+    };
   }
 }
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -138,7 +138,7 @@
     const avoided = trial ? new Set([...tried, ...poison.trialWorkers]) : tried;
     const candidates = loadBalancer.candidates(pool, avoided, tried.size < route.maxAttempts);
     const free = candidates.filter(({ id }) => limits.of(id) === undefined);
-    const worker = loadBalancer.choose(optional ? free : candidates);
+    const worker = loadBalancer.choose(optional ? free : candidates, route);
     if (worker === undefined) return undefined;
     if (limits.of(worker.id) === undefined) {
       return this.#run(worker, request, route, options, remainingMs);
@@ -166,7 +166,10 @@
     const usable = new Set(loadBalancer.candidates(pool, new Set(), true).map(({ id }) => id));
     const worker =
       limited.find(({ id }) => id === permit?.worker && usable.has(id)) ??
-      loadBalancer.choose(free.filter(({ id }) => usable.has(id) && limits.of(id) === undefined));
+      loadBalancer.choose(
+        free.filter(({ id }) => usable.has(id) && limits.of(id) === undefined),
+        route,
+      );
     if (worker !== undefined && !signal.aborted && remainingMs() >= MIN_REMAINING_MS) {
       return this.#run(worker, request, route, options, remainingMs());
     }
@@ -201,7 +204,7 @@
     const started = new Stopwatch(clock);
     tried.add(worker.id);
     if (options.trial) poison.trialWorkers.add(worker.id);
-    loadBalancer.begin(worker.id);
+    const placement = loadBalancer.begin(worker.id, route);
     let result: WorkerResult | 'abandoned' = 'failed';
     let load: WorkerLoad | undefined;
     let isBroken = false;
@@ -221,7 +224,7 @@
       if (signal.aborted) result = classifyAborted(started.elapsedMs());
       else isBroken = !notConnected;
     }
-    loadBalancer.release(worker.id, result, load);
+    loadBalancer.release(placement, result, load);
     if (options.trial) poison.trialWorkers.delete(worker.id);
     if (isBroken) {
       const others = loadBalancer.inFlightOn(worker.id);
@@ -236,6 +239,7 @@
       status: attemptResult.response?.statusCode,
       resumeAfter,
       limitPerSecond,
+      ...placement.known,
       result,
       reason: attemptResult.response === undefined ? attemptResult.reason : undefined,
     });
