feat(accounts): age of the tables through relays and heartbeats, tables from any peer

Cause: strict revocation needs to know for how long the tables have not been confirmed. A node took a relay's response for a confirmation although the relay may itself be cut off for seconds, and a node that the platform refuses and that reaches no relay kept its tables although peers announced later ones. Change: relays and heartbeat responses state the age of the tables; ages add up from the sending of a call. A node that is behind lists again, and then takes the tables of the peer that announced them, also at its start. Calls for changes of the tables wait for a fifth of revokeAfterMs at most where revocation is strict. Rejected versions are not asked for again. A request is authenticated again after its body was read. The whole suite was not run.

--- a/src/node/accounts/accountAuthentication.ts
+++ b/src/node/accounts/accountAuthentication.ts
@@ -36,6 +36,8 @@
   readonly id: string;
   /** One character per byte; undefined without a key, empty when it is ambiguous. */
   readonly key: string | undefined;
+  /** Whether the request is authenticated again, because tables may have changed meanwhile. @default false */
+  readonly again?: boolean;
 }
 
 const toBytes = (key: string): Uint8Array => Buffer.from(key, 'latin1');
@@ -72,7 +74,7 @@
   }
 
   #authenticateKey(
-    { id, key }: KeyedRequest,
+    { id, key, again = false }: KeyedRequest,
     tables: AuthenticationTables | undefined,
     route: string | undefined,
   ): Authentication {
@@ -82,7 +84,7 @@
     const bytes = key === undefined || key === '' ? undefined : toBytes(key);
     const account = bytes && tables?.accounts?.find(bytes);
     if (account !== undefined && !isStale) {
-      counts.recordRequest(account.name);
+      if (!again) counts.recordRequest(account.name);
       return { kind: 'account', account };
     }
     const kind = isStale ? 'stale' : 'denied';
--- a/src/node/accounts/accountServices.ts
+++ b/src/node/accounts/accountServices.ts
@@ -3,6 +3,9 @@
   type AccountStatus,
   AccountStatusSchema,
 } from '../../gen/hyssoppulley/v1/gateway_operator_pb.ts';
+import type { HeartbeatResponse } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import type { Stopwatch } from '../../shared/clock.ts';
+import { TablesConfirmation } from '../decisions/accounts/tablesConfirmation.ts';
 import type { RequestTarget } from '../gateway/gatewayServices.ts';
 import type { GatewayRoute } from '../gateway/gatewayTables.ts';
 import type { TablesFollower } from '../gateway/tablesFollower.ts';
@@ -19,10 +22,23 @@
 export interface AccountServicesOptions {
   readonly logger: Logger;
   readonly metrics: Pick<Metrics, 'registry'>;
-  readonly tables: Pick<TablesFollower, 'tables' | 'accounts' | 'routes' | 'ageMs'>;
+  readonly tables: Pick<TablesFollower, 'tables' | 'accounts' | 'routes' | 'version' | 'ageMs'>;
   readonly settings: Pick<ResolvedGateway, 'strictRevocation' | 'revokeAfterMs'>;
 }
 
+/**
+ * Part of the time after which keyed requests are refused that a call for changes of the tables may wait: the age of the
+ * tables grows during such a call, at a relay and then at the node that asks it, and a slow platform adds to it.
+ */
+const TABLES_WAIT_SHARE = 1 / 5;
+
+/** Longest wait of a call for changes of the tables, in ms; Infinity where nothing depends on their age. */
+export const longestTablesWaitMs = ({
+  strictRevocation,
+  revokeAfterMs,
+}: AccountServicesOptions['settings']): number =>
+  strictRevocation ? Math.round(revokeAfterMs * TABLES_WAIT_SHARE) : Infinity;
+
 /** What a node offers for the client accounts of its tables. */
 export class AccountServices {
   readonly #options: AccountServicesOptions;
@@ -31,6 +47,8 @@
 
   readonly #authentication: AccountAuthentication;
 
+  readonly #confirmation = new TablesConfirmation();
+
   constructor(options: AccountServicesOptions) {
     this.#options = options;
     const { logger, metrics, tables, settings } = options;
@@ -39,11 +57,23 @@
       ...{ logger, counts: this.#counts },
       tables: () =>
         tables.tables && { revision: tables.tables.revision, accounts: tables.accounts },
-      confirmedAgeMs: () => tables.ageMs,
+      confirmedAgeMs: () => this.confirmedAgeMs,
       rules: { strict: settings.strictRevocation, revokeAfterMs: settings.revokeAfterMs },
     });
   }
 
+  /** Time since the platform, a relay or a peer confirmed that the tables are current, in ms. */
+  get confirmedAgeMs(): number {
+    const { ageMs, version } = this.#options.tables;
+    return Math.min(ageMs, this.#confirmation.ageMs(version));
+  }
+
+  /** Learns from the response to a heartbeat whether the tables are current. */
+  peerResponded({ responder, tablesAgeMs }: HeartbeatResponse, sentAt: Stopwatch): void {
+    const peer = { version: responder?.acceptedRevision ?? 0, ageMs: tablesAgeMs };
+    this.#confirmation.recordPeer(peer, this.#options.tables.version, sentAt);
+  }
+
   authenticate(request: KeyedRequest, route: GatewayRoute): Authentication {
     return this.#authentication.authenticate(request, route);
   }
--- a/src/node/gateway/constants.ts
+++ b/src/node/gateway/constants.ts
@@ -33,3 +33,6 @@
 
 /** Minimum remaining time budget for which a request is still sent to a worker, in ms. */
 export const MIN_REMAINING_MS = 2;
+
+/** Time a change may take to arrive from the platform before a node that lacks it reads the objects again, in ms. */
+export const CHANGE_PROPAGATION_GRACE_MS = 250;
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -16,7 +16,7 @@
 import { onInvariantViolation } from '../../shared/invariants.ts';
 import { newId, type Random, systemRandom } from '../../shared/random.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
-import { AccountServices } from '../accounts/accountServices.ts';
+import { AccountServices, longestTablesWaitMs } from '../accounts/accountServices.ts';
 import { createBatchHandlers } from '../batches/batchService.ts';
 import { BatchSubsystem } from '../batches/batchSubsystem.ts';
 import { RequestLimits } from '../decisions/requestLimits.ts';
@@ -43,6 +43,7 @@
 import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
 import { Shutdown } from '../shutdown.ts';
 import type { GatewayAdapter } from './adapter.ts';
+import { CHANGE_PROPAGATION_GRACE_MS } from './constants.ts';
 import { entryAddresses, isPreferredEntry } from './entryAddresses.ts';
 import { Forwarder } from './forwarder.ts';
 import { createGatewayOperatorHandlers, type GatewayOperatorViews } from './gatewayOperator.ts';
@@ -52,6 +53,7 @@
 import { PlatformFollowers } from './platformFollowers.ts';
 import { StreamForwarder } from './streamForwarder.ts';
 import { TablesFollower } from './tablesFollower.ts';
+import { TablesCatchUp } from './tablesCatchUp.ts';
 import { LoadBalancer } from './loadBalancer.ts';
 import { createNoticeListener, type NoticeListener } from './workerNotices.ts';
 import { WorkerAttempts } from './workerAttempts.ts';
@@ -60,9 +62,6 @@
 /** Long-poll wait of a dispatcher's calls for changes, in ms; also bounds how long a dead connection goes unnoticed. */
 const DISPATCHER_LONG_POLL_MS = 2500;
 
-/** Time a change may take to arrive from the platform before a node that lacks it reads the objects again, in ms. */
-const CHANGE_PROPAGATION_GRACE_MS = 250;
-
 /** Interval between checks that the platform responds to this node, in ms; a stale read costs a tenth of a call. */
 const PLATFORM_PROBE_INTERVAL_MS = 1000;
 
@@ -184,6 +183,7 @@
     new TablesFollower({
       ...{ logger, followers },
       kind: adapter.tables,
+      maxWaitMs: longestTablesWaitMs(gateway),
       onChange: () => {
         /* eslint-disable @typescript-eslint/no-use-before-define */
         accounts.tablesChanged();
@@ -193,14 +193,15 @@
     }),
   );
   const accounts = new AccountServices({ logger, metrics, tables, settings: gateway });
+  const tablesCatchUp = new TablesCatchUp({
+    ...{ clock, logger, tables },
+    adoptFrom: (peer, minVersion) => followers.adoptFrom(peer, adapter.tables.prefix, minVersion),
+  });
   // A watch may miss a change without an error; heartbeats from a node that has received the change reveal this.
   const refreshIfBehind = (peer: Peer) => {
+    tablesCatchUp.peerAhead(peer);
     clock.schedule(CHANGE_PROPAGATION_GRACE_MS, () => {
       const fields = { peer: peer.identity.name };
-      if (peer.acceptedRevision > tables.version && tables.connected) {
-        logger.info('tables-change-missed', { ...fields, version: peer.acceptedRevision });
-        tables.refresh();
-      }
       if (peer.workersVersion > workersVersion && workers.connected) {
         logger.info('workers-change-missed', { ...fields, version: peer.workersVersion });
         workers.refresh();
@@ -230,6 +231,8 @@
     platformLost: () => health.lost,
     workersVersion: () => workersVersion,
     onPeerAhead: refreshIfBehind,
+    onPeerResponse: (...response) => accounts.peerResponded(...response),
+    tablesAgeMs: () => accounts.confirmedAgeMs,
   });
 
   const loadBalancer = new LoadBalancer({
--- a/src/node/gateway/platformFollowers.ts
+++ b/src/node/gateway/platformFollowers.ts
@@ -1,7 +1,7 @@
 import type { Client, ServiceImpl } from '@connectrpc/connect';
 import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
-import type { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
-import type { Clock } from '../../shared/clock.ts';
+import { type RelayService, RelayStatus } from '../../gen/hyssoppulley/v1/relay_pb.ts';
+import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import type { Random } from '../../shared/random.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { otherRelays, relaysFor } from '../decisions/relayNodes.ts';
@@ -11,7 +11,7 @@
 import { ObjectFollower, type ObjectFollowerOptions } from '../platform/objectFollower.ts';
 import { createRelayHandlers, ObjectRelay } from '../platform/objectRelay.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
-import { RelayedObjects } from '../platform/relayedObjects.ts';
+import { decodeSnapshot, RelayedObjects } from '../platform/relayedObjects.ts';
 
 /** Long-poll wait of a relay at the platform, in ms; a dead connection is noticed after this wait plus a margin. */
 const RELAY_LONG_POLL_MS = 2000;
@@ -36,6 +36,15 @@
   readonly client: (address: PeerAddress) => Client<typeof RelayService>;
 }
 
+/** What is to be followed. */
+export interface FollowOptions extends Pick<
+  ObjectFollowerOptions,
+  'prefix' | 'onEvent' | 'onReconnected'
+> {
+  /** Longest wait of a call for changes, in ms, where the age of the copy matters. @default no limit */
+  readonly maxWaitMs?: number;
+}
+
 const toRelayCandidate = (identity: NodeIdentity, reachable: boolean, platformLost: boolean) => ({
   name: identity.name,
   availabilityZone: identity.availabilityZone,
@@ -86,11 +95,7 @@
   }
 
   /** Creates a follower of one kind, which this node can also relay. The caller starts and disposes of the follower. */
-  follow({
-    prefix,
-    onEvent,
-    onReconnected,
-  }: Pick<ObjectFollowerOptions, 'prefix' | 'onEvent' | 'onReconnected'>): ObjectFollower {
+  follow({ prefix, onEvent, onReconnected, maxWaitMs = Infinity }: FollowOptions): ObjectFollower {
     const { clock, random, logger } = this.#options;
     const relay: ObjectRelay = new ObjectRelay({
       ...{ clock, logger, prefix },
@@ -105,7 +110,8 @@
     const follower = new ObjectFollower({
       ...{ clock, random, logger, prefix, onReconnected },
       platform: this.#source,
-      waitMs: () => (this.#source.isRelay ? RELAY_LONG_POLL_MS : RELAYED_LONG_POLL_MS),
+      waitMs: () =>
+        Math.min(maxWaitMs, this.#source.isRelay ? RELAY_LONG_POLL_MS : RELAYED_LONG_POLL_MS),
       onEvent: (event) => {
         relay.addChange(event);
         onEvent(event);
@@ -118,7 +124,25 @@
 
   /** RPC handlers through which other nodes use this node as a relay. */
   handlers(): ServiceImpl<typeof RelayService> {
-    return createRelayHandlers((prefix) => this.#followed.get(prefix), this.#options.logger);
+    const { logger, clock } = this.#options;
+    return createRelayHandlers((prefix) => this.#followed.get(prefix), logger, clock);
+  }
+
+  /**
+   * Takes over a peer's copy of the followed objects, whether it is a relay or not. For a node that neither the platform
+   * nor a relay gives a change that the peer has.
+   *
+   * @param minVersion - version that the copy must have reached
+   * @returns whether the copy is later than this node's
+   */
+  async adoptFrom(peer: PeerAddress, prefix: string, minVersion: number): Promise<boolean> {
+    const { client, clock } = this.#options;
+    const sinceSent = new Stopwatch(clock);
+    const request = { prefix, minVersion: BigInt(minVersion), anyCopy: true };
+    const response = await client(peer).snapshot(request);
+    if (response.status !== RelayStatus.OK) return false;
+    const follower = this.#followed.get(prefix)?.follower;
+    return follower?.adopt(decodeSnapshot(response), sinceSent) ?? false;
   }
 
   /** Notifies the other relays of a change; does nothing unless this node is a relay itself. */
--- a/src/node/gateway/tablesFollower.ts
+++ b/src/node/gateway/tablesFollower.ts
@@ -12,6 +12,8 @@
   readonly logger: Logger;
   readonly kind: ExternalObjectKind<GatewayTables>;
   readonly followers: Pick<PlatformFollowers, 'follow'>;
+  /** Longest wait of a call for changes, in ms, where the age of the tables matters. @default no limit */
+  readonly maxWaitMs?: number;
   readonly onChange: () => void;
 }
 
@@ -33,11 +35,14 @@
   /** Version of the platform object that holds the tables. */
   #version = 0;
 
+  #handledVersion = 0;
+
   constructor(options: TablesFollowerOptions) {
     this.#options = options;
     this.#follower = options.followers.follow({
       prefix: options.kind.prefix,
       onEvent: (event) => this.#apply(event),
+      maxWaitMs: options.maxWaitMs,
     });
   }
 
@@ -69,6 +74,11 @@
     return this.#version;
   }
 
+  /** Platform version of the latest tables that this node has seen, also if it did not put them in force. */
+  get handledVersion(): number {
+    return this.#handledVersion;
+  }
+
   /** Time in ms since the tables were last known to be current; Infinity before they were first listed. */
   get ageMs(): number {
     return this.#follower.ageMs;
@@ -96,6 +106,7 @@
     if (type === 'removed') return;
     const { logger, kind, onChange } = this.#options;
     const tables = kind.decode(object);
+    this.#handledVersion = Math.max(this.#handledVersion, object.version);
     if (tables === undefined) {
       logger.error('tables-unreadable', { key: object.key, version: object.version });
       return;
--- a/src/node/membership/heartbeats.ts
+++ b/src/node/membership/heartbeats.ts
@@ -28,6 +28,9 @@
  */
 export const MAX_DIGESTS = 2;
 
+/** Age from which it is not sent, in ms; nothing depends on whether tables are older. */
+const MAX_SENT_AGE_MS = 3_600_000;
+
 /** Maximum number of doubts per message, about 25 bytes each. */
 export const MAX_DOUBTS = 8;
 
@@ -62,6 +65,8 @@
   readonly platformLost: () => boolean;
   /** Platform version at which the worker registrations last changed. */
   readonly workersVersion: () => number;
+  /** Time since the tables were last known to be current, in ms; Infinity: unknown. */
+  readonly tablesAgeMs: () => number;
 }
 
 export interface HeartbeatsOptions {
@@ -82,6 +87,10 @@
   readonly onNameConflict: (other: NodeIdentity) => void;
 }
 
+/** Age as a message holds it; undefined when it is unknown or not worth sending. */
+const toAgeMs = (ageMs: number): number | undefined =>
+  ageMs < MAX_SENT_AGE_MS ? Math.ceil(ageMs) : undefined;
+
 /**
  * Groups the known peers for `gossipTargets`. The successor is the next peer in the order of the incarnations, which
  * all nodes share and which mixes the availability zones.
@@ -220,6 +229,7 @@
       drains: drains.hasUpdateFor(request.drains) ? drains.list : drains.summary,
       preparedRevision: state.preparedRevision(),
       serving: state.mayServe(),
+      tablesAgeMs: toAgeMs(state.tablesAgeMs()),
       doubts: table.doubtsToSend(nowMs, MAX_DOUBTS),
       workerSigns: workers.signsToSend(),
     });
--- a/src/node/membership/membership.ts
+++ b/src/node/membership/membership.ts
@@ -70,6 +70,10 @@
   readonly workersVersion?: () => number;
   /** Called when a heartbeat shows a higher accepted revision, or later worker registrations, than this node knows. */
   readonly onPeerAhead: (peer: Peer) => void;
+  /** Called for each response to a heartbeat; `sentAt` was started directly before the heartbeat was sent. */
+  readonly onPeerResponse?: (response: HeartbeatResponse, sentAt: Stopwatch) => void;
+  /** Time since the tables were last known to be current, in ms. @default unknown */
+  readonly tablesAgeMs?: () => number;
   /** Whether the response to a heartbeat renews the serving lease. @default every response does */
   readonly renewsLease?: (response: HeartbeatResponse) => boolean;
 }
@@ -269,6 +273,7 @@
   #selfState(): SelfState {
     const { tables, heldLeases, preparedRevision } = this.#options;
     const { platformLost = () => false, workersVersion = () => 0 } = this.#options;
+    const { tablesAgeMs = () => Infinity } = this.#options;
     return {
       leaving: () => this.#leaving,
       acceptedRevision: () => tables.current()?.revision ?? 0,
@@ -277,6 +282,7 @@
       mayServe: () => this.mayServe(),
       platformLost,
       workersVersion,
+      tablesAgeMs,
     };
   }
 
@@ -352,6 +358,7 @@
     const { renewsLease, servingLease } = this.#options;
     this.#published = true;
     if (renewsLease?.(response) ?? true) servingLease.renewByPeer(sentAt);
+    this.#options.onPeerResponse?.(response, sentAt);
   }
 
   #onNameConflict(other: NodeIdentity): void {
--- a/src/node/platform/objectFollower.ts
+++ b/src/node/platform/objectFollower.ts
@@ -4,10 +4,12 @@
 import type { Logger } from '../observability/logger.ts';
 import { backoffMs } from './backoff.ts';
 import {
+  type Confirmation,
   type PlatformEvent,
   PlatformHistoryError,
   type PlatformObject,
   type PlatformObjects,
+  type PlatformSnapshot,
 } from './platformClient.ts';
 
 /**
@@ -19,6 +21,9 @@
 /** Bounds of the delay between attempts while the platform does not respond, in ms. */
 const RETRY_BACKOFF = { baseMs: 50, maxMs: 500 };
 
+/** Of a response that was not applied, so that it confirms nothing. */
+const UNCONFIRMED: Confirmation = { ageMs: Infinity, heldMs: 0 };
+
 export interface ObjectFollowerOptions {
   readonly platform: Pick<PlatformObjects, 'snapshot' | 'changesSince'>;
   readonly clock: Clock;
@@ -55,8 +60,8 @@
   /** Highest version reached so far; an older list is not accepted. */
   #highestVersion = 0;
 
-  /** Measures the time since the last call that got a response was sent. */
-  #sinceConfirmed: Stopwatch | undefined;
+  /** When the copy was last known to be current: this many ms before the stopwatch was started. */
+  #confirmed: { readonly since: Stopwatch; readonly beforeMs: number } | undefined;
 
   #failures = 0;
 
@@ -75,9 +80,16 @@
     return this.#version ?? 0;
   }
 
+  /** Highest platform version that the copy has reached; it keeps it while it is listed again. */
+  get highestVersion(): number {
+    return this.#highestVersion;
+  }
+
   /** Time in ms since the copy was last known to be current; Infinity before the first list. */
   get ageMs(): number {
-    return this.#sinceConfirmed?.elapsedMs() ?? Infinity;
+    if (this.#confirmed === undefined) return Infinity;
+    const { since, beforeMs } = this.#confirmed;
+    return Math.max(0, since.elapsedMs() + beforeMs);
   }
 
   /** Whether the objects are listed and the last call got a response. */
@@ -100,6 +112,22 @@
     this.#callAbort.abort();
   }
 
+  /**
+   * Takes over a copy that another node has, if it is later than this one, and lists again to continue from it.
+   *
+   * @param sinceSent - started before the copy was asked for
+   * @returns whether the copy is later
+   */
+  adopt(snapshot: PlatformSnapshot, sinceSent: Stopwatch): boolean {
+    const { objects, version, confirmation } = snapshot;
+    if (version <= this.#highestVersion || this.#stop.signal.aborted) return false;
+    this.#applySnapshot(objects);
+    this.#highestVersion = version;
+    this.#confirm(sinceSent, confirmation);
+    this.refresh();
+    return true;
+  }
+
   [Symbol.dispose](): void {
     this.#stop.abort();
     this.#callAbort.abort();
@@ -110,9 +138,9 @@
     while (!this.#stop.signal.aborted) {
       const sinceSent = new Stopwatch(clock);
       try {
-        if (this.#version === undefined) await this.#list();
-        else await this.#longPoll(this.#version);
-        this.#recordResponse(sinceSent);
+        const confirmation =
+          this.#version === undefined ? await this.#list() : await this.#longPoll(this.#version);
+        this.#recordResponse(sinceSent, confirmation);
       } catch (error) {
         if (this.#stop.signal.aborted) return;
         if (error instanceof PlatformHistoryError) {
@@ -133,10 +161,10 @@
     }
   }
 
-  #recordResponse(sinceSent: Stopwatch): void {
+  #recordResponse(sinceSent: Stopwatch, confirmation: Confirmation | undefined): void {
     const { logger, prefix, onReconnected } = this.#options;
     const awayMs = this.ageMs;
-    this.#sinceConfirmed = sinceSent;
+    this.#confirm(sinceSent, confirmation);
     if (this.#failures > 0) {
       logger.info('platform-regained', { prefix, failures: this.#failures, awayMs });
       this.#failures = 0;
@@ -145,20 +173,32 @@
     this.#completeStart();
   }
 
+  /** Keeps the latest time at which the copy was current; another responder may know an earlier one. */
+  #confirm(since: Stopwatch, { ageMs, heldMs }: Confirmation = { ageMs: 0, heldMs: 0 }): void {
+    const beforeMs = ageMs - heldMs;
+    if (since.elapsedMs() + beforeMs < this.ageMs) this.#confirmed = { since, beforeMs };
+  }
+
   #completeStart(): void {
     this.#resolveStart?.();
     this.#resolveStart = undefined;
   }
 
-  async #list(): Promise<void> {
+  async #list(): Promise<Confirmation | undefined> {
     const { platform, prefix } = this.#options;
     this.#callAbort = new AbortController();
     const { signal } = this.#callAbort;
-    const { objects, version } = await platform.snapshot(prefix, {
+    const { objects, version, confirmation } = await platform.snapshot(prefix, {
       minVersion: this.#highestVersion,
     });
     // A refresh during the call may be due to a change that this response does not contain yet.
-    if (signal.aborted) return;
+    if (signal.aborted) return UNCONFIRMED;
+    this.#applySnapshot(objects);
+    this.#advance(version);
+    return confirmation;
+  }
+
+  #applySnapshot(objects: readonly PlatformObject[]): void {
     const listed = new Map(objects.map((object) => [object.key, object]));
     for (const [key, object] of this.#objects) {
       if (!listed.has(key)) this.#applyEvent({ type: 'removed', object });
@@ -168,10 +208,9 @@
         this.#applyEvent({ type: 'written', object });
       }
     }
-    this.#advance(version);
   }
 
-  async #longPoll(sinceVersion: number): Promise<void> {
+  async #longPoll(sinceVersion: number): Promise<Confirmation | undefined> {
     const { platform, clock, logger, prefix, waitMs } = this.#options;
     const longPollMs = waitMs();
     const call = new AbortController();
@@ -186,9 +225,10 @@
         waitMs: longPollMs,
         signal,
       });
-      if (this.#version === undefined) return;
+      if (this.#version === undefined) return UNCONFIRMED;
       for (const event of changes.events) this.#applyEvent(event);
       this.#advance(Math.max(sinceVersion, changes.version));
+      return changes.confirmation;
     } finally {
       timer[Symbol.dispose]();
     }
--- a/src/node/platform/objectRelay.ts
+++ b/src/node/platform/objectRelay.ts
@@ -10,7 +10,7 @@
   RelayStatus,
 } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import { messageOf } from '../../shared/errors.ts';
-import type { Clock } from '../../shared/clock.ts';
+import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import type { Logger } from '../observability/logger.ts';
 import { Notifier } from '../../shared/notifier.ts';
 import type { ObjectFollower } from './objectFollower.ts';
@@ -147,33 +147,43 @@
 /** A kind of objects that this node follows and relays to others. */
 export interface RelayedKind {
   readonly relay: ObjectRelay;
-  readonly follower: Pick<ObjectFollower, 'objects' | 'version'>;
+  readonly follower: Pick<ObjectFollower, 'objects' | 'version' | 'highestVersion' | 'ageMs'>;
 }
 
+/** Largest age that a message can hold, in ms. */
+const MAX_AGE_MS = 0xffffffff;
+
+const toAgeMs = ({ ageMs }: Pick<ObjectFollower, 'ageMs'>): number =>
+  Math.min(MAX_AGE_MS, Math.ceil(ageMs));
+
 /** Creates the RPC handlers that serve other nodes with the kinds that this node follows. */
 export const createRelayHandlers = (
   find: (prefix: string) => RelayedKind | undefined,
   logger: Logger,
+  clock: Clock,
 ): ServiceImpl<typeof RelayService> => {
   const findCurrent = (prefix: string) => {
     const found = find(prefix);
     return found?.relay.isCurrent ? found : undefined;
   };
   return {
-    snapshot({ prefix, minVersion }) {
-      const found = findCurrent(prefix);
-      if (found === undefined || BigInt(found.follower.version) < minVersion) {
+    snapshot({ prefix, minVersion, anyCopy }) {
+      const found = anyCopy ? find(prefix) : findCurrent(prefix);
+      const version = (anyCopy ? found?.follower.highestVersion : found?.follower.version) ?? 0;
+      if (found === undefined || version === 0 || BigInt(version) < minVersion) {
         return create(RelaySnapshotResponseSchema, { status: RelayStatus.UNAVAILABLE });
       }
       const { follower } = found;
       return create(RelaySnapshotResponseSchema, {
         status: RelayStatus.OK,
         objects: [...follower.objects.values()].map((object) => encodeObject(object, logger)),
-        version: BigInt(follower.version),
+        version: BigInt(version),
+        ageMs: toAgeMs(follower),
       });
     },
     async changes({ prefix, sinceVersion, waitMs }) {
       const since = Number(sinceVersion);
+      const sinceReceived = new Stopwatch(clock);
       const before = findCurrent(prefix);
       if (before?.relay.changesSince(since)?.length === 0) await before.relay.waitForChange(waitMs);
       const found = findCurrent(prefix);
@@ -191,6 +201,8 @@
           object: encodeObject(object, logger),
         })),
         version: BigInt(found.follower.version),
+        ageMs: toAgeMs(found.follower),
+        heldMs: Math.floor(sinceReceived.minElapsedMs()),
       });
     },
     advanced({ prefix, version }) {
--- a/src/node/platform/platformClient.ts
+++ b/src/node/platform/platformClient.ts
@@ -73,16 +73,29 @@
   listVms(): Promise<readonly VmEntry[]>;
 }
 
+/**
+ * When the responder knew that its copy is current: `ageMs` before it responded, which it did `heldMs` after it got the
+ * call at the earliest. Both in ms.
+ */
+export interface Confirmation {
+  readonly ageMs: number;
+  readonly heldMs: number;
+}
+
 /** All objects with a key prefix, and the platform version from which to follow changes. */
 export interface PlatformSnapshot {
   readonly objects: readonly PlatformObject[];
   readonly version: number;
+  /** @default the copy was current when the call was sent */
+  readonly confirmation?: Confirmation;
 }
 
 /** Changes after a version, and the version from which to continue. */
 export interface PlatformChanges {
   readonly events: readonly PlatformEvent[];
   readonly version: number;
+  /** @default the copy was current when the call was sent */
+  readonly confirmation?: Confirmation;
 }
 
 export interface ChangesOptions {
--- a/src/node/platform/relayedObjects.ts
+++ b/src/node/platform/relayedObjects.ts
@@ -1,6 +1,7 @@
 import type { Client } from '@connectrpc/connect';
 import {
   type RelayedObject,
+  type RelaySnapshotResponse,
   type RelayService,
   RelayStatus,
 } from '../../gen/hyssoppulley/v1/relay_pb.ts';
@@ -11,6 +12,7 @@
 import type { PeerAddress } from '../membership/peerClients.ts';
 import {
   type ChangesOptions,
+  type Confirmation,
   type PlatformChanges,
   PlatformError,
   PlatformHistoryError,
@@ -52,6 +54,23 @@
   value: JSON.parse(value),
 });
 
+/** Decodes another node's copy of the objects. */
+export const decodeSnapshot = (response: RelaySnapshotResponse): PlatformSnapshot => ({
+  objects: response.objects.map(decodeObject),
+  version: Number(response.version),
+  confirmation: { ageMs: response.ageMs, heldMs: 0 },
+});
+
+/** The platform responds without changes only after the requested wait, so it knew of none until then. */
+const directConfirmation = (
+  { events }: PlatformChanges,
+  { waitMs }: ChangesOptions,
+  sinceSent: Stopwatch,
+): Confirmation => ({
+  ageMs: 0,
+  heldMs: events.length > 0 ? 0 : Math.min(waitMs, sinceSent.minElapsedMs()),
+});
+
 /** Follows objects through a relay, or directly at the platform when this node is a relay or no relay responds. */
 export class RelayedObjects implements Pick<PlatformObjects, 'snapshot' | 'changesSince'> {
   readonly #options: RelayedObjectsOptions;
@@ -89,7 +108,7 @@
         const response = await client(relay).snapshot({ prefix, minVersion: BigInt(minVersion) });
         if (response.status === RelayStatus.OK) {
           this.#recordResponse(prefix, 'relay');
-          return { objects: response.objects.map(decodeObject), version: Number(response.version) };
+          return decodeSnapshot(response);
         }
         this.#avoid(relay, RELAY_UNAVAILABLE, UNAVAILABLE_RELAY_AVOIDANCE_MS);
       } catch (error) {
@@ -106,9 +125,10 @@
     const { platform, client } = this.#options;
     const relay = this.#selectRelay(prefix);
     if (relay === undefined) {
+      const sinceSent = new Stopwatch(this.#options.clock);
       const changes = await platform.changesSince(prefix, version, options);
       this.#recordResponse(prefix, 'platform');
-      return changes;
+      return { ...changes, confirmation: directConfirmation(changes, options, sinceSent) };
     }
     const { waitMs, signal } = options;
     const response = await client(relay)
@@ -137,6 +157,7 @@
           : [{ type: removed ? 'removed' : 'written', object: decodeObject(object) } as const],
       ),
       version: Number(response.version),
+      confirmation: response,
     };
   }
 
