feat(usage): requests of accounts are counted at the nodes and reported once a window

Change: WorkerAttempts reports each request of an account once, at the head of an executed response or a stream's first event; nodes report cumulative counts once a second to the holder of the duty and the next candidate, and before a planned exit; the holder stores a report with a create-only write before it sends it. A window costs a create, a verifying read, a send and a removal; there is no mark as sent: a new holder repeats the reports of the last 20 s, and exact repeats are ignored. ReportCounts carries the wall clocks of both nodes, of which the median decides on the window. Nothing is counted until requests carry an account.

--- a/src/node/decisions/holderClaim.ts
+++ b/src/node/decisions/holderClaim.ts
@@ -39,3 +39,12 @@
   );
   return preferred.length * CLAIM_STAGGER_MS;
 };
+
+/** The eligible node that claims first; undefined if none is eligible. */
+export const nextCandidate = (
+  subject: string,
+  candidates: readonly HolderCandidate[],
+): HolderCandidate | undefined =>
+  candidates
+    .filter(({ eligible }) => eligible)
+    .sort((left, right) => compareCandidates(subject, left, right))[0];
--- a/src/node/duties/duty.ts
+++ b/src/node/duties/duty.ts
@@ -19,6 +19,8 @@
    * @returns false also during the wait after a take-over and while the platform does not respond in time
    */
   verify(): Promise<boolean>;
+  /** Whether the wait after a take-over has ended, during which `verify` returns false. */
+  mayCall(): boolean;
   /** Sends calls with the credentials of this node. */
   readonly calls: GuardedControlCalls;
   /** Aborted when this node no longer holds the duty. */
@@ -151,7 +153,7 @@
     this.#lastCalls = calls;
     metrics.dutyHeld.set({ duty: duty.name }, 1);
     logger.info('duty-started', { duty: duty.name, term, former: former?.node, waitMs });
-    const work = duty.start({ ...credentials, verify, calls, signal: abort.signal });
+    const work = duty.start({ ...credentials, verify, mayCall, calls, signal: abort.signal });
     this.#held = { abort, calls, mayCall, work };
   }
 
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -10,6 +10,7 @@
 import { PoisonService } from '../../gen/hyssoppulley/v1/poison_pb.ts';
 import { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import { TablesSchema } from '../../gen/hyssoppulley/v1/tables_pb.ts';
+import { UsageService } from '../../gen/hyssoppulley/v1/usage_pb.ts';
 import { type Clock, Stopwatch, systemClock } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { messageOf } from '../../shared/errors.ts';
@@ -40,6 +41,7 @@
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import { PlatformHealth } from '../platform/platformHealth.ts';
 import { RequestTracker } from '../requestTracker.ts';
+import { createUsage } from '../usage/createUsage.ts';
 import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
 import { Shutdown } from '../shutdown.ts';
 import type { GatewayAdapter } from './adapter.ts';
@@ -252,8 +254,25 @@
       call: (node, request, timeoutMs) => peerClients.poison(node).exchange(request, { timeoutMs }),
     }),
   );
+  const duties = store.add(
+    new DutySubsystem({
+      ...{ platform, clock, random, logger, metrics, health, view: membership },
+      control: adapter.control,
+      fenced: gateway.ordersFenced,
+      leaseMs: gateway.orderLeaseMs,
+    }),
+  );
+  const usage = createUsage({
+    ...{ platform, clock, random, logger, metrics, view: membership, duties },
+    control: gateway.control,
+    asked: adapter.control?.duties ?? [],
+    call: (node, request, timeoutMs) =>
+      peerClients.usage(node).reportCounts(request, { timeoutMs }),
+  });
+  if (usage !== undefined) store.add(usage);
   const attempts = new WorkerAttempts({
     ...{ clock, logger, loadBalancer, limits, permits, poison, isMostUrgent },
+    usage: usage?.counter,
     calls: adapter.workerCalls,
   });
   const forwarder = new Forwarder({ clock, loadBalancer, attempts });
@@ -287,14 +306,6 @@
       weightsLongPollMs: DISPATCHER_LONG_POLL_MS,
     }),
   );
-  const duties = store.add(
-    new DutySubsystem({
-      ...{ platform, clock, random, logger, metrics, health, view: membership },
-      control: adapter.control,
-      fenced: gateway.ordersFenced,
-      leaseMs: gateway.orderLeaseMs,
-    }),
-  );
   const requests = new RequestTracker();
   const gatewayServices: GatewayServices = {
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
@@ -322,7 +333,7 @@
   const operatorViews: GatewayOperatorViews = {
     revision: () => tables.tables?.revision ?? 0,
     accounts: () => [],
-    usage: () => [],
+    usage: () => usage?.statuses() ?? [],
     duties: () => duties.statuses(),
     workerOrders: () => [],
     suspects: () => [],
@@ -345,6 +356,9 @@
         router.service(RelayService, followers.handlers());
         router.service(PermitService, { issuePermits: (request) => permits.issue(request) });
         router.service(PoisonService, { exchange: (request) => poisonExchange.receive(request) });
+        router.service(UsageService, {
+          reportCounts: (request) => usage?.exchange.receive(request) ?? {},
+        });
         router.service(GatewayOperatorService, createGatewayOperatorHandlers(operatorViews));
       },
     }),
@@ -358,8 +372,11 @@
     },
     closeListener: () => servers.stopAccepting(),
     abortRequests: () => servers.abortRequests(),
-    handOvers: [],
-    deregister: () => membership.deregister(),
+    handOvers: usage === undefined ? [] : [() => usage.exchange.push()],
+    deregister: async () => {
+      await usage?.exchange.push();
+      return membership.deregister();
+    },
     dispose: () => store[Symbol.asyncDispose](),
   });
 
@@ -392,6 +409,7 @@
   }
   await membership.start();
   store.add(membership);
+  if (usage !== undefined) duties.run(usage.duty);
   await Promise.all([tables.start(), workers.start()]);
   store.add(
     repeatEvery(clock, SWEEP_INTERVAL_MS, () => {
--- a/src/node/gateway/streamForwarder.ts
+++ b/src/node/gateway/streamForwarder.ts
@@ -146,9 +146,9 @@
   /** @param mayRepeat - whether another attempt can confirm that a stream of unknown length has ended */
   #reader(relay: StreamRelay, stall: StallTimer | undefined, mayRepeat: boolean): ResponseReader {
     const { attempts } = this.#options;
-    return async (worker, response) => {
-      if (!isEventStream(response)) return attempts.readResponse(worker, response);
-      const end = await relay.relay(response, stall);
+    return async (worker, response, onEvent) => {
+      if (!isEventStream(response)) return attempts.readResponse(worker, response, onEvent);
+      const end = await relay.relay(response, stall, onEvent);
       if (end !== 'complete' && mayRepeat) {
         return { worker, mayHaveRun: true, reason: 'the end of the stream is not certain' };
       }
--- a/src/node/gateway/streamRelay.ts
+++ b/src/node/gateway/streamRelay.ts
@@ -43,6 +43,7 @@
   /**
    * Passes on the events of one attempt.
    *
+   * @param onEvent - called when events have arrived
    * @returns `uncertain`: the stream may have been cut off, because the response had no length; `empty`: so had a response
    *   without events
    * @throws Error when the stream breaks off or does not continue what the caller has, or when the caller has left
@@ -50,6 +51,7 @@
   async relay(
     response: WorkerResponse,
     stall: StallTimer | undefined,
+    onEvent?: () => void,
   ): Promise<'complete' | 'uncertain' | 'empty'> {
     const { body, weightVersion } = response;
     const before = this.lastEventId;
@@ -59,7 +61,10 @@
       for await (const chunk of body as AsyncIterable<string>) {
         stall?.stop();
         const events = this.#join.feed(chunk);
-        if (events !== '') await this.#send(response, events);
+        if (events !== '') {
+          onEvent?.();
+          await this.#send(response, events);
+        }
         stall?.wait(STREAM_STALL_MS);
       }
       if (!body.complete) throw new Error('the event stream was truncated');
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -11,6 +11,8 @@
 import type { LoadBalancer } from './loadBalancer.ts';
 import type { PoisonGuard } from '../poison/poisonGuard.ts';
 import { createResponseReader } from './readResponse.ts';
+import { isEventStream } from './streamRelay.ts';
+import type { UsageCounter } from '../usage/usageCounter.ts';
 import type { WorkerCalls, WorkerLoad, WorkerResponse } from './workerCalls.ts';
 import type { RegisteredWorker } from './workerRegistry.ts';
 
@@ -30,10 +32,15 @@
   readonly condemned?: boolean;
 }
 
-/** Consumes the body of a worker's response. Throws when it is not complete or not usable. */
+/**
+ * Consumes the body of a worker's response. Throws when it is not complete or not usable.
+ *
+ * @param onEvent - to be called for each event of a stream
+ */
 export type ResponseReader = (
   worker: RegisteredWorker,
   response: WorkerResponse,
+  onEvent: () => void,
 ) => Promise<AttemptResult>;
 
 /** What a worker is recorded to have done when its attempt was aborted before it was complete. */
@@ -66,6 +73,8 @@
   readonly poison: PoisonGuard;
   /** Whether no other route of the pool is more urgent. Only requests of such routes wait for a permit. */
   readonly isMostUrgent: (route: GatewayRoute, pool: string) => boolean;
+  /** Counts the requests of client accounts that workers began to run. @default they are not counted */
+  readonly usage?: Pick<UsageCounter, 'startAttempt'>;
 }
 
 /** Part of the remaining time budget that a request may wait for a permit. */
@@ -194,11 +203,12 @@
     options: AttemptOptions,
     remainingMs: number,
   ): Promise<AttemptResult> {
-    const { clock, calls, loadBalancer, limits, logger, poison } = this.#options;
+    const { clock, calls, loadBalancer, limits, logger, poison, usage } = this.#options;
     const { pool, tried, signal, newConnection, resumeAfter, read, classifyAborted } = options;
     const limitPerSecond = limits.of(worker.id);
     const { id: requestId, method, path, host, headers, body } = request;
     const started = new Stopwatch(clock);
+    using counted = usage?.startAttempt(request, route.name);
     tried.add(worker.id);
     if (options.trial) poison.trialWorkers.add(worker.id);
     loadBalancer.begin(worker.id);
@@ -211,7 +221,11 @@
       const message = { requestId, method, path, host, headers, body, account, remainingMs };
       const response = await calls.send(worker, { ...message, newConnection, resumeAfter }, signal);
       ({ load } = response);
-      attemptResult = await read(worker, response);
+      const began = () => counted?.began(response.load?.waiting);
+      // A stream counts with its first event.
+      if (!response.notRun && !isEventStream(response)) began();
+      attemptResult = await read(worker, response, began);
+      if (!response.notRun && attemptResult.response !== undefined) began();
       if (response.notRun) result = 'refused';
       else if (!is5xx(response.statusCode)) result = 'answered';
       if (!response.notRun) poison.recordAnswer(request);
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -52,6 +52,17 @@
       labelNames: ['duty', 'call', 'result'],
       registers,
     }),
+    usageWindows: new Counter({
+      name: 'hyssoppulley_usage_windows_total',
+      help: 'Windows of usage by how this node reported them (in-time, late, skipped)',
+      labelNames: ['outcome'],
+      registers,
+    }),
+    usageDropped: new Counter({
+      name: 'hyssoppulley_usage_dropped_total',
+      help: 'Requests of client accounts that were not counted because a bound was reached',
+      registers,
+    }),
     dutyHeld: new Gauge({
       name: 'hyssoppulley_duty_held',
       help: 'Whether this node holds a duty (1) or not (0), by duty',
