feat(worker-orders): gateway nodes run the duty worker-orders

Cause: the duty was built on interfaces of its own. Change: it uses those of src/node/duties; orders are planned first, the term is verified once before they are sent, and orders that were withheld do not count as sent. Dispatchers report to the holder by the duty's record.

--- a/src/node/decisions/workerOrders/orderedWorkers.ts
+++ b/src/node/decisions/workerOrders/orderedWorkers.ts
@@ -7,8 +7,8 @@
   readonly leavesInMs: number | undefined;
 }
 
-/** How the control API answered an order. */
-export type OrderResult = 'accepted' | 'none-available' | 'refused' | 'unknown';
+/** How the control API answered an order. `not-sent`: it was withheld. */
+export type OrderResult = 'accepted' | 'none-available' | 'refused' | 'unknown' | 'not-sent';
 
 /** Time after the start of a worker until its registration is known here, in ms: a heartbeat and a relay of it. */
 const REGISTRATION_GRACE_MS = 2500;
@@ -40,7 +40,13 @@
   #differsSinceMs: number | undefined;
 
   #uncertain:
-    { readonly count: number; readonly former: number; readonly untilMs: number } | undefined;
+    | {
+        readonly count: number;
+        readonly former: number;
+        readonly formerSentAtMs: number;
+        readonly untilMs: number;
+      }
+    | undefined;
 
   #pausedUntilMs = -Infinity;
 
@@ -111,10 +117,10 @@
 
   /** Records that an order was sent, before its answer. */
   recordSent(count: number, nowMs: number): void {
+    const untilMs = nowMs + MAX_ORDER_TRANSIT_MS;
+    this.#uncertain = { count, former: this.#ordered, formerSentAtMs: this.#sentAtMs, untilMs };
     this.#sentAtMs = nowMs;
     this.#differsSinceMs = undefined;
-    const untilMs = nowMs + MAX_ORDER_TRANSIT_MS;
-    this.#uncertain = { count, former: this.#ordered, untilMs };
     this.#ordered = count;
   }
 
@@ -125,9 +131,9 @@
     this.#uncertain = undefined;
     if (result === 'accepted') return;
     this.#ordered = sent.former;
-    if (result === 'none-available') {
-      this.#blockedUntilMs = Math.max(this.#blockedUntilMs, nowMs + NONE_AVAILABLE_PAUSE_MS);
-    } else this.#pausedUntilMs = nowMs + REFUSED_PAUSE_MS;
+    if (result === 'not-sent') this.#sentAtMs = sent.formerSentAtMs;
+    else if (result === 'refused') this.#pausedUntilMs = nowMs + REFUSED_PAUSE_MS;
+    else this.#blockedUntilMs = Math.max(this.#blockedUntilMs, nowMs + NONE_AVAILABLE_PAUSE_MS);
   }
 
   /** An order without an answer took effect once the registered number has reached it. */
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -2,6 +2,7 @@
 import { NEVER } from 'rxjs';
 import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { NodeIdentitySchema, PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import { DemandService } from '../../gen/hyssoppulley/v1/demand_pb.ts';
 import { PermitService } from '../../gen/hyssoppulley/v1/permit_pb.ts';
 import {
   GatewayOperatorService,
@@ -39,6 +40,7 @@
 import { createPlatformClient } from '../platform/createPlatformClient.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import { PlatformHealth } from '../platform/platformHealth.ts';
+import { WorkerOrders } from '../workerOrders/workerOrders.ts';
 import { RequestTracker } from '../requestTracker.ts';
 import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
 import { Shutdown } from '../shutdown.ts';
@@ -295,6 +297,13 @@
       leaseMs: gateway.orderLeaseMs,
     }),
   );
+  const workerOrders = store.add(
+    new WorkerOrders({
+      ...{ clock, logger, metrics, registry, peerClients, duties },
+      tables: () => tables.tables,
+      demands: () => batches.demands(),
+    }),
+  );
   const requests = new RequestTracker();
   const gatewayServices: GatewayServices = {
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
@@ -324,7 +333,7 @@
     accounts: () => [],
     usage: () => [],
     duties: () => duties.statuses(),
-    workerOrders: () => [],
+    workerOrders: () => workerOrders.statuses(),
     suspects: () => [],
     clearSuspect: () => false,
     uploads: () => create(ListUploadsResponseSchema),
@@ -344,6 +353,7 @@
         );
         router.service(RelayService, followers.handlers());
         router.service(PermitService, { issuePermits: (request) => permits.issue(request) });
+        router.service(DemandService, workerOrders.handlers);
         router.service(PoisonService, { exchange: (request) => poisonExchange.receive(request) });
         router.service(GatewayOperatorService, createGatewayOperatorHandlers(operatorViews));
       },
@@ -393,6 +403,7 @@
   await membership.start();
   store.add(membership);
   await Promise.all([tables.start(), workers.start()]);
+  duties.run(workerOrders);
   store.add(
     repeatEvery(clock, SWEEP_INTERVAL_MS, () => {
       loadBalancer.sweep();
--- a/src/node/workerOrders/constants.ts
+++ b/src/node/workerOrders/constants.ts
@@ -1,9 +1,6 @@
 /** Name of the duty whose holder orders workers. */
 export const WORKER_ORDERS_DUTY = 'worker-orders';
 
-/** Lease by which heartbeats announce the holder of the duty, followed by its term. */
-export const WORKER_ORDERS_LEASE = `duty/${WORKER_ORDERS_DUTY}#`;
-
 /** Interval between reports of the demand, in ms: a quarter of a training step. */
 export const DEMAND_REPORT_INTERVAL_MS = 1000;
 
--- a/src/node/workerOrders/demandReporter.ts
+++ b/src/node/workerOrders/demandReporter.ts
@@ -1,11 +1,10 @@
-import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import type { DutyRecord } from '../../gen/hyssoppulley/v1/duty_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import type { DispatcherDemand } from '../batches/batchDemand.ts';
-import type { Peer } from '../membership/membershipView.ts';
 import type { Logger } from '../observability/logger.ts';
-import { DEMAND_REPORT_INTERVAL_MS, WORKER_ORDERS_LEASE } from './constants.ts';
+import { DEMAND_REPORT_INTERVAL_MS } from './constants.ts';
 
 /** Time limit of a report, in ms; the next one replaces it. */
 const REPORT_TIMEOUT_MS = 800;
@@ -13,25 +12,20 @@
 export interface DemandReporterOptions {
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly peers: () => readonly Peer[];
+  /** The holder of the duty; undefined while it is not known. */
+  readonly holder: () => DutyRecord | undefined;
   /** Whether this node holds the duty. */
   readonly isHolder: () => boolean;
   /** Demand of the pools that this node dispatches and whose workers may be ordered. */
   readonly demands: () => readonly DispatcherDemand[];
   readonly receive: (demand: DispatcherDemand) => void;
   readonly call: (
-    node: NodeIdentity,
+    node: DutyRecord,
     demand: DispatcherDemand,
     timeoutMs: number,
   ) => Promise<unknown>;
 }
 
-/** Term in which a peer announces that it holds the duty; 0 if it does not. */
-const dutyTerm = ({ leases }: Peer): number => {
-  const lease = leases.find((held) => held.startsWith(WORKER_ORDERS_LEASE));
-  return lease === undefined ? 0 : Number(lease.slice(WORKER_ORDERS_LEASE.length)) || 0;
-};
-
 /** Reports the demand of the pools that this node dispatches to the holder of the duty. */
 export class DemandReporter implements Disposable {
   readonly #options: DemandReporterOptions;
@@ -51,24 +45,22 @@
   }
 
   async #report(): Promise<void> {
-    const { demands, isHolder, receive, peers, call, logger } = this.#options;
+    const { demands, isHolder, receive, holder, call, logger } = this.#options;
     const reported = demands();
     if (reported.length === 0) return;
     if (isHolder()) {
       reported.forEach(receive);
       return;
     }
-    const [holder] = peers()
-      .filter((peer) => dutyTerm(peer) > 0 && !peer.suspected)
-      .sort((left, right) => dutyTerm(right) - dutyTerm(left));
-    if (holder === undefined) return;
+    const to = holder();
+    if (to === undefined || to.released) return;
     try {
-      await Promise.all(reported.map((demand) => call(holder.identity, demand, REPORT_TIMEOUT_MS)));
+      await Promise.all(reported.map((demand) => call(to, demand, REPORT_TIMEOUT_MS)));
       this.#failed = false;
     } catch (error) {
       if (!this.#failed) {
         logger.info('demand-report-failed', {
-          holder: holder.identity.name,
+          holder: to.node,
           message: messageOf(error),
         });
       }
--- a/src/node/workerOrders/workerOrders.ts
+++ b/src/node/workerOrders/workerOrders.ts
@@ -2,26 +2,23 @@
 import type { DemandService } from '../../gen/hyssoppulley/v1/demand_pb.ts';
 import type { WorkerOrderStatus } from '../../gen/hyssoppulley/v1/gateway_operator_pb.ts';
 import type { DispatcherDemand } from '../batches/batchDemand.ts';
-import type { MembershipView } from '../membership/membershipView.ts';
+import type { DutyContext, Duty } from '../duties/duty.ts';
+import type { DutySubsystem } from '../duties/dutySubsystem.ts';
 import type { PeerClients } from '../membership/peerClients.ts';
 import { WORKER_ORDERS_DUTY } from './constants.ts';
 import { DemandReporter } from './demandReporter.ts';
 import { DemandReports } from './demandReports.ts';
-import {
-  type DutyTerm,
-  WorkerOrdersDuty,
-  type WorkerOrdersDutyOptions,
-} from './workerOrdersDuty.ts';
+import { WorkerOrdersDuty, type WorkerOrdersDutyOptions } from './workerOrdersDuty.ts';
 
 export interface WorkerOrdersOptions extends Omit<WorkerOrdersDutyOptions, 'demands'> {
-  readonly view: Pick<MembershipView, 'peers'>;
+  readonly duties: Pick<DutySubsystem, 'holderOf'>;
   readonly peerClients: Pick<PeerClients, 'demand'>;
   /** Demand of the pools that this node dispatches. */
   readonly demands: () => readonly DispatcherDemand[];
 }
 
 /** Orders for workers at one node: reports the demand of its pools, and sends the orders while it holds the duty. */
-export class WorkerOrders implements Disposable {
+export class WorkerOrders implements Disposable, Duty {
   /** Name of the duty. */
   readonly name = WORKER_ORDERS_DUTY;
 
@@ -37,7 +34,7 @@
 
   constructor(options: WorkerOrdersOptions) {
     this.#options = options;
-    const { clock, logger, view, peerClients } = options;
+    const { clock, logger, duties, peerClients } = options;
     this.#reports = new DemandReports(clock);
     this.handlers = {
       reportDemand: (request) => {
@@ -47,7 +44,7 @@
     };
     this.#reporter = new DemandReporter({
       ...{ clock, logger },
-      peers: () => view.peers(),
+      holder: () => duties.holderOf(WORKER_ORDERS_DUTY),
       isHolder: () => this.#duty !== undefined,
       demands: () => this.#orderable(),
       receive: (demand) => this.#reports.receive(demand),
@@ -57,9 +54,9 @@
   }
 
   /** Runs the duty until the result is disposed. */
-  start(term: DutyTerm): Disposable {
+  start(context: DutyContext): Disposable {
     this.#duty?.[Symbol.dispose]();
-    const duty = new WorkerOrdersDuty({ ...this.#options, demands: this.#reports }, term);
+    const duty = new WorkerOrdersDuty({ ...this.#options, demands: this.#reports }, context);
     this.#duty = duty;
     return {
       [Symbol.dispose]: () => {
--- a/src/node/workerOrders/workerOrdersDuty.ts
+++ b/src/node/workerOrders/workerOrdersDuty.ts
@@ -10,6 +10,8 @@
   type WorkerOrder,
   WorkerOrderPlanner,
 } from '../decisions/workerOrders/workerOrderPlanner.ts';
+import type { WorkerOrderResult } from '../duties/controlCalls.ts';
+import type { DutyContext } from '../duties/duty.ts';
 import type { GatewayTables, ScalingBounds } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { Logger } from '../observability/logger.ts';
@@ -17,36 +19,10 @@
 import { DECISION_INTERVAL_MS } from './constants.ts';
 import type { DemandReports } from './demandReports.ts';
 
-/** Answer of the control API to an order. `unknown`: the order may take effect, now or later. */
-export type OrderAnswer = 'accepted' | 'fenced' | 'none-available' | 'refused' | 'unknown';
-
-/** The part of the platform's control API that orders workers. */
-export interface OrderWorkersCalls {
-  orderWorkers(order: {
-    readonly pool: string;
-    readonly availabilityZone: string;
-    readonly count: number;
-    readonly spot: boolean;
-    readonly holder: string;
-    readonly fencing: number;
-  }): Promise<OrderAnswer>;
-}
-
-/** The term in which this node holds the duty. */
-export interface DutyTerm {
-  readonly holder: string;
-  readonly term: number;
-  /** Whether this node still holds the duty, confirmed by the platform within the last 500 ms. */
-  readonly verify: () => Promise<boolean>;
-  /** Ends the term because the control API has seen a later one. */
-  readonly resign: (reason: string) => void;
-}
-
 export interface WorkerOrdersDutyOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Pick<Metrics, 'workerOrders' | 'workersNeeded'>;
-  readonly calls: OrderWorkersCalls;
   readonly registry: Pick<WorkerRegistry, 'all'>;
   readonly tables: () => GatewayTables | undefined;
   readonly demands: Pick<DemandReports, 'find'>;
@@ -59,6 +35,13 @@
   readonly reasons: Map<string, string>;
 }
 
+interface PlannedOrder extends PoolState {
+  readonly pool: string;
+  readonly order: WorkerOrder;
+  /** Age of the demand on which the order rests, in ms. */
+  readonly demandAgeMs: number;
+}
+
 const keyOf = (zone: string, spot: boolean) => `${zone}/${spot}`;
 
 const toOrdered = ({
@@ -75,18 +58,16 @@
 export class WorkerOrdersDuty implements Disposable {
   readonly #options: WorkerOrdersDutyOptions;
 
-  readonly #term: DutyTerm;
+  readonly #context: DutyContext;
 
   /** By pool; bounded by the pools of the tables. */
   readonly #pools = new Map<string, PoolState>();
 
   readonly #timer: Disposable;
 
-  #ended = false;
-
-  constructor(options: WorkerOrdersDutyOptions, term: DutyTerm) {
+  constructor(options: WorkerOrdersDutyOptions, context: DutyContext) {
     this.#options = options;
-    this.#term = term;
+    this.#context = context;
     this.#timer = repeatEvery(options.clock, DECISION_INTERVAL_MS, () => this.#decide());
   }
 
@@ -103,11 +84,10 @@
   }
 
   [Symbol.dispose](): void {
-    this.#ended = true;
     this.#timer[Symbol.dispose]();
   }
 
-  #decide(): void {
+  async #decide(): Promise<void> {
     const pools = this.#options.tables()?.pools;
     // Without tables nothing is known about the pools, so the orders stay as they are.
     if (pools === undefined) return;
@@ -115,12 +95,22 @@
       if (pools.get(name)?.scaling === undefined) this.#pools.delete(name);
     }
     const byPool = Map.groupBy(this.#options.registry.all(), ({ pool }) => pool);
-    for (const { name, scaling } of pools.values()) {
-      if (scaling !== undefined) this.#decideFor(name, scaling, byPool.get(name) ?? []);
+    const planned = [...pools.values()].flatMap(({ name, scaling }) =>
+      scaling === undefined ? [] : this.#plan(name, scaling, byPool.get(name) ?? []),
+    );
+    if (planned.length === 0) return;
+    const mayCall = await this.#context.verify().catch(() => false);
+    if (!mayCall || this.#context.signal.aborted) {
+      const nowMs = this.#options.clock.monotonicMs();
+      for (const { planner, order } of planned) planner.recordResult(order, 'not-sent', nowMs);
+      const reason = 'the platform has not confirmed the term, or a call of the former may be late';
+      this.#options.logger.debug('worker-orders-withheld', { orders: planned.length, reason });
+      return;
     }
+    for (const each of planned) void this.#send(each);
   }
 
-  #decideFor(pool: string, bounds: ScalingBounds, workers: readonly RegisteredWorker[]): void {
+  #plan(pool: string, bounds: ScalingBounds, workers: readonly RegisteredWorker[]): PlannedOrder[] {
     const { clock, demands, metrics } = this.#options;
     const nowMs = clock.monotonicMs();
     const state = this.#pools.get(pool) ?? {
@@ -129,52 +119,35 @@
       reasons: new Map<string, string>(),
     };
     this.#pools.set(pool, state);
+    const { planner, estimate } = state;
     const report = demands.find(pool);
-    const demand = report && state.estimate.record(report.slotsPerWorker, report.batches, nowMs);
-    const orders = state.planner.decide({
+    const demand = report && estimate.record(report.slotsPerWorker, report.batches, nowMs);
+    const orders = planner.decide({
       ...{ nowMs, bounds, demand },
       workers: workers.map(toOrdered),
     });
-    if (demand !== undefined) metrics.workersNeeded.set({ pool }, state.planner.need);
-    for (const order of orders) {
-      state.reasons.set(keyOf(order.availabilityZone, order.spot), order.reason);
-      void this.#send(pool, state, order, report?.ageMs);
-    }
+    if (demand !== undefined) metrics.workersNeeded.set({ pool }, planner.need);
+    const demandAgeMs = report?.ageMs ?? 0;
+    return orders.map((order) => ({ ...state, pool, order, demandAgeMs }));
   }
 
-  async #send(pool: string, { planner }: PoolState, order: WorkerOrder, demandAgeMs = 0) {
+  async #send({ pool, planner, reasons, order, demandAgeMs }: PlannedOrder): Promise<void> {
     const { clock, logger, metrics } = this.#options;
+    const { availabilityZone, count, spot, reason } = order;
     const took = new Stopwatch(clock);
-    const answer = await this.#call(pool, order);
-    if (answer === 'not-sent') {
-      planner.recordResult(order, 'refused', clock.monotonicMs());
-      logger.info('worker-order-not-sent', { pool, ...order, reason: 'no longer the holder' });
-      return;
+    let result: WorkerOrderResult = 'unknown';
+    try {
+      result = await this.#context.calls.orderWorkers({ pool, availabilityZone, count, spot });
+    } catch (error) {
+      logger.warn('worker-order-failed', { pool, message: messageOf(error) });
     }
-    planner.recordResult(order, answer === 'fenced' ? 'refused' : answer, clock.monotonicMs());
-    metrics.workerOrders.inc({ pool, result: answer });
+    // The runner of the duty ends the term after `fenced`.
+    planner.recordResult(order, result === 'fenced' ? 'refused' : result, clock.monotonicMs());
+    if (result === 'accepted') reasons.set(keyOf(availabilityZone, spot), reason);
+    metrics.workerOrders.inc({ pool, result });
     logger.info('worker-order', {
-      ...{ pool, ...order, term: this.#term.term, result: answer, need: planner.need },
+      ...{ pool, ...order, term: this.#context.fencing, result, need: planner.need },
       ...{ demandAgeMs: Math.round(demandAgeMs), tookMs: Math.round(took.elapsedMs()) },
     });
-    if (answer !== 'fenced' || this.#ended) return;
-    this[Symbol.dispose]();
-    this.#term.resign('the control API has seen a later term of worker-orders');
-  }
-
-  async #call(pool: string, order: WorkerOrder): Promise<OrderAnswer | 'not-sent'> {
-    const { holder, term, verify } = this.#term;
-    const { availabilityZone, count, spot } = order;
-    let sent = false;
-    try {
-      if (!(await verify()) || this.#ended) return 'not-sent';
-      sent = true;
-      return await this.#options.calls.orderWorkers({
-        ...{ pool, availabilityZone, count, spot, holder, fencing: term },
-      });
-    } catch (error) {
-      this.#options.logger.warn('worker-order-failed', { pool, message: messageOf(error) });
-      return sent ? 'unknown' : 'not-sent';
-    }
   }
 }
