fix(weights): a model with a small share of the work has a worker of its own

Change: a model's fair capacity is at least that of one worker while there are as many workers as models; the rest is divided as before.

--- a/src/node/decisions/workerAssignment.ts
+++ b/src/node/decisions/workerAssignment.ts
@@ -16,24 +16,47 @@
   readonly deficit: number;
 }
 
+/**
+ * Capacity that each model should have: in proportion to its work, but no less than one worker of mean capacity while there
+ * are enough workers, because a model without a worker has nobody to load its new versions.
+ */
+const fairCapacities = (
+  models: readonly string[],
+  workers: readonly AssignableWorker[],
+  weightOf: (model: string) => number,
+): ReadonlyMap<string, number> => {
+  const working = workers.filter(({ capacity }) => capacity > 0);
+  const totalCapacity = working.reduce((sum, { capacity }) => sum + capacity, 0);
+  const meanCapacity = totalCapacity / Math.max(1, working.length);
+  const fair = new Map<string, number>();
+  const hasEnough = working.length >= models.length;
+  // The lightest model first: what it gets beyond its share is taken from the heavier ones.
+  const byWeight = [...models].sort((left, right) => weightOf(left) - weightOf(right));
+  let restCapacity = totalCapacity;
+  let restWeight = models.reduce((sum, model) => sum + weightOf(model), 0);
+  for (const model of byWeight) {
+    const share = (restCapacity * weightOf(model)) / restWeight;
+    const capacity = hasEnough ? Math.max(meanCapacity, share) : share;
+    fair.set(model, capacity);
+    restCapacity -= capacity;
+    restWeight -= weightOf(model);
+  }
+  return fair;
+};
+
 /** Deficits of all models, the largest first. */
 const deficits = (
   models: readonly string[],
   workers: readonly AssignableWorker[],
   assigned: ReadonlyMap<string, string>,
-  weightOf: (model: string) => number,
+  fair: ReadonlyMap<string, number>,
 ): ModelDeficit[] => {
-  const totalCapacity = workers.reduce((sum, { capacity }) => sum + capacity, 0);
-  const totalWeight = models.reduce((sum, model) => sum + weightOf(model), 0);
   const assignedCapacity = (model: string) =>
     workers
       .filter(({ id }) => assigned.get(id) === model)
       .reduce((sum, { capacity }) => sum + capacity, 0);
   return models
-    .map((model) => ({
-      model,
-      deficit: (totalCapacity * weightOf(model)) / totalWeight - assignedCapacity(model),
-    }))
+    .map((model) => ({ model, deficit: (fair.get(model) ?? 0) - assignedCapacity(model) }))
     .sort((left, right) => right.deficit - left.deficit);
 };
 
@@ -54,16 +77,17 @@
 ): Map<string, string> => {
   const assigned = new Map<string, string>();
   if (models.length === 0) return assigned;
+  const fair = fairCapacities(models, workers, weightOf);
   for (const { id } of workers) {
     const model = previous.get(id);
     if (model !== undefined && models.includes(model)) assigned.set(id, model);
   }
   for (const { id } of workers) {
-    const [mostUnderserved] = deficits(models, workers, assigned, weightOf);
+    const [mostUnderserved] = deficits(models, workers, assigned, fair);
     if (!assigned.has(id) && mostUnderserved !== undefined) assigned.set(id, mostUnderserved.model);
   }
   for (let reassignments = 0; reassignments < workers.length; reassignments += 1) {
-    const sorted = deficits(models, workers, assigned, weightOf);
+    const sorted = deficits(models, workers, assigned, fair);
     const [mostUnderserved] = sorted;
     const leastUnderserved = sorted.at(-1);
     if (mostUnderserved === undefined || leastUnderserved === undefined) break;
