feat(batches): runs move from workers that say when they stop

Cause: spot workers are reclaimed with a notice of 2 to 3 s; runs went on until they broke off. Change: the registry keeps the earliest announced stop of a worker's start and treats the worker as draining, so that neither new runs nor weight loads nor shares of models count it.

--- a/src/node/batches/__tests__/runSupervision.test.ts
+++ b/src/node/batches/__tests__/runSupervision.test.ts
@@ -5,7 +5,7 @@
 import type { WeightLoads } from '../../weights/weightLoads.ts';
 import { EngineWorkers } from '../engineWorkers.ts';
 import type { ItemRun } from '../itemRun.ts';
-import { stopSlowRuns } from '../runSupervision.ts';
+import { stopRunsOnLeavingWorkers, stopSlowRuns } from '../runSupervision.ts';
 
 const workers = ['slow', 'usual', 'failing'].map((id) => ({ id, slots: 8 }) as RegisteredWorker);
 const weights = { versionOf: () => 1 } as unknown as WeightLoads;
@@ -60,3 +60,31 @@
   );
   expect(stopped).toEqual([]);
 });
+
+/** Stops the runs that cannot end on the worker `slow`, which leaves after the given time. */
+const leave = (leavesInMs: number | undefined, expectedTokens: number) => {
+  const { clock, workerState } = startRun(600);
+  const stopped: string[] = [];
+  const run = {
+    ...{ worker: workers[0], isStopped: false },
+    state: {
+      ...{ batch: { record: { model: 'm' } }, item: { expectedOutputTokens: expectedTokens } },
+      text: { allows: () => true, events: [] },
+    },
+    stop: (reason: string) => stopped.push(reason),
+  } as unknown as ItemRun;
+  const nowMs = clock.monotonicMs();
+  const leavesAtMs = () => (leavesInMs === undefined ? undefined : nowMs + leavesInMs);
+  stopRunsOnLeavingWorkers([run], new Map([['slow', 1]]), {
+    ...{ workers: workerState, weights, registry: { leavesAtMs } },
+    ...{ tokensPerEvent: 60, nowMs },
+  });
+  return stopped;
+};
+
+// Guards against runs that break off in a reclaim, and against moves of runs that end in time: the median event takes 20 ms.
+test('a run moves from a leaving worker if its expected end is later than the stop', () => {
+  expect(leave(2000, 60 * 90)).toEqual(['worker-leaving']);
+  expect(leave(2000, 60 * 60)).toEqual([]);
+  expect(leave(undefined, 60 * 900)).toEqual([]);
+});
--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -9,7 +9,8 @@
 import type { GenerationCalls, GenerationEnd } from './generationCalls.ts';
 
 /** Why the dispatcher stopped a run before its end. */
-export type StopReason = 'stalled' | 'slow-worker' | 'batch-ended' | 'released' | 'wrong-version';
+export type StopReason =
+  'stalled' | 'slow-worker' | 'worker-leaving' | 'batch-ended' | 'released' | 'wrong-version';
 
 /** How a run ended. */
 export type RunEnd =
@@ -60,6 +61,11 @@
     return this.#events;
   }
 
+  /** Whether the run has been stopped and will end. */
+  get isStopped(): boolean {
+    return this.#stopReason !== undefined;
+  }
+
   get elapsedMs(): number {
     return this.#started.elapsedMs();
   }
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -39,7 +39,7 @@
 import type { ItemState } from './itemState.ts';
 import { StaleViewGuard, type StaleViewGuardOptions } from './staleViewGuard.ts';
 import { unstoredProgress, CheckpointStore } from './checkpointStore.ts';
-import { stopSlowRuns, stopStalledRuns } from './runSupervision.ts';
+import { stopRunsOnLeavingWorkers, stopSlowRuns, stopStalledRuns } from './runSupervision.ts';
 import { sharedPromptOf } from './waitingItem.ts';
 import { countByWorker, SuspectedItems } from './suspectedItems.ts';
 import { TextRestarts } from './textRestarts.ts';
@@ -427,15 +427,17 @@
     void sleep(this.#options.clock, forMs).then(() => this.schedule());
   }
 
-  #runningByWorker(): Map<string, number> {
-    return countByWorker(this.#runs.values());
-  }
-
-  /** Stops runs on unresponsive or slow workers, so that their items continue on other workers. */
+  /** Stops runs on unresponsive, slow or leaving workers, so that their items continue on other workers. */
   #checkRuns(): void {
-    const { clock, weights } = this.#options;
-    stopStalledRuns([...this.#runs.values()], this.#workers.stallMs, clock.monotonicMs());
-    stopSlowRuns([...this.#runs.values()], this.#runningByWorker(), this.#workers, weights);
+    const { clock, weights, registry, engine } = this.#options;
+    const runs = [...this.#runs.values()];
+    stopStalledRuns(runs, this.#workers.stallMs, clock.monotonicMs());
+    stopRunsOnLeavingWorkers(runs, countByWorker(runs), {
+      ...{ registry, weights, workers: this.#workers },
+      tokensPerEvent: engine()?.tokensPerEvent ?? 1,
+      nowMs: clock.monotonicMs(),
+    });
+    stopSlowRuns(runs, countByWorker(runs), this.#workers, weights);
     this.schedule();
   }
 
--- a/src/node/batches/runSupervision.ts
+++ b/src/node/batches/runSupervision.ts
@@ -1,7 +1,9 @@
-import { selectRunsToRelocate } from '../decisions/runRelocation.ts';
+import { selectRunsToRelocate, selectRunsToSave } from '../decisions/runRelocation.ts';
+import type { WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
 import type { EngineWorkers } from './engineWorkers.ts';
 import type { ItemRun } from './itemRun.ts';
+import { remainingTokens } from './waitingItem.ts';
 
 /** Stops runs that have had no event for longer than `stallMs`, so that their items continue on other workers. */
 export const stopStalledRuns = (runs: readonly ItemRun[], stallMs: number, nowMs: number): void => {
@@ -11,6 +13,47 @@
 /** Minimum time before a run may be moved, in ms. Moves read the prompt again, which slows down every worker. */
 const MIN_RUN_BEFORE_MOVE_MS = 500;
 
+const toRelocatable = (run: ItemRun, weights: Pick<WeightLoads, 'versionOf'>) => ({
+  run,
+  worker: run.worker.id,
+  canMoveTo: (id: string) => {
+    const version = weights.versionOf(id, run.state.batch.record.model);
+    return version !== undefined && run.state.text.allows(version);
+  },
+});
+
+export interface LeavingWorkersOptions {
+  readonly registry: Pick<WorkerRegistry, 'leavesAtMs'>;
+  readonly workers: Pick<EngineWorkers, 'eventGapMs' | 'freeSlots'>;
+  readonly weights: Pick<WeightLoads, 'versionOf'>;
+  readonly tokensPerEvent: number;
+  /** Monotonic time. */
+  readonly nowMs: number;
+}
+
+/**
+ * Stops runs on workers that have said when they leave, if they cannot end there, so that their items continue elsewhere.
+ *
+ * @returns the stopped runs
+ */
+export const stopRunsOnLeavingWorkers = (
+  runs: readonly ItemRun[],
+  running: ReadonlyMap<string, number>,
+  { registry, workers, weights, tokensPerEvent, nowMs }: LeavingWorkersOptions,
+): ItemRun[] => {
+  const leaving = runs.flatMap((run) => {
+    const leavesAtMs = registry.leavesAtMs(run.worker.id);
+    if (leavesAtMs === undefined || run.isStopped) return [];
+    const events = remainingTokens(run.state, tokensPerEvent) / tokensPerEvent;
+    const expectedMs = events * workers.eventGapMs;
+    return [{ ...toRelocatable(run, weights), expectedMs, leavesInMs: leavesAtMs - nowMs }];
+  });
+  if (leaving.length === 0) return [];
+  const saved = selectRunsToSave(leaving, workers.freeSlots(running)).map(({ run }) => run);
+  for (const run of saved) run.stop('worker-leaving');
+  return saved;
+};
+
 /** Stops runs on slow workers if their items can continue on another worker with a free slot. */
 export const stopSlowRuns = (
   runs: readonly ItemRun[],
@@ -21,14 +64,7 @@
   const isSlow = (id: string) => workers.isSlow(id);
   if (![...running.keys()].some(isSlow)) return;
   const longRunning = runs.filter(({ elapsedMs }) => elapsedMs >= MIN_RUN_BEFORE_MOVE_MS);
-  const movable = longRunning.map((run) => ({
-    run,
-    worker: run.worker.id,
-    canMoveTo: (id: string) => {
-      const version = weights.versionOf(id, run.state.batch.record.model);
-      return version !== undefined && run.state.text.allows(version);
-    },
-  }));
+  const movable = longRunning.map((run) => toRelocatable(run, weights));
   for (const { run } of selectRunsToRelocate(movable, isSlow, workers.freeSlots(running))) {
     run.stop('slow-worker');
   }
--- a/src/node/decisions/__tests__/runRelocation.test.ts
+++ b/src/node/decisions/__tests__/runRelocation.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { selectRunsToRelocate } from '../runRelocation.ts';
+import { selectRunsToRelocate, selectRunsToSave } from '../runRelocation.ts';
 
 const run = (name: string, worker: string, goesTo: readonly string[] = ['b', 'c']) => ({
   name,
@@ -24,3 +24,22 @@
   const runs = [run('1', 'a', ['c'])];
   expect(selectRunsToRelocate(runs, isSlow, [{ id: 'b', freeSlots: 4 }])).toEqual([]);
 });
+
+const leavingRun = (name: string, expectedMs: number, leavesInMs: number) => ({
+  ...run(name, 'a'),
+  ...{ expectedMs, leavesInMs },
+});
+
+// Guards against runs that break off when their worker is reclaimed, although another one could have continued them.
+test('runs that cannot end on a leaving worker move at once, the longest first; those that can end there stay', () => {
+  const runs = [leavingRun('long', 3000, 2000), leavingRun('longest', 5000, 2000)];
+  const short = leavingRun('short', 900, 2000);
+  const saved = selectRunsToSave([...runs, short], [{ id: 'b', freeSlots: 1 }]);
+  expect(saved.map(({ name }) => name)).toEqual(['longest']);
+});
+
+// Guards against runs that still go on when the worker stops, which count as breaks of the worker and of the item.
+test('shortly before the worker stops every run is taken from it, also without a free slot', () => {
+  const runs = [leavingRun('long', 3000, 300), leavingRun('short', 200, 300)];
+  expect(selectRunsToSave(runs, []).map(({ name }) => name)).toEqual(['long', 'short']);
+});
--- a/src/node/gateway/workerRegistry.ts
+++ b/src/node/gateway/workerRegistry.ts
@@ -60,8 +60,13 @@
 interface KnownStart extends RegistrationAge {
   /** Whether the worker itself has said that it is about to stop. Holds until its next start. */
   readonly leaving: boolean;
+  /** Earliest monotonic time in ms at which a registration of this start says that the worker stops. */
+  readonly leavesAtMs: number | undefined;
 }
 
+const earliest = (one: number | undefined, other: number | undefined): number | undefined =>
+  one === undefined || other === undefined ? (one ?? other) : Math.min(one, other);
+
 const isOlder = (registration: RegistrationAge, known: RegistrationAge): boolean =>
   registration.startedAtMs < known.startedAtMs ||
   (registration.startedAtMs === known.startedAtMs &&
@@ -97,6 +102,11 @@
     return this.#workers.get(id);
   }
 
+  /** Monotonic time in ms at which a worker stops; undefined where its registrations do not say so. */
+  leavesAtMs(id: string): number | undefined {
+    return this.#latest.get(id)?.leavesAtMs;
+  }
+
   /** All registered workers, including draining ones. */
   all(): IterableIterator<RegisteredWorker> {
     return this.#workers.values();
@@ -151,22 +161,32 @@
       this.#options.logger.info('registration-outdated', { worker: id, heartbeatCount });
       return;
     }
-    const leaving = latest?.startedAtMs === registration.startedAtMs && latest.leaving;
-    const worker = { ...registration, draining: registration.draining || leaving };
-    this.#trackLatest({ ...registration, leaving });
+    const sameStart = latest?.startedAtMs === registration.startedAtMs ? latest : undefined;
+    const leaving = sameStart?.leaving ?? false;
+    const { leavesInMs } = registration;
+    const leavesAtMs =
+      leavesInMs === undefined ? undefined : this.#options.clock.monotonicMs() + leavesInMs;
+    const draining = registration.draining || leaving || leavesInMs !== undefined;
+    const worker = { ...registration, draining };
+    this.#trackLatest({
+      ...{ ...registration, leaving },
+      leavesAtMs: draining ? earliest(leavesAtMs, sameStart?.leavesAtMs) : undefined,
+    });
     const known = this.#workers.get(worker.id);
     this.#cancelLapseTimer(worker.id);
     this.#workers.set(worker.id, worker);
     this.#notifyChange();
     if (known === undefined || known.draining !== worker.draining) {
-      const { id, pool, address, draining } = worker;
-      this.#options.logger.info('worker-registered', { worker: id, pool, address, draining });
+      const { id, pool, address } = worker;
+      const fields = { worker: id, pool, address, draining, leavesInMs };
+      this.#options.logger.info('worker-registered', fields);
     }
   }
 
-  #trackLatest({ id, startedAtMs, heartbeatCount, leaving }: KnownStart & { id: string }): void {
+  #trackLatest({ id, ...start }: KnownStart & { id: string }): void {
+    const { startedAtMs, heartbeatCount, leaving, leavesAtMs } = start;
     this.#latest.delete(id);
-    this.#latest.set(id, { startedAtMs, heartbeatCount, leaving });
+    this.#latest.set(id, { startedAtMs, heartbeatCount, leaving, leavesAtMs });
     const [oldest] = this.#latest.keys();
     if (this.#latest.size > MAX_TRACKED && oldest !== undefined) this.#latest.delete(oldest);
   }
