--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -2,6 +2,7 @@
 import { NEVER } from 'rxjs';
 import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { NodeIdentitySchema, PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import { DemandService } from '../../gen/hyssoppulley/v1/demand_pb.ts';
 import { PermitService } from '../../gen/hyssoppulley/v1/permit_pb.ts';
 import {
   GatewayOperatorService,
@@ -41,6 +42,7 @@
 import { createPlatformClient } from '../platform/createPlatformClient.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import { PlatformHealth } from '../platform/platformHealth.ts';
+import { WorkerOrders } from '../workerOrders/workerOrders.ts';
 import { RequestTracker } from '../requestTracker.ts';
 import { createUsage } from '../usage/createUsage.ts';
 import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
@@ -310,6 +312,13 @@
       weightsLongPollMs: DISPATCHER_LONG_POLL_MS,
     }),
   );
+  const workerOrders = store.add(
+    new WorkerOrders({
+      ...{ clock, logger, metrics, registry, peerClients, duties },
+      tables: () => tables.tables,
+      demands: () => batches.demands(),
+    }),
+  );
   const requests = new RequestTracker();
   const gatewayServices: GatewayServices = {
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
@@ -341,7 +350,7 @@
     accounts: () => accounts.status(),
     usage: () => usage?.statuses() ?? [],
     duties: () => duties.statuses(),
-    workerOrders: () => [],
+    workerOrders: () => workerOrders.statuses(),
     suspects: () => poison.suspects(),
     clearSuspect: (digest) => poison.clear(digest),
     uploads: () => create(ListUploadsResponseSchema),
@@ -361,6 +370,7 @@
         );
         router.service(RelayService, followers.handlers());
         router.service(PermitService, { issuePermits: (request) => permits.issue(request) });
+        router.service(DemandService, workerOrders.handlers);
         router.service(PoisonService, { exchange: (request) => poisonExchange.receive(request) });
         router.service(UsageService, {
           reportCounts: (request) => usage?.exchange.receive(request) ?? {},
@@ -417,6 +427,7 @@
   store.add(membership);
   if (usage !== undefined) duties.run(usage.duty);
   await Promise.all([tables.start(), workers.start()]);
+  duties.run(workerOrders);
   store.add(
     repeatEvery(clock, SWEEP_INTERVAL_MS, () => {
       loadBalancer.sweep();
