feat(operator): commands for what gateway nodes know

Cause: gateway nodes answer requests of operators since the interfaces of accounts, duties, worker orders and request memory, but the command line did not call them. Change: get accounts, usage, duties, worker-orders, suspects and uploads; clear suspect. The calls share the choice of the first reachable node with the other commands. The whole suite was not run.

--- a/src/node/cliOperator.ts
+++ b/src/node/cliOperator.ts
@@ -9,8 +9,11 @@
   withNode,
   withOutput,
 } from './operator/cliOptions.ts';
+import { GATEWAY_VIEWS, type GatewayViewName } from './operator/gatewayViewNames.ts';
 import type { ViewOptions } from './operator/cliViews.ts';
 
+const loadGatewayViews = () => import('./operator/cliGatewayViews.ts');
+
 const loadViews = () => import('./operator/cliViews.ts');
 
 const registerTables = (program: Command): void => {
@@ -50,7 +53,7 @@
 };
 
 const registerViews = (program: Command): void => {
-  const get = program.command('get').description('show tables, nodes, workers or jobs');
+  const get = program.command('get').description('show what nodes know');
   withOutput(withNode(get.command('tables')), 'yaml')
     .description('the accepted tables')
     .action(async (options: ViewOptions) => (await loadViews()).showTables(options));
@@ -66,6 +69,24 @@
   withOutput(withNode(get.command('jobs')), 'table')
     .description('the jobs of trainers, as known to the answering node')
     .action(async (options: ViewOptions) => (await loadViews()).showJobs(options));
+  for (const [name, description] of Object.entries(GATEWAY_VIEWS)) {
+    const view = name as GatewayViewName;
+    withOutput(withNode(get.command(name)), 'table')
+      .description(description)
+      .action(async (options: ViewOptions) =>
+        console.log(await (await loadGatewayViews()).showGatewayView(view, options)),
+      );
+  }
+};
+
+const registerClear = (program: Command): void => {
+  const clear = program.command('clear').description('withdraw a judgement of the nodes');
+  withNode(clear.command('suspect'))
+    .description('send a request again under which workers ended; all nodes learn of it')
+    .argument('<digest>', 'digest of the request, as shown by get suspects')
+    .action(async (digest: string, options: NodeOptions) =>
+      console.log(await (await loadGatewayViews()).clearSuspect(options, digest)),
+    );
 };
 
 const registerDrain = (
@@ -87,6 +108,7 @@
 export const registerOperatorCommands = (program: Command): void => {
   registerTables(program);
   registerViews(program);
+  registerClear(program);
   registerDrain(program, 'drain', 'stop sending new work to a worker or node', true);
   registerDrain(program, 'undrain', 'send new work to a drained worker or node again', false);
 };
--- a/src/node/operator/cliConnection.ts
+++ b/src/node/operator/cliConnection.ts
@@ -1,3 +1,4 @@
+import type { DescService } from '@bufbuild/protobuf';
 import { type Client, ConnectError, createClient } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import { OperatorService } from '../../gen/hyssoppulley/v1/operator_pb.ts';
@@ -24,15 +25,16 @@
 };
 
 /**
- * Calls the first reachable node of a list.
+ * Calls a service of the first reachable node of a list.
  *
  * @param mayRepeat - whether the next node is also tried after a failed call that the node may have received
  * @throws CommandError if no node was reached or the node refused the call; the error of the call if it failed and must
  *   not be repeated
  */
-export const callFirstReachable = async <T>(
+export const callFirstNode = async <T, Service extends DescService>(
+  service: Service,
   addresses: readonly string[],
-  call: (client: OperatorClient) => Promise<T>,
+  call: (client: Client<Service>) => Promise<T>,
   mayRepeat: boolean,
   defaultTimeoutMs = READ_TIMEOUT_MS,
 ): Promise<T> => {
@@ -44,7 +46,7 @@
       defaultTimeoutMs,
     });
     try {
-      return await call(createClient(OperatorService, transport));
+      return await call(createClient(service, transport));
     } catch (error) {
       const failure = ConnectError.from(error);
       const translated = fromConnectError(failure);
@@ -58,3 +60,11 @@
     `no node could be reached: ${failures.join('; ')}; specify another node with --node ADDRESS`,
   );
 };
+
+/** Calls the operator service of the first reachable node of a list, as `callFirstNode` does. */
+export const callFirstReachable = <T>(
+  addresses: readonly string[],
+  call: (client: OperatorClient) => Promise<T>,
+  mayRepeat: boolean,
+  defaultTimeoutMs = READ_TIMEOUT_MS,
+): Promise<T> => callFirstNode(OperatorService, addresses, call, mayRepeat, defaultTimeoutMs);
--- a/src/node/operator/cliOutput.ts
+++ b/src/node/operator/cliOutput.ts
@@ -40,7 +40,8 @@
 export const tablesToDocument = (tables: Tables): JsonValue =>
   toDocumentValue(toJson(TablesSchema, tables));
 
-type Row = Readonly<Record<string, string | number | boolean>>;
+/** One line of a table, by the names of its columns. */
+export type Row = Readonly<Record<string, string | number | boolean>>;
 
 const formatTable = (rows: readonly Row[]): string => {
   const [first] = rows;
