--- a/src/node/accounts/accountAuthentication.ts
+++ b/src/node/accounts/accountAuthentication.ts
@@ -40,6 +40,12 @@
   readonly again?: boolean;
 }
 
+/** Why a request is denied. */
+const reasonOf = (key: string | undefined): string => {
+  if (key === undefined) return 'key-missing';
+  return key === '' ? 'key-empty-or-repeated' : 'key-unknown';
+};
+
 const toBytes = (key: string): Uint8Array => Buffer.from(key, 'latin1');
 
 /** Decides on whose behalf a request runs, by the key that it carries and the tables in force. */
@@ -90,10 +96,9 @@
     const kind = isStale ? 'stale' : 'denied';
     counts.recordRefusal(kind, account?.name);
     logger.info('request-refused', {
-      ...{ request: id, route, reason: isStale ? 'tables-not-confirmed' : 'unknown-key' },
+      ...{ request: id, route, reason: isStale ? 'tables-not-confirmed' : reasonOf(key) },
       key: bytes && fingerprintOf(bytes),
       account: account?.name,
-      keyMissing: key === undefined,
       revision: tables?.revision,
       tablesAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
     });
--- a/src/node/batches/__tests__/itemScorer.test.ts
+++ b/src/node/batches/__tests__/itemScorer.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 import { ScoringCallSchema } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
-import type { ForwardOutcome } from '../../gateway/forwardedRequest.ts';
+import type { ForwardedRequest, ForwardOutcome } from '../../gateway/forwardedRequest.ts';
 import type { GatewayRoute } from '../../gateway/gatewayTables.ts';
 import { silentLogger } from '../../observability/logger.ts';
 import { ItemScorer } from '../itemScorer.ts';
@@ -70,3 +70,22 @@
   expect(await result).toEqual(undefined);
   expect(sentMs.length < 15).toEqual(true);
 });
+
+// Guards against a scorer that is told for which account a text was generated.
+test('a scoring call names no account and carries no key', async () => {
+  const sent: ForwardedRequest[] = [];
+  const scorer = new ItemScorer({
+    ...{ clock: new VirtualClock(), logger: silentLogger },
+    findRoute: () => ({ name: 'r', maxAttempts: 2 }) as GatewayRoute,
+    forwarder: {
+      forward: (request) => {
+        sent.push(request);
+        return Promise.resolve(answer(200));
+      },
+    },
+  });
+  await scorer.score(CALL, new AbortController().signal);
+  expect(sent.map(({ account, headers }) => [account, headers.map(([name]) => name)])).toEqual([
+    [undefined, ['content-type']],
+  ]);
+});
--- a/src/node/decisions/accounts/__tests__/accountIndex.test.ts
+++ b/src/node/decisions/accounts/__tests__/accountIndex.test.ts
@@ -58,6 +58,31 @@
   expect(['k3', 'k4', 'k5'].map((key) => find(after, key))).toEqual(['a', 'b', undefined]);
 });
 
+// Guards against a revocation of which nothing remains in the log, so that nobody finds why a client gets 401.
+test('keys that accounts lost are reported by their fingerprints, with the account that holds them now', () => {
+  const before = new AccountIndex([
+    { name: 'a', keys: ['k1', 'k2', 'k3'] },
+    { name: 'b', keys: ['k4', 'k1'] },
+    { name: 'c', keys: ['k5'] },
+  ]);
+  const after = new AccountIndex(
+    [
+      { name: 'a', keys: ['k1'] },
+      { name: 'b', keys: ['k2', 'k6'] },
+      { name: 'c', keys: ['k5'] },
+    ],
+    before,
+  );
+  expect(after.removedSince(before)).toEqual({
+    count: 3,
+    first: [
+      { key: fingerprintOf('k2'), account: 'a', holder: 'b' },
+      { key: fingerprintOf('k3'), account: 'a', holder: undefined },
+      { key: fingerprintOf('k4'), account: 'b', holder: undefined },
+    ],
+  });
+});
+
 const key = fc.constantFrom(...Array.from({ length: 12 }, (_, number) => `key-${number}`));
 const version: fc.Arbitrary<Account[]> = fc.array(
   fc.record({
--- a/src/node/decisions/accounts/accountIndex.ts
+++ b/src/node/decisions/accounts/accountIndex.ts
@@ -25,6 +25,15 @@
   readonly key?: string;
 }
 
+/** A key that an account had in the version before. */
+export interface RemovedKey {
+  /** Fingerprint of the key. */
+  readonly key: string;
+  readonly account: string;
+  /** The account that holds the key now. @default none */
+  readonly holder?: string;
+}
+
 /** The keys of an account in one version of the tables, with their digests in the same order. */
 interface HashedKeys {
   readonly keys: readonly string[];
@@ -104,6 +113,23 @@
     return this.#keyCounts.get(name) ?? 0;
   }
 
+  /** Keys that accounts had in an earlier version and have no longer: the first ones, and how many there are. */
+  removedSince(previous: AccountIndex): { readonly count: number; readonly first: RemovedKey[] } {
+    const first: RemovedKey[] = [];
+    let count = 0;
+    for (const [account, { digests }] of previous.#hashed) {
+      if (this.#hashed.get(account)?.digests === digests) continue;
+      for (const digest of new Set(digests)) {
+        const holder = this.#byDigest.get(digest)?.name;
+        if (holder === account || previous.#byDigest.get(digest)?.name !== account) continue;
+        count += 1;
+        const key = Buffer.from(digest, 'latin1').toString('hex').slice(0, FINGERPRINT_LENGTH);
+        if (first.length < MAX_REPORTED_PROBLEMS) first.push({ key, account, holder });
+      }
+    }
+    return { count, first };
+  }
+
   #add({ name, keys, priority }: Account, previous: AccountIndex | undefined): void {
     if (name === '' || UNUSABLE_IN_HEADERS.test(name)) {
       this.#report({ kind: 'unusable-name', account: JSON.stringify(name) });
--- a/src/node/gateway/tablesFollower.ts
+++ b/src/node/gateway/tablesFollower.ts
@@ -126,9 +126,10 @@
     this.#tables = tables;
     this.#version = object.version;
     this.#routeIndex = new RouteIndex(routes);
-    this.#accounts = accounts.length === 0 ? undefined : new AccountIndex(accounts, this.#accounts);
+    const previous = this.#accounts;
+    this.#accounts = accounts.length === 0 ? undefined : new AccountIndex(accounts, previous);
     this.#mostUrgent = new Map();
-    this.#logAccountProblems(revision);
+    this.#logAccounts(revision, previous);
     logger.info('tables-in-force', {
       revision,
       routes: routes.length,
@@ -141,11 +142,15 @@
     onChange();
   }
 
-  #logAccountProblems(revision: number): void {
-    if (this.#accounts === undefined) return;
-    const { count, first } = this.#accounts.problems;
-    for (const problem of first) {
-      this.#options.logger.warn('account-problem', { revision, problems: count, ...problem });
+  #logAccounts(revision: number, previous: AccountIndex | undefined): void {
+    const { logger } = this.#options;
+    const problems = this.#accounts?.problems;
+    for (const problem of problems?.first ?? []) {
+      logger.warn('account-problem', { revision, problems: problems?.count, ...problem });
+    }
+    const removed = previous && this.#accounts?.removedSince(previous);
+    for (const key of removed?.first ?? []) {
+      logger.info('account-key-removed', { revision, removed: removed?.count, ...key });
     }
   }
 }
