feat(usage): a successor without fencing waits for late calls only if there may be any; random runs of the reports

Change: a holder tells the next candidate, with the counts, that all its stored reports are confirmed and no call is unanswered. A successor that finds no later stored report, read 1.5 s after its claim, calls at once; any doubt keeps the full wait. Of a clock's latest four readings the furthest ahead counts.

--- a/src/node/decisions/usage/agreedClock.ts
+++ b/src/node/decisions/usage/agreedClock.ts
@@ -3,6 +3,12 @@
 /** Time for which the clock of another node counts, in ms: a few exchanges of one a second. */
 const SAMPLE_TTL_MS = 4000;
 
+/**
+ * Number of latest readings of a clock of which the furthest ahead counts: messages that were delayed make a clock appear
+ * behind.
+ */
+const READINGS = 4;
+
 /** Maximum number of other nodes whose clocks are kept. */
 const MAX_SAMPLES = 64;
 
@@ -22,7 +28,7 @@
   readonly #clock: Clock;
 
   /** By incarnation: the difference to this node's monotonic clock. */
-  readonly #samples = new Map<string, { readonly offsetMs: number; readonly at: Stopwatch }>();
+  readonly #samples = new Map<string, { readonly offsetsMs: number[]; readonly at: Stopwatch }>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -35,18 +41,20 @@
    */
   observe(incarnation: string, wallMs: number): void {
     const [oldest] = this.#samples.keys();
+    const offsetsMs = this.#samples.get(incarnation)?.offsetsMs ?? [];
     this.#samples.delete(incarnation);
     if (this.#samples.size >= MAX_SAMPLES && oldest !== undefined) this.#samples.delete(oldest);
-    const offsetMs = wallMs - this.#clock.monotonicMs();
-    this.#samples.set(incarnation, { offsetMs, at: new Stopwatch(this.#clock) });
+    offsetsMs.push(wallMs - this.#clock.monotonicMs());
+    if (offsetsMs.length > READINGS) offsetsMs.shift();
+    this.#samples.set(incarnation, { offsetsMs, at: new Stopwatch(this.#clock) });
   }
 
   /** The agreed time, in ms since the Unix epoch. */
   nowMs(): number {
     const ownOffsetMs = this.#clock.nowMs() - this.#clock.monotonicMs();
     const offsets = [ownOffsetMs];
-    for (const { offsetMs, at } of this.#samples.values()) {
-      if (at.minElapsedMs() < SAMPLE_TTL_MS) offsets.push(offsetMs);
+    for (const { offsetsMs, at } of this.#samples.values()) {
+      if (at.minElapsedMs() < SAMPLE_TTL_MS) offsets.push(Math.max(...offsetsMs));
     }
     return offsets.length < MIN_CLOCKS
       ? this.#clock.nowMs()
--- a/src/node/duties/__tests__/dutyHarness.ts
+++ b/src/node/duties/__tests__/dutyHarness.ts
@@ -1,10 +1,12 @@
 import { create } from '@bufbuild/protobuf';
 import { InMemoryPlatform } from '../../../../playground/inMemoryPlatform.ts';
-import { NodeIdentitySchema } from '../../../gen/hyssoppulley/v1/peer_pb.ts';
+import type { DutyRecord } from '../../../gen/hyssoppulley/v1/duty_pb.ts';
+import { type NodeIdentity, NodeIdentitySchema } from '../../../gen/hyssoppulley/v1/peer_pb.ts';
 import { type Clock, sleep } from '../../../shared/clock.ts';
 import { seededRandom } from '../../../shared/random.ts';
 import { repeatEvery } from '../../../shared/repeat.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
+import type { ElectionView } from '../../election/holderElection.ts';
 import type { Peer } from '../../membership/membershipView.ts';
 import { silentLogger } from '../../observability/logger.ts';
 import { createMetrics } from '../../observability/metrics.ts';
@@ -15,7 +17,7 @@
   type WriteResult,
 } from '../../platform/platformClient.ts';
 import type { UsageReportResult } from '../controlCalls.ts';
-import { DutyRunner } from '../duty.ts';
+import { type Duty, DutyRunner } from '../duty.ts';
 import { FakeControl, LEASE_MS } from './fakeControl.ts';
 
 /** Interval in which the duty of the tests calls, in ms. */
@@ -24,10 +26,12 @@
 /** Time that a call to the platform takes, in ms. */
 const PLATFORM_LATENCY_MS = 10;
 
-/** A clock whose timers do not run while the process is paused. */
-class PausableClock implements Clock {
+/** A clock of one node: its timers do not run while the process is paused, and its wall clock may be stepped. */
+export class PausableClock implements Clock {
   paused = false;
 
+  wallOffsetMs = 0;
+
   readonly #clock: VirtualClock;
 
   #waiting: (() => void)[] = [];
@@ -36,7 +40,7 @@
     this.#clock = clock;
   }
 
-  nowMs = () => this.#clock.nowMs();
+  nowMs = () => this.#clock.nowMs() + this.wallOffsetMs;
 
   monotonicMs = () => this.#clock.monotonicMs();
 
@@ -62,19 +66,31 @@
   }
 }
 
+/** How other nodes see a node, whether it reaches the platform, and whether it has missed the latest heartbeats. */
+export interface NodeState {
+  suspected: boolean;
+  leaving: boolean;
+  platformLost: boolean;
+  uninformed: boolean;
+}
+
+/** What the duty of a node is built from. */
+export interface NodeParts {
+  readonly identity: NodeIdentity;
+  readonly clock: PausableClock;
+  readonly platform: PlatformObjects;
+  readonly view: ElectionView;
+  readonly holder: () => DutyRecord | undefined;
+  /** Results of its calls. */
+  readonly results: UsageReportResult[];
+}
+
 /** A node that takes part in the election for a duty. */
 export interface DutyNode {
   readonly name: string;
   readonly clock: PausableClock;
   readonly runner: DutyRunner;
-  /** How the other nodes see it, whether it reaches the platform, and whether it has missed the latest heartbeats. */
-  readonly state: {
-    suspected: boolean;
-    leaving: boolean;
-    platformLost: boolean;
-    uninformed: boolean;
-  };
-  /** Results of its calls. */
+  readonly state: NodeState;
   readonly results: UsageReportResult[];
 }
 
@@ -92,70 +108,105 @@
     await sleep(clock, PLATFORM_LATENCY_MS);
     return result;
   };
-  return { read, write } as unknown as PlatformObjects;
+  const list: PlatformObjects['list'] = async (prefix) => {
+    if (!reachable()) throw new PlatformError(unreachable);
+    const objects = await platform.list(prefix);
+    await sleep(clock, PLATFORM_LATENCY_MS);
+    return objects;
+  };
+  const remove: PlatformObjects['remove'] = async (...args): Promise<WriteResult> => {
+    if (!reachable()) return { status: 'unavailable', reason: unreachable };
+    return platform.remove(...args);
+  };
+  return { read, write, list, remove } as unknown as PlatformObjects;
 };
 
-/** Starts nodes that call the control API once a second while they hold the duty. */
-export const startDutyNodes = (names: readonly string[], { fenced = true } = {}) => {
+/** A duty that calls the control API once a second. */
+const callingDuty = ({ clock, results }: NodeParts): Duty => ({
+  name: 'usage-reports',
+  start: (context) =>
+    repeatEvery(
+      clock,
+      CALL_INTERVAL_MS,
+      async () => {
+        if (!(await context.verify())) return;
+        results.push(await context.calls.reportUsage({ window: 1, counts: new Map() }));
+      },
+      0,
+    ),
+});
+
+export interface DutyNodesOptions {
+  readonly fenced?: boolean;
+  /** @default a duty that calls once a second */
+  readonly createDuty?: (parts: NodeParts) => Duty;
+}
+
+/** Starts nodes that take part in the election for the duty of usage reports. */
+export const startDutyNodes = (
+  names: readonly string[],
+  { fenced = true, createDuty = callingDuty }: DutyNodesOptions = {},
+) => {
   const clock = new VirtualClock();
   const platform = new InMemoryPlatform();
   const control = new FakeControl(clock, fenced);
-  const nodes: DutyNode[] = [];
-  const identityOf = (name: string) =>
-    create(NodeIdentitySchema, { name, incarnation: `${name}-1`, capacityMillicores: 675 });
-  const start = (name: string) => {
+  const nodes: (DutyNode & { readonly identity: NodeIdentity })[] = [];
+  let starts = 0;
+  const start = (name: string): void => {
+    starts += 1;
+    const incarnation = `${name}-${starts}`;
+    const identity = create(NodeIdentitySchema, { name, incarnation, capacityMillicores: 675 });
     const nodeClock = new PausableClock(clock);
     const state = { suspected: false, leaving: false, platformLost: false, uninformed: false };
     const results: UsageReportResult[] = [];
-    const runner = new DutyRunner({
-      platform: delayed(platform, nodeClock, () => !state.platformLost),
-      ...{ clock: nodeClock, random: seededRandom(1), logger: silentLogger },
-      ...{ metrics: createMetrics(), fenced, leaseMs: LEASE_MS },
+    const nodePlatform = delayed(platform, nodeClock, () => !state.platformLost);
+    const view = {
+      self: identity,
+      get leaving() {
+        return state.leaving;
+      },
+      peers: () =>
+        nodes
+          .filter((other) => other.name !== name)
+          .map(
+            (other) =>
+              ({
+                ...{ identity: other.identity, ...other.state },
+                leases: state.uninformed ? [] : other.runner.heldLeases(),
+              }) as unknown as Peer,
+          ),
+    };
+    let runner: DutyRunner | undefined;
+    const duty = createDuty({
+      ...{ identity, clock: nodeClock, platform: nodePlatform, view, results },
+      holder: () => runner?.election.holder,
+    });
+    runner = new DutyRunner({
+      ...{ platform: nodePlatform, clock: nodeClock, random: seededRandom(1), view, duty },
+      ...{ logger: silentLogger, metrics: createMetrics(), fenced, leaseMs: LEASE_MS },
       control: {
         ...{ calls: control.callsOf(nodeClock), duties: ['usage-reports'], callsPerSecond: 50 },
       },
-      view: {
-        self: identityOf(name),
-        get leaving() {
-          return state.leaving;
-        },
-        peers: () =>
-          nodes
-            .filter((other) => other.name !== name)
-            .map(
-              (other) =>
-                ({
-                  ...{ identity: identityOf(other.name), ...other.state },
-                  leases: state.uninformed ? [] : other.runner.heldLeases(),
-                }) as unknown as Peer,
-            ),
-      },
       health: {
         get lost() {
           return state.platformLost;
         },
       },
       watchHolder: () => ({ [Symbol.dispose]() {} }),
-      duty: {
-        name: 'usage-reports',
-        start: (context) =>
-          repeatEvery(
-            nodeClock,
-            CALL_INTERVAL_MS,
-            async () => {
-              if (!(await context.verify())) return;
-              results.push(await context.calls.reportUsage({ window: 1, counts: new Map() }));
-            },
-            0,
-          ),
-      },
     });
-    nodes.push({ name, clock: nodeClock, runner, state, results });
+    nodes.push({ name, identity, clock: nodeClock, runner, state, results });
+  };
+  /** Ends the process of a node without notice, and starts it again. */
+  const restart = (name: string): void => {
+    const index = nodes.findIndex((node) => node.name === name);
+    const [ended] = nodes.splice(index, 1);
+    if (ended !== undefined) ended.clock.paused = true;
+    start(name);
   };
   names.forEach(start);
   const holder = () => nodes.find(({ runner }) => runner.heldLeases().length > 0);
   return {
-    ...{ clock, platform, control, nodes, holder },
+    ...{ clock, platform, control, nodes, holder, restart },
     [Symbol.dispose]() {
       for (const { runner } of nodes) runner[Symbol.dispose]();
     },
--- a/src/node/duties/__tests__/fakeControl.ts
+++ b/src/node/duties/__tests__/fakeControl.ts
@@ -10,6 +10,8 @@
   readonly atMs: number;
   readonly node: string;
   readonly fencing: number;
+  readonly window: number;
+  readonly counts: ReadonlyMap<string, number>;
 }
 
 /** The control API as the tests need it: executes calls, at once or late, and checks tokens if it is fenced. */
@@ -30,10 +32,11 @@
     readonly fenced: boolean,
   ) {}
 
-  #execute({ holder, fencing }: UsageReport): UsageReportResult {
+  #execute({ holder, fencing, window, counts }: UsageReport): UsageReportResult {
     if (this.fenced && fencing < this.highestToken) return 'fenced';
     this.highestToken = Math.max(this.highestToken, fencing);
-    this.executed.push({ atMs: this.clock.monotonicMs(), node: holder, fencing });
+    const atMs = this.clock.monotonicMs();
+    this.executed.push({ atMs, node: holder, fencing, window, counts });
     return 'accepted';
   }
 
--- a/src/node/duties/duty.ts
+++ b/src/node/duties/duty.ts
@@ -1,5 +1,6 @@
 import type { DutyRecord } from '../../gen/hyssoppulley/v1/duty_pb.ts';
 import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
 import { firstCallDelayMs } from '../decisions/duties/firstCallDelay.ts';
 import { VERIFICATION_TTL_MS } from '../election/holderElection.ts';
 import type { Logger } from '../observability/logger.ts';
@@ -30,6 +31,13 @@
 /** Work that one node at a time performs at the control API. */
 export interface Duty {
   readonly name: DutyName;
+  /**
+   * Whether it is certain that no call of the former holder can still be executed. Asked without fencing, after the time
+   * in which the former holder could still call; if so, the wait for late calls ends.
+   *
+   * @default it is not certain
+   */
+  readonly formerSettled?: (former: DutyRecord) => Promise<boolean>;
   /** Starts the work; the result is disposed when this node no longer holds the duty. */
   readonly start: (context: DutyContext) => Disposable;
 }
@@ -129,7 +137,17 @@
     });
     const elected = new Stopwatch(clock);
     const abort = new AbortController();
-    const mayCall = () => elected.minElapsedMs() >= waitMs;
+    let settled = false;
+    const mayCall = () => settled || elected.minElapsedMs() >= waitMs;
+    if (!fenced && former !== undefined && waitMs > 0) {
+      const askAfterMs = Math.max(VERIFICATION_TTL_MS + MAX_CALL_ARRIVAL_MS, leaseMs / 2);
+      clock.schedule(askAfterMs, () => {
+        if (abort.signal.aborted || elected.minElapsedMs() < askAfterMs) return;
+        void this.#isSettled(former).then((isSettled) => {
+          settled = isSettled;
+        });
+      });
+    }
     const maySend = () =>
       !abort.signal.aborted &&
       mayCall() &&
@@ -157,6 +175,18 @@
     this.#held = { abort, calls, mayCall, work };
   }
 
+  async #isSettled(former: DutyRecord): Promise<boolean> {
+    const { duty, logger } = this.#options;
+    try {
+      const settled = (await duty.formerSettled?.(former)) ?? false;
+      logger.info('duty-former-holder', { duty: duty.name, former: former.node, settled });
+      return settled;
+    } catch (error) {
+      logger.info('duty-former-holder', { duty: duty.name, message: messageOf(error) });
+      return false;
+    }
+  }
+
   #stop(): void {
     const held = this.#held;
     if (held === undefined) return;
--- a/src/node/usage/usageExchange.ts
+++ b/src/node/usage/usageExchange.ts
@@ -6,7 +6,7 @@
   ReportCountsResponseSchema,
 } from '../../gen/hyssoppulley/v1/usage_pb.ts';
 import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
-import type { Clock } from '../../shared/clock.ts';
+import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import type { AgreedClock } from '../decisions/usage/agreedClock.ts';
@@ -31,6 +31,20 @@
 /** Number of ended windows of which a node tells a new holder what others counted; earlier ones are overdue. */
 const RECALLED_WINDOWS = 6;
 
+/** The holder of `term` had no call without a response when it had sent all windows up to `window`. */
+export interface ConfirmedWindow {
+  readonly term: number;
+  readonly window: number;
+}
+
+const encodeConfirmed = (confirmed: ConfirmedWindow | undefined) =>
+  confirmed && { term: confirmed.term, window: BigInt(confirmed.window) };
+
+const decodeConfirmed = (
+  confirmed: ReportCountsRequest['confirmed'],
+): ConfirmedWindow | undefined =>
+  confirmed && { term: confirmed.term, window: Number(confirmed.window) };
+
 /** Node to which counts are reported. */
 export type UsageReceiver = Pick<NodeIdentity, 'name' | 'incarnation' | 'host' | 'peerPort'>;
 
@@ -57,6 +71,8 @@
   /** Version of the counts that the receiver has. */
   version: number;
   completeUntilMs: number;
+  /** Latest confirmed window that the receiver has been told. */
+  confirmedWindow: number;
   /** Number of calls in progress. */
   calls: number;
 }
@@ -71,6 +87,8 @@
   /** Version of the counts of this node that its own ledger has. */
   #ownVersion = 0;
 
+  #confirmed: ConfirmedWindow | undefined;
+
   readonly #timer: Disposable;
 
   constructor(options: UsageExchangeOptions) {
@@ -78,6 +96,19 @@
     this.#timer = repeatEvery(options.clock, REPORT_INTERVAL_MS, () => this.#tick());
   }
 
+  /** The latest holder of which it is known that all its reports were confirmed, and its latest window. */
+  get confirmed(): ConfirmedWindow | undefined {
+    return this.#confirmed;
+  }
+
+  /** Records and announces that the holder of a term has no call without a response. */
+  confirm(confirmed: ConfirmedWindow): void {
+    this.#learn(confirmed);
+    for (const receiver of this.#options.receivers()) {
+      void this.#report(receiver, CALL_TIMEOUT_MS, true);
+    }
+  }
+
   get currentWindow(): number {
     const { counter, agreedClock } = this.#options;
     return counter.counts.windowOf(agreedClock.nowMs());
@@ -91,6 +122,7 @@
       agreedClock.observe(counts.incarnation, Number(clockMs));
       ledger.merge(decodeUsage(counts), this.currentWindow);
     }
+    this.#learn(decodeConfirmed(request.confirmed));
     const response = { clockMs: BigInt(Math.floor(clock.nowMs())) };
     if (!wantsAll) return response;
     this.refreshOwn();
@@ -112,7 +144,11 @@
     if (encoded.omittedWindows > 0) {
       logger.warn('usage-recall-truncated', { omittedWindows: encoded.omittedWindows });
     }
-    return { ...response, counts: encoded.counts };
+    return {
+      ...response,
+      counts: encoded.counts,
+      confirmed: encodeConfirmed(this.#confirmed),
+    };
   }
 
   /** Takes the counts of this node into its own ledger. */
@@ -138,7 +174,9 @@
     const answers = await Promise.all(
       live.map(async ({ identity }) => {
         try {
-          const { counts } = await call(identity, { wantsAll: true }, CALL_TIMEOUT_MS);
+          const response = await call(identity, { wantsAll: true }, CALL_TIMEOUT_MS);
+          const { counts, confirmed } = response;
+          this.#learn(decodeConfirmed(confirmed));
           for (const each of counts) ledger.merge(decodeUsage(each), this.currentWindow);
           return true;
         } catch (error) {
@@ -167,8 +205,20 @@
     for (const receiver of receivers()) void this.#report(receiver, CALL_TIMEOUT_MS, false);
   }
 
+  #learn(confirmed: ConfirmedWindow | undefined): void {
+    const known = this.#confirmed;
+    if (confirmed === undefined) return;
+    const isLater =
+      known === undefined ||
+      confirmed.term > known.term ||
+      (confirmed.term === known.term && confirmed.window > known.window);
+    if (isLater) this.#confirmed = confirmed;
+  }
+
   #stateOf(incarnation: string): ReceiverState {
-    const state = this.#states.get(incarnation) ?? { version: 0, completeUntilMs: 0, calls: 0 };
+    const state = this.#states.get(incarnation) ?? {
+      ...{ version: 0, completeUntilMs: 0, confirmedWindow: 0, calls: 0 },
+    };
     this.#states.delete(incarnation);
     this.#states.set(incarnation, state);
     const [oldest] = this.#states.keys();
@@ -182,7 +232,9 @@
     const state = this.#stateOf(receiver.incarnation);
     const { counts, completeUntilMs } = counter;
     const windowEnded = counts.windowOf(completeUntilMs) > counts.windowOf(state.completeUntilMs);
-    const isDue = counts.version > state.version || windowEnded;
+    const confirmedWindow = this.#confirmed?.window ?? 0;
+    const isDue =
+      counts.version > state.version || windowEnded || confirmedWindow > state.confirmedWindow;
     if (!isDue || (state.calls > 0 && !isFinal)) return;
     const windows = counts.changedSince(state.version);
     const { incarnation } = view.self;
@@ -196,8 +248,12 @@
     state.calls += 1;
     try {
       const clockMs = BigInt(Math.floor(clock.nowMs()));
-      const response = await call(receiver, { counts: message, clockMs }, timeoutMs);
-      agreedClock.observe(receiver.incarnation, Number(response.clockMs));
+      const confirmed = encodeConfirmed(this.#confirmed);
+      const sent = new Stopwatch(clock);
+      const response = await call(receiver, { counts: message, clockMs, confirmed }, timeoutMs);
+      const responseAgeMs = sent.minElapsedMs() / 2;
+      agreedClock.observe(receiver.incarnation, Number(response.clockMs) + responseAgeMs);
+      state.confirmedWindow = Math.max(state.confirmedWindow, confirmedWindow);
       state.version = Math.max(state.version, version);
       state.completeUntilMs = Number(message?.completeUntilMs ?? 0);
     } catch (error) {
--- a/src/node/usage/usageReporter.ts
+++ b/src/node/usage/usageReporter.ts
@@ -46,7 +46,7 @@
   readonly agreedClock: Pick<AgreedClock, 'nowMs'>;
   readonly view: ElectionView;
   readonly ledger: UsageLedger;
-  readonly exchange: Pick<UsageExchange, 'recall' | 'refreshOwn'>;
+  readonly exchange: Pick<UsageExchange, 'recall' | 'refreshOwn' | 'confirm'>;
   readonly store: UsageStore;
   /** Length of a window, in ms. */
   readonly windowMs: number;
@@ -64,6 +64,8 @@
 
   readonly #timer: Disposable;
 
+  #confirmedWindow = 0;
+
   /** Whether the stored reports and the counts of other nodes are known. */
   #isReady = false;
 
@@ -88,6 +90,7 @@
     try {
       if (!this.#isReady) await this.#prepare();
       await this.#reportWindows();
+      this.#confirm();
       await this.#removeExpired();
     } catch (error) {
       logger.info('usage-check-failed', { message: messageOf(error) });
@@ -220,6 +223,20 @@
     this.#update(window, { state: 'sent' });
   }
 
+  /** Announces that nothing is outstanding, so that a successor without fencing need not wait for late calls. */
+  #confirm(): void {
+    const { calls, fencing } = this.#context;
+    const states = [...this.#windows.values()].map(({ state }) => state);
+    if (states.includes('stored') || calls.mayExecuteLater) return;
+    const window = Math.max(
+      0,
+      ...[...this.#windows].filter(([, { counts }]) => counts !== undefined).map(([each]) => each),
+    );
+    if (window <= this.#confirmedWindow) return;
+    this.#confirmedWindow = window;
+    this.#options.exchange.confirm({ term: fencing, window });
+  }
+
   /** Removes one stored report that no node sends any more. */
   async #removeExpired(): Promise<void> {
     for (const [window, { counts }] of this.#windows) {
--- a/src/node/usage/usageSubsystem.ts
+++ b/src/node/usage/usageSubsystem.ts
@@ -70,6 +70,15 @@
   get duty(): Duty {
     return {
       name: DUTY_NAME,
+      formerSettled: async ({ term }) => {
+        const [stored] = await Promise.all([
+          new UsageStore(this.#options).list(),
+          this.exchange.recall(),
+        ]);
+        const { confirmed } = this.exchange;
+        if (confirmed?.term !== term) return false;
+        return [...stored.keys()].every((window) => window <= confirmed.window);
+      },
       start: (context) => {
         const agreedClock = this.#agreedClock;
         const reporter = new UsageReporter(
