--- a/bench/model/unevenWorkersModel.ts
+++ b/bench/model/unevenWorkersModel.ts
@@ -5,6 +5,7 @@
 } from '../../src/node/decisions/placement/predictedCompletion.ts';
 import { seededRandom } from '../../src/shared/random.ts';
 import { VirtualClock } from '../../src/shared/virtualClock.ts';
+import { PACE_STEP_MS, PacedWorker, SLOTS } from './pacedWorker.ts';
 import { exponential, normal, quantile } from './statistics.ts';
 
 export interface UnevenScenario {
@@ -30,85 +31,15 @@
   ...{ views: '50 to 500', durationMs: 30_000 },
 };
 
-const SLOTS = 6;
-const QUEUE = 24;
 const TARGET_MS = 150;
 const MIN_WORK_MS = 30;
 const MAX_WORK_MS = 90;
-const PACE_STEP_MS = 100;
 const SLOW_PHASE_MS = 5000;
 const SNAPSHOT_MS = 10;
 const MAX_VIEW_AGE_MS = 500;
 const REFUSAL_RETRY_MS = 15;
 const MAX_REFUSALS = 6;
 
-interface Snapshot {
-  readonly load: number;
-  readonly pace: number;
-}
-
-interface Job {
-  readonly workMs: number;
-  readonly done: () => void;
-}
-
-/** A worker with slots, a bounded queue and a pace that changes while it works. */
-class PacedWorker {
-  readonly #clock: VirtualClock;
-
-  readonly #paces: readonly number[];
-
-  readonly snapshots: Snapshot[] = [];
-
-  #running = 0;
-
-  readonly #queue: Job[] = [];
-
-  constructor(clock: VirtualClock, paces: readonly number[]) {
-    this.#clock = clock;
-    this.#paces = paces;
-  }
-
-  get load(): number {
-    return this.#running + this.#queue.length;
-  }
-
-  get pace(): number {
-    return this.#paceAt(this.#clock.monotonicMs());
-  }
-
-  /** @returns whether the worker takes the job */
-  offer(job: Job): boolean {
-    if (this.#running < SLOTS) this.#run(job);
-    else if (this.#queue.length < QUEUE) this.#queue.push(job);
-    else return false;
-    return true;
-  }
-
-  #paceAt(atMs: number): number {
-    return this.#paces[Math.floor(atMs / PACE_STEP_MS) % this.#paces.length] ?? 1;
-  }
-
-  #run(job: Job): void {
-    this.#running += 1;
-    let atMs = this.#clock.monotonicMs();
-    let leftMs = job.workMs;
-    while (leftMs > 1e-9) {
-      const stepEndMs = (Math.floor(atMs / PACE_STEP_MS + 1e-9) + 1) * PACE_STEP_MS;
-      const pace = this.#paceAt(atMs + 1e-6);
-      const takenMs = Math.min(stepEndMs - atMs, leftMs * pace);
-      leftMs -= takenMs / pace;
-      atMs += takenMs;
-    }
-    this.#clock.schedule(atMs - this.#clock.monotonicMs(), () => {
-      this.#running -= 1;
-      job.done();
-      const next = this.#queue.shift();
-      if (next !== undefined) this.#run(next);
-    });
-  }
-}
-
 interface View {
   readonly others: number;
   readonly pace: number;
@@ -124,7 +55,9 @@
   const clock = new VirtualClock(0);
   const random = seededRandom(scenario.seed);
   const paceRandom = seededRandom(scenario.seed + 1_000_003);
+  const snapshots: { readonly load: number; readonly pace: number }[][] = [];
   const workers = Array.from({ length: scenario.workers }, () => {
+    snapshots.push([]);
     let slowness = 1;
     const offset = Math.floor(paceRandom() * (SLOW_PHASE_MS / PACE_STEP_MS));
     return new PacedWorker(
@@ -145,10 +78,10 @@
   }));
   const latenciesMs: number[] = [];
 
-  const viewOf = (worker: PacedWorker, own: number): View | undefined => {
+  const viewOf = (worker: number, own: number): View | undefined => {
     const ageMs = 50 + 450 * random();
     const nowMs = clock.monotonicMs();
-    const snapshot = worker.snapshots[Math.floor((nowMs - ageMs) / SNAPSHOT_MS)];
+    const snapshot = snapshots[worker]?.[Math.floor((nowMs - ageMs) / SNAPSHOT_MS)];
     return snapshot === undefined
       ? undefined
       : { others: Math.max(0, snapshot.load - own), pace: snapshot.pace, atMs: nowMs - ageMs };
@@ -160,9 +93,9 @@
     refusals: number,
   ) => {
     const nowMs = clock.monotonicMs();
-    const candidates = workers.map((worker, index): PacedCandidate & { index: number } => {
+    const candidates = workers.map((_, index): PacedCandidate & { index: number } => {
       const own = node.inFlight[index] ?? [];
-      const view = scenario.views === 'answers' ? node.views[index] : viewOf(worker, own.length);
+      const view = scenario.views === 'answers' ? node.views[index] : viewOf(index, own.length);
       const known = view !== undefined && nowMs - view.atMs <= MAX_VIEW_AGE_MS;
       return {
         ...{ index, name: String(index), availabilityZone: String(index % 3), slots: SLOTS },
@@ -194,7 +127,7 @@
       const others = Math.max(0, worker.load - own.length);
       views[index] = { others, pace: worker.pace, atMs: endMs };
     };
-    if (worker.offer({ workMs, done })) own.push(nowMs);
+    if (worker.offer({ workMs, done }) !== undefined) own.push(nowMs);
     else if (refusals === MAX_REFUSALS) latenciesMs.push(Infinity);
     else clock.schedule(REFUSAL_RETRY_MS, () => send(node, workMs, startedMs, refusals + 1));
   };
@@ -208,7 +141,7 @@
     clock.schedule(exponential(random, intervalMs), arrive);
   };
   const snapshot = () => {
-    for (const worker of workers) worker.snapshots.push({ load: worker.load, pace: worker.pace });
+    for (const [index, { load, pace }] of workers.entries()) snapshots[index]?.push({ load, pace });
     clock.schedule(SNAPSHOT_MS, snapshot);
   };
   snapshot();
