--- a/src/node/usage/__tests__/usageReports.test.ts
+++ b/src/node/usage/__tests__/usageReports.test.ts
@@ -61,7 +61,8 @@
     expect(run.control.violations()).toEqual([]);
   });
 
-  // Guards against a call of a lost holder that is executed after its successor's, which did not wait for it.
+  // Guards against a call of a lost holder that is executed after its successor's, which did not wait for it, and against a
+  // successor that sends what it knows instead of what is stored.
   test(`a successor waits for a report without an answer, fenced: ${fenced}`, async () => {
     using run = startUsageNodes(NAMES, { fenced });
     await sendRequests(run, 19_900);
@@ -74,7 +75,17 @@
       lost.state.suspected = true;
     }
     Object.assign(run.control, { mode: 'answers' });
+    // Counts of the window that become known after its report was stored.
+    const reportedWindow = Math.floor(run.clock.nowMs() / WINDOW_MS) - 1;
+    for (const { name } of run.nodes) {
+      for (let count = 0; count < 50; count += 1) {
+        run.usageOf(name).counter.counts.add('large', (reportedWindow + 0.5) * WINDOW_MS);
+      }
+    }
     await sendRequests(run, 50_000);
+    // With fencing, the late call is rejected for its token.
+    const executed = run.control.executed.filter((call) => call.window === reportedWindow);
+    expect(executed.length).toEqual(fenced ? 1 : 2);
     expect(run.judge(0).contradictory).toEqual(0);
     expect(run.control.violations()).toEqual([]);
     expect(run.control.executed.at(-1)?.fencing).toEqual(2);
