feat(gateway): bound what callers make an entry node hold

Two further faults that the tests found: the process ended at an unhandled error event of a request at the peer address; storing a legal batch of 20 items with 300 KB each ended it at the heap limit, because protobuf-es builds base64 character by character (about 50 bytes of heap for each). Change: decisions in src/node/decisions/requestMemory (memory plan, upload memory by the banker's algorithm with a part for small requests, decode budget, connection table); src/node/requestMemory applies them to the front, directory, readiness and peer servers; chunks are joined in a resizable buffer; long bodies of a submission are decoded from its bytes; items are encoded with Node's base64; responses that wait for their callers count beside those being read. Settings below gateway.requestMemory, metrics, log lines, operator view listUploads, design note.

--- a/bench/heartbeats.ts
+++ b/bench/heartbeats.ts
@@ -8,6 +8,7 @@
 import { HeartbeatDatagrams } from '../src/node/membership/heartbeatDatagrams.ts';
 import type { HeartbeatTarget, SendHeartbeat } from '../src/node/membership/heartbeats.ts';
 import { PeerClients } from '../src/node/membership/peerClients.ts';
+import { createDefaultRequestMemory } from '../src/node/requestMemory/defaultRequestMemory.ts';
 import { silentLogger } from '../src/node/observability/logger.ts';
 import { systemClock } from '../src/shared/clock.ts';
 import { systemRandom } from '../src/shared/random.ts';
@@ -38,8 +39,10 @@
   changed: request.changed,
 });
 
+const memory = createDefaultRequestMemory(systemClock, silentLogger);
 const server = new PeerServer({
   logger: silentLogger,
+  memory,
   routes: (router) => router.service(PeerService, { heartbeat: () => response }),
 });
 await server.listen({ host: HOST, port: PEER_PORT });
@@ -76,3 +79,4 @@
 }
 await Promise.all([from, to, server].map((each) => each[Symbol.asyncDispose]()));
 clients[Symbol.dispose]();
+memory[Symbol.dispose]();
--- a/src/node/batches/batchObjects.ts
+++ b/src/node/batches/batchObjects.ts
@@ -1,6 +1,7 @@
-import { fromJson, type JsonValue, toJson } from '@bufbuild/protobuf';
+import { fromJson, type JsonObject, type JsonValue, toJson } from '@bufbuild/protobuf';
 import {
   type BatchItem,
+  BatchItemSchema,
   BatchItemsSchema,
   type BatchLogEntry,
   BatchLogEntrySchema,
@@ -64,8 +65,28 @@
   }
 };
 
+const NO_BYTES = new Uint8Array();
+
+const encodeBytes = (bytes: Uint8Array): { readonly body?: string } =>
+  bytes.length === 0
+    ? {}
+    : { body: Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString('base64') };
+
+const encodeItem = (item: BatchItem): JsonObject => {
+  const { body, scoring } = item;
+  // protobuf-es builds base64 character by character, which takes about 50 bytes of heap for each.
+  const json = toJson(BatchItemSchema, {
+    ...item,
+    body: NO_BYTES,
+    scoring: scoring && { ...scoring, body: NO_BYTES },
+  }) as JsonObject;
+  if (scoring === undefined) return { ...json, ...encodeBytes(body) };
+  const scoringJson = { ...(json.scoring as JsonObject), ...encodeBytes(scoring.body) };
+  return { ...json, ...encodeBytes(body), scoring: scoringJson };
+};
+
 export const encodeItems = (items: BatchItem[]): JsonValue =>
-  toJson(BatchItemsSchema, { $typeName: 'hyssoppulley.v1.BatchItems', items });
+  items.length === 0 ? {} : { items: items.map(encodeItem) };
 export const decodeItems = (value: unknown): BatchItem[] =>
   fromJson(BatchItemsSchema, value as JsonValue, READ_OPTIONS).items;
 
--- a/src/node/dataPath/httpServer.ts
+++ b/src/node/dataPath/httpServer.ts
@@ -68,6 +68,8 @@
   options: http.ServerOptions = {},
 ): http.Server => {
   const server = http.createServer(options, (request, response) => {
+    // A reader of the request receives the error. Without a reader, an unhandled one would end the process.
+    request.on('error', () => {});
     const run = async () => {
       for (const handler of handlers) {
         if (await handler(request, response)) return;
--- a/src/node/dataPath/workerHttpClient.ts
+++ b/src/node/dataPath/workerHttpClient.ts
@@ -11,6 +11,7 @@
   MAX_SHORT_RESPONSE_BYTES,
   SHORT_CALL_TIMEOUT_MS,
 } from './constants.ts';
+import { ByteCollector } from './byteCollector.ts';
 import type { ResponseMemory } from './responseMemory.ts';
 import { parseWorkerAddress } from './workerAddress.ts';
 
@@ -61,16 +62,21 @@
   using share = memory?.add(() =>
     response.destroy(new WorkerCallError('too many bytes of responses are buffered on this node')),
   );
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of response as AsyncIterable<Buffer>) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > maxBytes) throw new WorkerCallError(`response larger than ${maxBytes} bytes`);
-    chunks.push(chunk);
-    share?.grow(chunk.length);
+  const announced = Number(response.headers['content-length'] ?? maxBytes);
+  const collector = new ByteCollector(Math.min(announced, maxBytes));
+  try {
+    for await (const chunk of response as AsyncIterable<Buffer>) {
+      const sizeBytes = collector.sizeBytes + chunk.length;
+      if (sizeBytes > maxBytes) throw new WorkerCallError(`response larger than ${maxBytes} bytes`);
+      collector.append(chunk);
+      share?.grow(chunk.length);
+    }
+    if (!response.complete) throw new WorkerCallError('the response was truncated');
+    return collector.bytes();
+  } catch (error) {
+    collector.discard();
+    throw error;
   }
-  if (!response.complete) throw new WorkerCallError('the response was truncated');
-  return Buffer.concat(chunks);
 };
 
 /** HTTP client for workers that keeps connections alive. */
--- a/src/node/gateway/adapter.ts
+++ b/src/node/gateway/adapter.ts
@@ -1,6 +1,7 @@
 import type { OrderCalls } from '../weights/orderCalls.ts';
 import type { GenerationCalls } from '../batches/generationCalls.ts';
 import type { PlatformObject } from '../platform/platformClient.ts';
+import type { RequestMemory } from '../requestMemory/requestMemory.ts';
 import type { RequestTracker } from '../requestTracker.ts';
 import type { GatewayServices } from './gatewayServices.ts';
 import type { GatewayTables } from './gatewayTables.ts';
@@ -40,5 +41,9 @@
   readonly eventVersionField: string;
   readonly generationCalls: GenerationCalls;
   readonly orderCalls: OrderCalls;
-  readonly createServers: (services: GatewayServices, requests: RequestTracker) => GatewayServers;
+  readonly createServers: (
+    services: GatewayServices,
+    requests: RequestTracker,
+    memory: RequestMemory,
+  ) => GatewayServers;
 }
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -3,10 +3,7 @@
 import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { NodeIdentitySchema, PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import { PermitService } from '../../gen/hyssoppulley/v1/permit_pb.ts';
-import {
-  GatewayOperatorService,
-  ListUploadsResponseSchema,
-} from '../../gen/hyssoppulley/v1/gateway_operator_pb.ts';
+import { GatewayOperatorService } from '../../gen/hyssoppulley/v1/gateway_operator_pb.ts';
 import { PoisonService } from '../../gen/hyssoppulley/v1/poison_pb.ts';
 import { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import { TablesSchema } from '../../gen/hyssoppulley/v1/tables_pb.ts';
@@ -38,6 +35,7 @@
 import { createPlatformClient } from '../platform/createPlatformClient.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import { PlatformHealth } from '../platform/platformHealth.ts';
+import { RequestMemory } from '../requestMemory/requestMemory.ts';
 import { RequestTracker } from '../requestTracker.ts';
 import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
 import { Shutdown } from '../shutdown.ts';
@@ -251,8 +249,15 @@
       call: (node, request, timeoutMs) => peerClients.poison(node).exchange(request, { timeoutMs }),
     }),
   );
+  const requestMemory = store.add(
+    new RequestMemory({
+      ...{ clock, logger, metrics, gateway },
+      requestLimits: () => tables.tables?.requestLimits,
+    }),
+  );
   const attempts = new WorkerAttempts({
     ...{ clock, logger, loadBalancer, limits, permits, poison, isMostUrgent },
+    responseMemory: requestMemory.responses,
     calls: adapter.workerCalls,
   });
   const forwarder = new Forwarder({ clock, loadBalancer, attempts });
@@ -318,12 +323,13 @@
     workerOrders: () => [],
     suspects: () => [],
     clearSuspect: () => false,
-    uploads: () => create(ListUploadsResponseSchema),
+    uploads: () => requestMemory.view(),
   };
-  const servers = store.add(adapter.createServers(services, requests));
+  const servers = store.add(adapter.createServers(services, requests, requestMemory));
   const peerServer = store.add(
     new PeerServer({
       logger,
+      memory: requestMemory,
       routes: (router) => {
         router.service(PeerService, { heartbeat: (request) => membership.heartbeat(request) });
         router.service(
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -11,6 +11,7 @@
 import type { LoadBalancer } from './loadBalancer.ts';
 import type { PoisonGuard } from '../poison/poisonGuard.ts';
 import { createResponseReader } from './readResponse.ts';
+import type { ResponseMemory } from '../dataPath/responseMemory.ts';
 import type { WorkerCalls, WorkerLoad, WorkerResponse } from './workerCalls.ts';
 import type { RegisteredWorker } from './workerRegistry.ts';
 
@@ -66,6 +67,8 @@
   readonly poison: PoisonGuard;
   /** Whether no other route of the pool is more urgent. Only requests of such routes wait for a permit. */
   readonly isMostUrgent: (route: GatewayRoute, pool: string) => boolean;
+  /** Memory of the responses that are read. @default a limit of its own */
+  readonly responseMemory?: ResponseMemory;
 }
 
 /** Part of the remaining time budget that a request may wait for a permit. */
@@ -77,12 +80,13 @@
 /** Sends requests to workers one attempt at a time, and records how the worker did. */
 export class WorkerAttempts {
   /** Reads complete responses. All forwarders of a node share its limit on the bytes in memory. */
-  readonly readResponse = createResponseReader();
+  readonly readResponse: ResponseReader;
 
   readonly #options: WorkerAttemptsOptions;
 
   constructor(options: WorkerAttemptsOptions) {
     this.#options = options;
+    this.readResponse = createResponseReader(options.responseMemory);
   }
 
   /** Sends the request to one worker; undefined when too little time is left or no worker is available. */
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -118,6 +118,23 @@
       labelNames: ['pool', 'outcome'],
       registers,
     }),
+    requestMemoryBytes: new Gauge({
+      name: 'hyssoppulley_request_memory_bytes',
+      help: 'Memory that callers make the node hold, by use (uploads, responses, decoding)',
+      labelNames: ['use'],
+      registers,
+    }),
+    callerConnections: new Gauge({
+      name: 'hyssoppulley_caller_connections',
+      help: 'Open connections of callers',
+      registers,
+    }),
+    uploadsEnded: new Counter({
+      name: 'hyssoppulley_uploads_refused_total',
+      help: 'Uploads, responses and connections that were refused or ended to bound memory and descriptors, by reason',
+      labelNames: ['reason'],
+      registers,
+    }),
     invariantViolations: new Counter({
       name: 'hyssoppulley_invariant_violations_total',
       help: 'Invariant violations, by name; any increase indicates a bug',
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -103,10 +103,11 @@
 
   /** Finds out whether the worker has ended, and holds that against the request. */
   async recordBroken({ request, worker, pool, trial, others }: BrokenAttempt): Promise<void> {
+    // Before the wait, because the body's memory is returned once the caller has its answer.
+    const digest = this.#digestOf(request);
     if (!(await this.#hasEnded(worker.address))) return;
     const { clock, logger, metrics } = this.#options;
     const atMs = clock.monotonicMs();
-    const digest = this.#digestOf(request);
     this.requests.recordEnd(digest, { worker: `${worker.id}@${worker.startedAtMs}`, trial, atMs });
     metrics.workerEnds.inc({ pool, trial: String(trial) });
     logger.warn('worker-ended-under-request', {
--- a/src/node/settings/resolveSettings.ts
+++ b/src/node/settings/resolveSettings.ts
@@ -4,6 +4,7 @@
   type GatewaySettings,
   type NodeSettings,
   NodeSettingsSchema,
+  type RequestMemorySettings,
 } from '../../gen/hyssoppulley/v1/settings_pb.ts';
 import { checkSettings } from './checkSettings.ts';
 import { documentError } from './documentError.ts';
@@ -23,9 +24,24 @@
         usageDueMs: 1000 * (control.usageDueS ?? 10),
       };
 
+const toNumber = (value: bigint | undefined): number | undefined =>
+  value === undefined ? undefined : Number(value);
+
 /** The platform's control API, with all defaults applied; undefined where there is none. */
 export type ResolvedControl = NonNullable<ReturnType<typeof resolveControl>>;
 
+/** Limits on what callers make a node hold; undefined fields follow from its memory and descriptors. */
+export const resolveRequestMemory = (limits?: RequestMemorySettings) => ({
+  uploadBytes: toNumber(limits?.uploadBytes),
+  responseBytes: toNumber(limits?.responseBytes),
+  decodeBytes: toNumber(limits?.decodeBytes),
+  minUploadBytesPerSecond: limits?.minUploadBytesPerSecond ?? 16_384,
+  maxUploadWaitMs: limits?.maxUploadWaitMs ?? 10_000,
+  maxConnections: limits?.maxConnections,
+  maxConnectionsPerAddress: limits?.maxConnectionsPerAddress,
+  maxPipelinedRequests: limits?.maxPipelinedRequests ?? 32,
+});
+
 const resolveGateway = (gateway: GatewaySettings) => ({
   frontAddress: gateway.frontAddress,
   readyAddress: gateway.readyAddress,
@@ -46,6 +62,7 @@
   strictRevocation: gateway.strictRevocation ?? false,
   revokeAfterMs: gateway.revokeAfterMs ?? 5000,
   control: resolveControl(gateway.control),
+  requestMemory: resolveRequestMemory(gateway.requestMemory),
 });
 
 /** Gateway settings, of a node on the users' platform, with all defaults applied. */
