--- a/src/node/gateway/adapter.ts
+++ b/src/node/gateway/adapter.ts
@@ -2,6 +2,7 @@
 import type { ControlApi } from '../duties/controlCalls.ts';
 import type { GenerationCalls } from '../batches/generationCalls.ts';
 import type { PlatformObject } from '../platform/platformClient.ts';
+import type { RequestMemory } from '../requestMemory/requestMemory.ts';
 import type { RequestTracker } from '../requestTracker.ts';
 import type { GatewayServices } from './gatewayServices.ts';
 import type { GatewayTables } from './gatewayTables.ts';
@@ -43,5 +44,9 @@
   readonly orderCalls: OrderCalls;
   /** The control API of the platform; absent where the settings name none. */
   readonly control?: ControlApi;
-  readonly createServers: (services: GatewayServices, requests: RequestTracker) => GatewayServers;
+  readonly createServers: (
+    services: GatewayServices,
+    requests: RequestTracker,
+    memory: RequestMemory,
+  ) => GatewayServers;
 }
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -14,6 +14,7 @@
 import { createResponseReader } from './readResponse.ts';
 import { isEventStream } from './streamRelay.ts';
 import type { UsageCounter } from '../usage/usageCounter.ts';
+import type { ResponseMemory } from '../dataPath/responseMemory.ts';
 import type { WorkerCalls, WorkerLoad, WorkerResponse } from './workerCalls.ts';
 import type { RegisteredWorker } from './workerRegistry.ts';
 
@@ -76,6 +77,8 @@
   readonly isMostUrgent: (priority: number, pool: string) => boolean;
   /** Counts the requests of client accounts that workers began to run. @default they are not counted */
   readonly usage?: Pick<UsageCounter, 'startAttempt'>;
+  /** Memory of the responses that are read. @default a limit of its own */
+  readonly responseMemory?: ResponseMemory;
 }
 
 /** Part of the remaining time budget that a request may wait for a permit. */
@@ -87,12 +90,13 @@
 /** Sends requests to workers one attempt at a time, and records how the worker did. */
 export class WorkerAttempts {
   /** Reads complete responses. All forwarders of a node share its limit on the bytes in memory. */
-  readonly readResponse = createResponseReader();
+  readonly readResponse: ResponseReader;
 
   readonly #options: WorkerAttemptsOptions;
 
   constructor(options: WorkerAttemptsOptions) {
     this.#options = options;
+    this.readResponse = createResponseReader(options.responseMemory);
   }
 
   /** Sends the request to one worker; undefined when too little time is left or no worker is available. */
