fix(poison): a request is suspected while its worker is being probed

Cause: deadlyRequest.test.ts, 'a request under which workers end is kept from the others', failed once beside load (three workers ended instead of two; passed 4 of 4 alone): the probe of a broken attempt's worker takes a round trip, and until its result a hedged attempt could be sent to a second worker. Change: a request counts as suspected from the break until the probe ends, so it is not hedged meanwhile. Result: the new test fails without the change (unsuspected during the probe) and passes with it. A timer that is due before the break is noticed at all can still start a hedge on a stalled machine; that was not seen.

--- a/src/node/poison/__tests__/poisonExchange.test.ts
+++ b/src/node/poison/__tests__/poisonExchange.test.ts
@@ -121,3 +121,23 @@
   expect(verdicts()).toEqual(['unsuspected', 'unsuspected', 'unsuspected']);
   expect(guardOf('a')?.clear('unknown')).toEqual(false);
 });
+
+// Guards against a hedged attempt that takes a second worker with it while the first one is probed (deadlyRequest.test.ts
+// beside load: three workers ended instead of two).
+test('a request whose worker is being probed is suspected, and no longer once the worker answers the probe', async () => {
+  let endProbe: (hasEnded: boolean) => void = () => {};
+  const guard = new PoisonGuard({
+    ...{ clock: new VirtualClock(), logger: silentLogger, metrics: createMetrics() },
+    hasEnded: () =>
+      new Promise((resolve) => {
+        endProbe = resolve;
+      }),
+  });
+  const broken = { request: REQUEST, worker: WORKER, pool: 'p', trial: false, others: 0 };
+  const recorded = guard.recordBroken(broken);
+  expect(guard.verdictOf({ ...REQUEST })).toEqual('suspected');
+  expect(guard.verdictOf({ ...REQUEST, path: '/other' })).toEqual('unsuspected');
+  endProbe(false);
+  expect(await recorded).toEqual(false);
+  expect(guard.verdictOf({ ...REQUEST })).toEqual('unsuspected');
+});
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -52,6 +52,9 @@
 
   #onChange: ((digest: string) => void) | undefined;
 
+  /** Number of broken attempts of a request whose workers are being probed, by digest. Bounded by requests in progress. */
+  readonly #probed = new Map<string, number>();
+
   readonly #digests = new WeakMap<DigestedRequest, string>();
 
   constructor(options: PoisonGuardOptions) {
@@ -68,8 +71,11 @@
   /** What to do with a request. */
   verdictOf(request: DigestedRequest): PoisonVerdict {
     // Without suspected requests, none is digested.
-    if (this.requests.size === 0) return 'unsuspected';
-    return this.requests.verdictOf(this.#digestOf(request), this.#options.clock.monotonicMs());
+    if (this.requests.size === 0 && this.#probed.size === 0) return 'unsuspected';
+    const digest = this.#digestOf(request);
+    const verdict = this.requests.verdictOf(digest, this.#options.clock.monotonicMs());
+    // Without this, a slow probe lets a hedged attempt take a second worker with it.
+    return verdict === 'unsuspected' && this.#probed.has(digest) ? 'suspected' : verdict;
   }
 
   /** Number of workers that ended under a request. */
@@ -110,7 +116,9 @@
   async recordBroken({ request, worker, pool, trial, others }: BrokenAttempt): Promise<boolean> {
     // Before the wait, because the body's memory is returned once the caller has its answer.
     const digest = this.#digestOf(request);
-    if (!(await this.#hasEnded(worker.address))) return false;
+    this.#probed.set(digest, (this.#probed.get(digest) ?? 0) + 1);
+    const hasEnded = await this.#hasEnded(worker.address).finally(() => this.#endProbe(digest));
+    if (!hasEnded) return false;
     const { clock, logger, metrics } = this.#options;
     const atMs = clock.monotonicMs();
     this.requests.recordEnd(digest, { worker: `${worker.id}@${worker.startedAtMs}`, trial, atMs });
@@ -159,6 +167,12 @@
     this.#onChange?.(digest);
   }
 
+  #endProbe(digest: string): void {
+    const left = (this.#probed.get(digest) ?? 1) - 1;
+    if (left === 0) this.#probed.delete(digest);
+    else this.#probed.set(digest, left);
+  }
+
   #digestOf(request: DigestedRequest): string {
     const known = this.#digests.get(request);
     if (known !== undefined) return known;
