test(soak): clients with keys that are removed during faults

Cause: accounts, ownership of batches and strict revocation were tested in one process only. Change: the fault soak has two accounts whose keys are replaced every 1.5 s; workers check names, clients use keys revoked for more than revokeAfterMs plus 1 s, and read each other's batches. Nodes run with strict revocation. Routes of revisions are public. The whole suite was not run.

--- a/playground/faultSoak/faultSoak.ts
+++ b/playground/faultSoak/faultSoak.ts
@@ -13,10 +13,21 @@
 /** Keeps the schedule of faults of a seed independent of its limit. */
 const LIMIT_SEED_OFFSET = 1_000_000;
 
+/** Time between two revisions of the tables, each of which removes a key of every account, in ms. */
+const KEY_ROTATION_MS = 1500;
+
+const rotateKeys = async (deployment: SoakDeployment, durationMs: number): Promise<void> => {
+  for (let passedMs = 0; passedMs < durationMs; passedMs += KEY_ROTATION_MS) {
+    await sleepMs(KEY_ROTATION_MS);
+    await deployment.writeTables();
+  }
+};
+
 export interface SoakResult {
   readonly seed: number;
   readonly violations: readonly string[];
   readonly answered: number;
+  readonly refusedKeys: number;
   readonly batches: number;
   readonly faults: number;
   readonly logs: readonly string[];
@@ -38,14 +49,16 @@
     const [excesses] = await Promise.all([
       runLimit(deployment.workers, limit),
       injector.run(faults),
+      rotateKeys(deployment, durationMs),
     ]);
     await sleepMs(RECOVERY_MS);
     clients.stop();
     await load;
     await clients.checkRecovered();
-    const { answered, batches } = clients;
+    const { answered, refusedKeys, batches } = clients;
     const violations = [...clients.violations, ...excesses];
-    return { seed, violations, answered, batches, faults: faults.length, logs: deployment.logs };
+    const { logs } = deployment;
+    return { seed, violations, answered, refusedKeys, batches, faults: faults.length, logs };
   } finally {
     await deployment[Symbol.asyncDispose]();
   }
--- a/playground/faultSoak/runCounts.ts
+++ b/playground/faultSoak/runCounts.ts
@@ -1,12 +1,29 @@
-/** Number of runs of each request, over all workers. */
+import type { IncomingHttpHeaders } from 'node:http';
+
+/** Number of runs of each request, over all workers, and whether each ran for its account. */
 export class RunCounts {
+  /** Runs for another account than expected, or with a key. */
+  readonly violations: string[] = [];
+
+  readonly #accounts = new Map<string, string>();
+
   readonly #runs = new Map<string, number>();
 
   get(requestId: string): number {
     return this.#runs.get(requestId) ?? 0;
   }
 
-  increment(requestId: string): void {
+  /** @param account - name that workers must get with the request; empty: none */
+  expectAccount(requestId: string, account: string): void {
+    this.#accounts.set(requestId, account);
+  }
+
+  increment(requestId: string, headers: IncomingHttpHeaders): void {
     this.#runs.set(requestId, this.get(requestId) + 1);
+    const account = String(headers['x-tenant'] ?? '');
+    const expected = this.#accounts.get(requestId);
+    if (account !== expected || headers['x-key'] !== undefined) {
+      this.violations.push(`request ${requestId} ran for "${account}" instead of "${expected}"`);
+    }
   }
 }
--- a/playground/faultSoak/soakClients.ts
+++ b/playground/faultSoak/soakClients.ts
@@ -6,6 +6,7 @@
   type SoakDeployment,
   type SoakNode,
 } from './soakDeployment.ts';
+import { ACCOUNT_NAMES, type AccountName } from './soakAccounts.ts';
 import { eventText } from './soakWorker.ts';
 import { sleepMs } from '../standIns/standInServer.ts';
 
@@ -18,6 +19,7 @@
   readonly id: string;
   /** Number of events of each item, by item ID. */
   readonly eventCounts: ReadonlyMap<string, number>;
+  readonly account: AccountName;
   /** ID and state of the results read so far, by position, as text. */
   readonly seenResults: string[];
 }
@@ -31,12 +33,17 @@
   }[];
 }
 
+const randomAccount = (): AccountName => ACCOUNT_NAMES[Math.random() < 0.5 ? 0 : 1];
+
 /** Sends requests and batches to the nodes and checks the responses. */
 export class SoakClients {
   readonly violations: string[] = [];
 
   answered = 0;
 
+  /** Requests by revoked keys that were answered with 401. */
+  refusedKeys = 0;
+
   /** Requests that were refused with a status that says that they did not run. */
   readonly #refusedRequests = new Set<string>();
 
@@ -62,6 +69,7 @@
     await Promise.all([
       this.#repeatUntilStopped(30, (node) => this.#sendRequest(node, '/twice/')),
       this.#repeatUntilStopped(30, (node) => this.#sendRequest(node, '/once/')),
+      this.#repeatUntilStopped(100, (node) => this.#sendRevokedKey(node)),
       this.#repeatUntilStopped(100, (node) => this.#probeNewestRoute(node)),
       this.#repeatUntilStopped(700, () => this.#submitBatch()),
       this.#repeatUntilStopped(150, (node) => this.#readRandomBatch(node)),
@@ -84,6 +92,7 @@
       if (probe?.statusCode !== 200) this.#report(`${node.name} does not serve the newest route`);
     }
     for (const batch of this.#acceptedBatches) await this.#readToEnd(batch);
+    this.violations.push(...runCounts.violations);
     for (const id of this.#refusedRequests) {
       if (runCounts.get(id) > 0) this.#report(`request ${id} was refused as not run but ran`);
     }
@@ -110,8 +119,12 @@
     prefix: '/once/' | '/twice/',
   ): Promise<CallResponse | undefined> {
     const id = newId();
+    const account = randomAccount();
+    this.#deployment.runCounts.expectAccount(id, account);
     const headers = {
       host: HOST,
+      ...this.#keyOf(account),
+      'x-tenant': 'chosen by the client',
       'x-request-id': id,
       'x-deadline-ms': String(REQUEST_DEADLINE_MS),
     };
@@ -133,18 +146,38 @@
       if (body !== `answer of ${id}` || !stamp.endsWith(`.${id}`)) {
         this.#report(`request ${id} got the response "${body}" with stamp ${stamp}`);
       }
-    } else if (statusCode === 503 || statusCode === 429) this.#refusedRequests.add(id);
-    else if (statusCode < 500) this.#report(`request ${id} got status ${statusCode}`);
+    } else if (statusCode === 503 || statusCode === 429 || statusCode === 401) {
+      this.#refusedRequests.add(id);
+    } else if (statusCode < 500) this.#report(`request ${id} got status ${statusCode}`);
     return response;
   }
 
+  /** Sends a request by a key that was revoked long ago. Nobody may run it, whatever the node has missed. */
+  async #sendRevokedKey(node: SoakNode): Promise<void> {
+    const id = newId();
+    const { accounts, runCounts } = this.#deployment;
+    const key = accounts.revokedKey(randomAccount());
+    const headers = { host: HOST, 'x-key': key, 'x-request-id': id, 'x-deadline-ms': '1000' };
+    const response = await call(node.frontPort, { method: 'POST', url: `/once/${id}`, headers });
+    if (response?.statusCode === 401) this.refusedKeys += 1;
+    if (runCounts.get(id) > 0 || response?.statusCode === 200) {
+      this.#report(`${node.name} ran request ${id} by ${key}, which was revoked long before`);
+    }
+  }
+
+  #keyOf(account: AccountName) {
+    return { 'x-key': this.#deployment.accounts.currentKey(account) };
+  }
+
   /** Requests the newest route. A process that has served a revision must not return to an older one. */
   async #probeNewestRoute(node: SoakNode): Promise<CallResponse | undefined> {
     const pid = node.process?.child.pid ?? 0;
-    const { revision } = this.#deployment;
+    const { revision, runCounts } = this.#deployment;
+    const id = newId();
+    runCounts.expectAccount(id, '');
     const response = await call(node.frontPort, {
       url: `/r${revision}/${newId()}`,
-      headers: { host: HOST, 'x-request-id': newId(), 'x-deadline-ms': '1000' },
+      headers: { host: HOST, 'x-request-id': id, 'x-deadline-ms': '1000' },
       timeoutMs: 1500,
     });
     const served = this.#servedRevisions.get(pid) ?? 0;
@@ -157,6 +190,7 @@
 
   async #submitBatch(): Promise<void> {
     const id = newId();
+    const account = randomAccount();
     const eventCounts = new Map(
       Array.from({ length: ITEMS_PER_BATCH }, () => [newId(), 5 + Math.floor(Math.random() * 40)]),
     );
@@ -168,18 +202,21 @@
         body: Buffer.from(JSON.stringify({ events })).toString('base64'),
       })),
     });
-    const headers = { host: HOST, 'x-request-id': id, 'content-type': 'application/json' };
+    for (const item of eventCounts.keys()) this.#deployment.runCounts.expectAccount(item, account);
     while (!this.#isStopped) {
       const { nodes } = this.#deployment;
       const node = nodes[Math.floor(Math.random() * nodes.length)];
+      const headers = { host: HOST, 'x-request-id': id, ...this.#keyOf(account) };
       const response =
         node?.process &&
         (await call(node.frontPort, { method: 'POST', url: '/batches/b', headers, body }));
       if (response?.statusCode === 202) {
-        this.#acceptedBatches.push({ id, eventCounts, seenResults: [] });
+        this.#acceptedBatches.push({ id, eventCounts, account, seenResults: [] });
         return;
       }
-      if (response !== undefined && response.statusCode < 429) {
+      // A node that has missed two revisions does not know the key.
+      const isFinal = response !== undefined && response.statusCode < 429;
+      if (isFinal && response.statusCode !== 401) {
         this.#report(`batch ${id} got status ${response.statusCode}`);
         return;
       }
@@ -189,16 +226,19 @@
 
   async #readRandomBatch(node: SoakNode): Promise<void> {
     const batch = this.#acceptedBatches[Math.floor(Math.random() * this.#acceptedBatches.length)];
-    if (batch !== undefined) {
-      await this.#readResults(node, batch, Math.random() < 0.3 ? 0 : batch.seenResults.length);
-    }
+    if (batch === undefined) return;
+    await this.#readResults(node, batch, Math.random() < 0.3 ? 0 : batch.seenResults.length);
+    const other = ACCOUNT_NAMES.find((name) => name !== batch.account) ?? batch.account;
+    const headers = { host: HOST, ...this.#keyOf(other) };
+    const response = await call(node.frontPort, { url: `/lots/${batch.id}`, headers });
+    if (response?.statusCode === 200) this.#report(`${other} read batch ${batch.id}`);
   }
 
   /** Reads results of a batch and compares them with the expected text and with earlier reads. */
   async #readResults(node: SoakNode, batch: AcceptedBatch, after: number): Promise<void> {
     const response = await call(node.frontPort, {
       url: `/lots/${batch.id}?after=${after}`,
-      headers: { host: HOST },
+      headers: { host: HOST, ...this.#keyOf(batch.account) },
     });
     if (response?.statusCode === 404) this.#report(`${node.name} does not know batch ${batch.id}`);
     if (response?.statusCode !== 200) return;
--- a/playground/faultSoak/soakDeployment.ts
+++ b/playground/faultSoak/soakDeployment.ts
@@ -5,6 +5,7 @@
 import { ProcessGroup, type StartedProcess } from '../processes.ts';
 import { sleepMs } from '../standIns/standInServer.ts';
 import { FaultProxy } from './faultProxy.ts';
+import { REVOKE_AFTER_MS, SoakAccounts, tenantsOf } from './soakAccounts.ts';
 import { RunCounts } from './runCounts.ts';
 import { SoakWorker } from './soakWorker.ts';
 
@@ -97,6 +98,8 @@
 export class SoakDeployment implements AsyncDisposable {
   readonly runCounts = new RunCounts();
 
+  readonly accounts = new SoakAccounts();
+
   readonly nodes: SoakNode[] = [];
 
   readonly workerProxies: FaultProxy[] = [];
@@ -129,6 +132,7 @@
     this.#lastTablesWrite = this.#lastTablesWrite.then(async () => {
       while (!(await this.#writeRevision(this.revision + 1))) await sleepMs(WRITE_RETRY_MS);
       this.revision += 1;
+      this.accounts.confirmed(this.revision);
     });
     return this.#lastTablesWrite;
   }
@@ -147,7 +151,7 @@
       version: revision,
       routes: [
         ...[route('idempotent', '/twice/'), route('non_idempotent', '/once/'), batches],
-        ...added.map((prefix) => route('idempotent', prefix)),
+        ...added.map((prefix) => ({ ...route('idempotent', prefix), public: true })),
       ],
       services: [
         {
@@ -155,6 +159,7 @@
           engine: { slots: 8, 'kv-cache-tokens': 1e6, stride: 1, models: [{ name: 'model' }] },
         },
       ],
+      tenants: tenantsOf(revision),
       limits: {
         ...{ 'max-header-bytes': 16_384, 'max-body-bytes': 1_000_000 },
         ...{ 'header-timeout-ms': 5000, 'idle-timeout-ms': 60_000 },
@@ -229,6 +234,8 @@
         datagramAddress: `127.0.0.1:${datagrams}`,
         graceMs: 5000,
         ordersFenced: true,
+        strictRevocation: true,
+        revokeAfterMs: REVOKE_AFTER_MS,
       },
     };
     await writeFile(file, JSON.stringify(settings));
--- a/playground/faultSoak/soakWorker.ts
+++ b/playground/faultSoak/soakWorker.ts
@@ -123,7 +123,7 @@
       response.writeHead(421, { 'x-not-executed': '1' }).end();
       return;
     }
-    this.#runCounts.increment(id);
+    this.#runCounts.increment(id, request.headers);
     this.arrivalsMs.push(performance.now());
     if (this.limitPerSecond !== undefined) response.setHeader('server-limit', this.limitPerSecond);
     response.setHeader('x-server-stamp', `${this.id}.${id}`);
