fix(duties): a released duty has no holder in the operator's view; tests of the views

Cause: a node that released its duty kept the record that it had before the release, and named itself as the holder. Change: the released record is taken over after its write.

--- a/src/node/election/holderElection.ts
+++ b/src/node/election/holderElection.ts
@@ -196,13 +196,14 @@
     const { heldTerm: term } = this;
     this.resign('released in a planned stop');
     const released = subject.create({ ...record, released: true });
-    const { status } = await writeUntilResolved({
+    const result = await writeUntilResolved({
       ...{ platform, clock, random, key: subject.key, value: subject.encode(released) },
       ...{ ifVersion: version, operationId: newId() },
       ...{ started: new Stopwatch(clock), limitMs: CLAIM_WRITE_LIMIT_MS },
     });
-    this.#log('info', 'released', { term, outcome: status });
-    return status === 'written';
+    this.#log('info', 'released', { term, outcome: result.status });
+    if (result.status === 'written') this.#setKnown(released, result.version);
+    return result.status === 'written';
   }
 
   /** Reads the record again because the holder may have changed. */
--- a/src/node/usage/__tests__/usageReports.test.ts
+++ b/src/node/usage/__tests__/usageReports.test.ts
@@ -24,6 +24,31 @@
   expect(run.control.violations()).toEqual([]);
 });
 
+// Guards against operators who cannot see what was reported.
+test('the holder shows the windows with their counts and states, another node what it has kept', async () => {
+  using run = startUsageNodes(NAMES);
+  await sendRequests(run, 21_000);
+  const windowOf = (atMs: number) => Math.floor(atMs / WINDOW_MS);
+  const current = windowOf(run.clock.nowMs());
+  const views = new Map(
+    run
+      .usageOf(holderName(run))
+      .statuses()
+      .map((status) => [Number(status.window), status]),
+  );
+  const reported = run.control.executed.at(-1);
+  const sent = views.get(reported?.window ?? 0);
+  expect(sent?.state).toEqual('sent');
+  expect(sent?.requests).toEqual(Object.fromEntries(reported?.counts ?? []));
+  expect(views.get(current)?.state).toEqual('open');
+  const other = NAMES.find((name) => name !== holderName(run)) ?? '';
+  const states = run
+    .usageOf(other)
+    .statuses()
+    .map(({ state }) => state);
+  expect(new Set(states)).toEqual(new Set(['open']));
+});
+
 // Guards against needless calls to the platform, each of which has a price.
 test('a window costs one write and one read of the record, and one removal later', async () => {
   using run = startUsageNodes(NAMES);
