--- a/src/node/usage/__tests__/usageReports.test.ts
+++ b/src/node/usage/__tests__/usageReports.test.ts
@@ -131,6 +131,62 @@
   expect(faults).toEqual(NOTHING_WRONG);
 });
 
+// Guards against the counts since the last report of a stopping node, which no other node has.
+test('a stopping node tells its last counts before its exit', async () => {
+  using run = startUsageNodes(NAMES);
+  await sendRequests(run, 22_000);
+  const name = NAMES.find((each) => each !== holderName(run)) ?? '';
+  for (let count = 0; count < 200; count += 1) void run.request(name, 'rare');
+  await run.clock.advanceAsync(60);
+  void run.usageOf(name).exchange.push();
+  await run.clock.advanceAsync(20);
+  run.restart(name);
+  await sendRequests(run, 20_000);
+  const reports = run.control.executed.filter(({ counts }) => counts.has('rare'));
+  expect(reports.map(({ counts }) => counts.get('rare'))).toEqual([200]);
+});
+
+// Guards against requests that are counted in the wrong window after the wall clock of a node was stepped.
+test('a step of the clock of the node that serves all requests changes no report', async () => {
+  using run = startUsageNodes(NAMES);
+  await sendRequests(run, 22_000);
+  const stepped = run.nodes.find(({ name }) => name !== holderName(run));
+  const requestsFor = async (durationMs: number) => {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 25) {
+      void run.request(stepped?.name ?? '', 'acme');
+      await run.clock.advanceAsync(25);
+    }
+  };
+  await requestsFor(5000);
+  if (stepped !== undefined) stepped.clock.wallOffsetMs = 2000;
+  await requestsFor(10_000);
+  if (stepped !== undefined) stepped.clock.wallOffsetMs = 0;
+  await requestsFor(20_000);
+  const { windows, ...faults } = run.judge(25_000);
+  expect(windows >= 3).toEqual(true);
+  expect(faults).toEqual(NOTHING_WRONG);
+});
+
+// Guards against a successor that does not wait although an earlier copy of a confirmed report may still be executed.
+test('a report that was repeated counts as confirmed only when its first copy cannot be executed any more', async () => {
+  using run = startUsageNodes(NAMES, { fenced: false });
+  await sendRequests(run, 19_900);
+  Object.assign(run.control, { mode: 'silent', lateMs: 11_900 });
+  const { callCount } = run.control;
+  while (run.control.callCount === callCount) await sendRequests(run, 25);
+  Object.assign(run.control, { mode: 'answers' });
+  const lost = run.nodes.find(({ name }) => name === holderName(run));
+  await sendRequests(run, 3500);
+  expect(run.control.callCount).toEqual(callCount + 2);
+  if (lost !== undefined) {
+    lost.clock.paused = true;
+    lost.state.suspected = true;
+  }
+  await sendRequests(run, 40_000);
+  expect(run.control.violations()).toEqual([]);
+  expect(run.control.executed.at(-1)?.fencing).toEqual(2);
+});
+
 // Guards against a report of a window of which most counts are lost: the price of an inaccurate one is that of none.
 test('after a restart of all nodes late in a window, that window is not reported', async () => {
   using run = startUsageNodes(NAMES);
