feat(batches): where steps contend for slots, needed groups of the most urgent step go first

Cause: items were ordered by submission and length, so that all groups of all steps advanced together; where trainers share too few engines, most groups were complete too late, and slots went to groups that trainers do not wait for. Change: StepOrder ranks groups (decisions/items/stepOrder.ts); ItemPlacer applies it when not all waiting items can start.

--- a/src/node/batches/itemPlacer.ts
+++ b/src/node/batches/itemPlacer.ts
@@ -1,21 +1,37 @@
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import { placeItems } from '../decisions/items/itemPlacement.ts';
+import {
+  byContention,
+  contend,
+  neededWork,
+  type StepOrder,
+  sumOf,
+} from '../decisions/items/stepOrder.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
+import type { Logger } from '../observability/logger.ts';
+import type { Metrics } from '../observability/metrics.ts';
+import type { BatchState } from './batchState.ts';
 import { MAX_PLACEMENT_TURN_MS } from './constants.ts';
 import type { EnginePermits } from './enginePermits.ts';
 import type { EngineWorkers } from './engineWorkers.ts';
 import type { ItemRun } from './itemRun.ts';
 import type { ItemState } from './itemState.ts';
 import type { StaleViewGuard } from './staleViewGuard.ts';
+import { groupKeyOf, toStepStates } from './stepStates.ts';
 import { countByWorker, type SuspectedItems } from './suspectedItems.ts';
 import type { TextRestarts } from './textRestarts.ts';
 import { toWaitingItem } from './waitingItem.ts';
 
 export interface ItemPlacerOptions {
+  readonly pool: string;
+  readonly logger: Logger;
+  readonly metrics: Pick<Metrics, 'stepsContend'>;
+  /** @default `byContention` */
+  readonly order?: StepOrder;
   readonly clock: Clock;
   readonly engine: () => EnginePool | undefined;
-  readonly workers: Pick<EngineWorkers, 'forPlacement' | 'withFreeSlots'>;
+  readonly workers: Pick<EngineWorkers, 'eventGapMs' | 'forPlacement' | 'withFreeSlots'>;
   readonly permits: Pick<EnginePermits, 'ask'>;
   readonly suspected: Pick<SuspectedItems, 'verdictOf' | 'recentWorkers'>;
   readonly textRestarts: Pick<TextRestarts, 'restartHeldTexts'>;
@@ -29,16 +45,20 @@
 export class ItemPlacer {
   readonly #options: ItemPlacerOptions;
 
+  #isContended = false;
+
   constructor(options: ItemPlacerOptions) {
     this.#options = options;
   }
 
   /**
+   * @param open - batches that have not ended
    * @param waiting - items that may start, by key
    * @param runs - runs in progress
    * @param usable - workers that may receive new work
    */
   place(
+    open: readonly BatchState[],
     waiting: ReadonlyMap<string, ItemState>,
     runs: readonly ItemRun[],
     usable: readonly RegisteredWorker[],
@@ -52,12 +72,16 @@
       .map((worker) => ({ ...worker, hasSuspected: suspectedOn.has(worker.id) }));
     textRestarts.restartHeldTexts(waiting.values(), placementWorkers);
     const tokensPerEvent = engine()?.tokensPerEvent ?? 1;
-    const placements = placeItems(
-      [...waiting].map(([key, state]) =>
-        toWaitingItem(key, state, tokensPerEvent, suspected.verdictOf(state) === 'suspected'),
-      ),
-      placementWorkers,
-    );
+    const freeSlots = placementWorkers.reduce((sum, worker) => sum + worker.freeSlots, 0);
+    const ranks = waiting.size > freeSlots ? this.#groupRanks(open, usable) : undefined;
+    const candidates = [...waiting].flatMap(([key, state]) => {
+      const isSuspected = suspected.verdictOf(state) === 'suspected';
+      const item = toWaitingItem(key, state, tokensPerEvent, isSuspected);
+      if (ranks === undefined) return [item];
+      const rank = ranks.get(groupKeyOf(state));
+      return rank === undefined ? [] : [{ ...item, batchRank: rank }];
+    });
+    const placements = placeItems(candidates, placementWorkers);
     const started = new Map(running);
     for (const { item, worker: workerId } of placements) {
       // On a small VM the starts of a large step take seconds, in which the view gets too old and nothing else is handled.
@@ -77,6 +101,33 @@
     if (unplaced > 0) this.#askForPermits(unplaced, started);
   }
 
+  /** Ranks of the groups that may start items, where not all waiting items can start. */
+  #groupRanks(
+    open: readonly BatchState[],
+    usable: readonly RegisteredWorker[],
+  ): ReadonlyMap<string, number> {
+    const { clock, engine, workers, order = byContention, metrics, logger, pool } = this.#options;
+    const { tokensPerEvent = 1, slots } = engine() ?? {};
+    const steps = toStepStates(open, {
+      ...{ tokensPerEvent, eventGapMs: workers.eventGapMs, nowMs: clock.nowMs() },
+    });
+    const totalSlots = usable.reduce((sum, worker) => sum + (slots ?? worker.slots), 0);
+    const isContended = contend(steps, totalSlots);
+    if (isContended !== this.#isContended) {
+      this.#isContended = isContended;
+      metrics.stepsContend.set({ pool }, Number(isContended));
+      const workMs = Math.round(sumOf(steps, neededWork));
+      logger.info('steps-contend', {
+        pool,
+        contend: isContended,
+        steps: steps.length,
+        totalSlots,
+        workMs,
+      });
+    }
+    return order(steps, totalSlots);
+  }
+
   /** Asks for permits to start waiting items on workers that have free slots but a request limit. */
   #askForPermits(waitingCount: number, running: ReadonlyMap<string, number>): void {
     const open = this.#options.workers.withFreeSlots(running);
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -57,7 +57,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
-  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds'>;
+  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds' | 'stepsContend'>;
   readonly registry: WorkerRegistry;
   readonly limits: RequestLimits;
   readonly permits: Pick<RequestPermits, 'obtain'>;
@@ -313,7 +313,8 @@
   #placeItems(): void {
     const workers = this.#workers.usable();
     if (this.#viewGuard.mayStartRuns()) {
-      this.#placer.place(this.#waitingItems(), [...this.#runs.values()], workers);
+      const runs = [...this.#runs.values()];
+      this.#placer.place(this.#openBatches(), this.#waitingItems(), runs, workers);
     }
     this.#refresher.refresh(workers, this.#openBatches(), [...this.#runs.values()]);
   }
--- a/src/node/batches/waitingItem.ts
+++ b/src/node/batches/waitingItem.ts
@@ -1,4 +1,4 @@
-import type { BatchItem } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import type { BatchItem, BatchRecord } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import type { WaitingItem } from '../decisions/items/itemPlacement.ts';
 import type { ItemState } from './itemState.ts';
 
@@ -23,6 +23,13 @@
   return done < expected ? expected - done : done / 2;
 };
 
+/** Time by which a batch of the most urgent priority goes before one of this priority, in ms. */
+export const batchDelayMs = ({ priority }: BatchRecord): number => priority * PRIORITY_STEP_MS;
+
+/** Rank of a batch by submission time and priority; lower ranks go first. */
+export const batchRankOf = (record: BatchRecord): number =>
+  Number(record.submittedAtMs) + batchDelayMs(record);
+
 /** Converts an item to the form that the item placement needs. */
 export const toWaitingItem = (
   key: string,
@@ -33,7 +40,7 @@
   const { item, text, batch, avoidedWorker } = state;
   return {
     key,
-    batchRank: Number(batch.record.submittedAtMs) + batch.record.priority * PRIORITY_STEP_MS,
+    batchRank: batchRankOf(batch.record),
     expectedTokens: remainingTokens(state, tokensPerEvent),
     prompt: sharedPromptOf(item),
     model: batch.record.model,
--- a/src/node/decisions/items/itemPlacement.ts
+++ b/src/node/decisions/items/itemPlacement.ts
@@ -1,7 +1,7 @@
 /** An item that is waiting for a worker. */
 export interface WaitingItem {
   readonly key: string;
-  /** Rank of its batch; lower ranks go first. */
+  /** Rank of its batch, or of its group where steps contend; lower ranks go first. */
   readonly batchRank: number;
   /** Expected number of tokens still to be generated. */
   readonly expectedTokens: number;
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -123,6 +123,12 @@
       labelNames: ['pool'],
       registers,
     }),
+    stepsContend: new Gauge({
+      name: 'hyssoppulley_steps_contend',
+      help: 'Whether training steps contend for the slots of a pool (1), by pool',
+      labelNames: ['pool'],
+      registers,
+    }),
     itemRuns: new Counter({
       name: 'hyssoppulley_item_runs_total',
       help: 'Item runs on workers, by pool and how they ended',
