--- a/src/node/duties/duty.ts
+++ b/src/node/duties/duty.ts
@@ -1,5 +1,6 @@
 import type { DutyRecord } from '../../gen/hyssoppulley/v1/duty_pb.ts';
 import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
 import { firstCallDelayMs } from '../decisions/duties/firstCallDelay.ts';
 import { VERIFICATION_TTL_MS } from '../election/holderElection.ts';
 import type { Logger } from '../observability/logger.ts';
@@ -19,6 +20,8 @@
    * @returns false also during the wait after a take-over and while the platform does not respond in time
    */
   verify(): Promise<boolean>;
+  /** Whether the wait after a take-over has ended, during which `verify` returns false. */
+  mayCall(): boolean;
   /** Sends calls with the credentials of this node. */
   readonly calls: GuardedControlCalls;
   /** Aborted when this node no longer holds the duty. */
@@ -28,6 +31,13 @@
 /** Work that one node at a time performs at the control API. */
 export interface Duty {
   readonly name: DutyName;
+  /**
+   * Whether it is certain that no call of the former holder can still be executed. Asked without fencing, after the time
+   * in which the former holder could still call; if so, the wait for late calls ends.
+   *
+   * @default it is not certain
+   */
+  readonly formerSettled?: (former: DutyRecord) => Promise<boolean>;
   /** Starts the work; the result is disposed when this node no longer holds the duty. */
   readonly start: (context: DutyContext) => Disposable;
 }
@@ -127,7 +137,17 @@
     });
     const elected = new Stopwatch(clock);
     const abort = new AbortController();
-    const mayCall = () => elected.minElapsedMs() >= waitMs;
+    let settled = false;
+    const mayCall = () => settled || elected.minElapsedMs() >= waitMs;
+    if (!fenced && former !== undefined && waitMs > 0) {
+      const askAfterMs = Math.max(VERIFICATION_TTL_MS + MAX_CALL_ARRIVAL_MS, leaseMs / 2);
+      clock.schedule(askAfterMs, () => {
+        if (abort.signal.aborted || elected.minElapsedMs() < askAfterMs) return;
+        void this.#isSettled(former).then((isSettled) => {
+          settled = isSettled;
+        });
+      });
+    }
     const maySend = () =>
       !abort.signal.aborted &&
       mayCall() &&
@@ -151,10 +171,22 @@
     this.#lastCalls = calls;
     metrics.dutyHeld.set({ duty: duty.name }, 1);
     logger.info('duty-started', { duty: duty.name, term, former: former?.node, waitMs });
-    const work = duty.start({ ...credentials, verify, calls, signal: abort.signal });
+    const work = duty.start({ ...credentials, verify, mayCall, calls, signal: abort.signal });
     this.#held = { abort, calls, mayCall, work };
   }
 
+  async #isSettled(former: DutyRecord): Promise<boolean> {
+    const { duty, logger } = this.#options;
+    try {
+      const settled = (await duty.formerSettled?.(former)) ?? false;
+      logger.info('duty-former-holder', { duty: duty.name, former: former.node, settled });
+      return settled;
+    } catch (error) {
+      logger.info('duty-former-holder', { duty: duty.name, message: messageOf(error) });
+      return false;
+    }
+  }
+
   #stop(): void {
     const held = this.#held;
     if (held === undefined) return;
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -11,6 +11,7 @@
 import { PoisonService } from '../../gen/hyssoppulley/v1/poison_pb.ts';
 import { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import { TablesSchema } from '../../gen/hyssoppulley/v1/tables_pb.ts';
+import { UsageService } from '../../gen/hyssoppulley/v1/usage_pb.ts';
 import { type Clock, Stopwatch, systemClock } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { messageOf } from '../../shared/errors.ts';
@@ -42,6 +43,7 @@
 import { PlatformHealth } from '../platform/platformHealth.ts';
 import { WorkerOrders } from '../workerOrders/workerOrders.ts';
 import { RequestTracker } from '../requestTracker.ts';
+import { createUsage } from '../usage/createUsage.ts';
 import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
 import { Shutdown } from '../shutdown.ts';
 import type { GatewayAdapter } from './adapter.ts';
@@ -254,8 +256,25 @@
       call: (node, request, timeoutMs) => peerClients.poison(node).exchange(request, { timeoutMs }),
     }),
   );
+  const duties = store.add(
+    new DutySubsystem({
+      ...{ platform, clock, random, logger, metrics, health, view: membership },
+      control: adapter.control,
+      fenced: gateway.ordersFenced,
+      leaseMs: gateway.orderLeaseMs,
+    }),
+  );
+  const usage = createUsage({
+    ...{ platform, clock, random, logger, metrics, view: membership, duties },
+    control: gateway.control,
+    asked: adapter.control?.duties ?? [],
+    call: (node, request, timeoutMs) =>
+      peerClients.usage(node).reportCounts(request, { timeoutMs }),
+  });
+  if (usage !== undefined) store.add(usage);
   const attempts = new WorkerAttempts({
     ...{ clock, logger, loadBalancer, limits, permits, poison, isMostUrgent },
+    usage: usage?.counter,
     calls: adapter.workerCalls,
   });
   const forwarder = new Forwarder({ clock, loadBalancer, attempts });
@@ -289,14 +308,6 @@
       weightsLongPollMs: DISPATCHER_LONG_POLL_MS,
     }),
   );
-  const duties = store.add(
-    new DutySubsystem({
-      ...{ platform, clock, random, logger, metrics, health, view: membership },
-      control: adapter.control,
-      fenced: gateway.ordersFenced,
-      leaseMs: gateway.orderLeaseMs,
-    }),
-  );
   const workerOrders = store.add(
     new WorkerOrders({
       ...{ clock, logger, metrics, registry, peerClients, duties },
@@ -331,7 +342,7 @@
   const operatorViews: GatewayOperatorViews = {
     revision: () => tables.tables?.revision ?? 0,
     accounts: () => [],
-    usage: () => [],
+    usage: () => usage?.statuses() ?? [],
     duties: () => duties.statuses(),
     workerOrders: () => workerOrders.statuses(),
     suspects: () => [],
@@ -355,6 +366,9 @@
         router.service(PermitService, { issuePermits: (request) => permits.issue(request) });
         router.service(DemandService, workerOrders.handlers);
         router.service(PoisonService, { exchange: (request) => poisonExchange.receive(request) });
+        router.service(UsageService, {
+          reportCounts: (request) => usage?.exchange.receive(request) ?? {},
+        });
         router.service(GatewayOperatorService, createGatewayOperatorHandlers(operatorViews));
       },
     }),
@@ -368,8 +382,11 @@
     },
     closeListener: () => servers.stopAccepting(),
     abortRequests: () => servers.abortRequests(),
-    handOvers: [],
-    deregister: () => membership.deregister(),
+    handOvers: usage === undefined ? [] : [() => usage.exchange.push()],
+    deregister: async () => {
+      await usage?.exchange.push();
+      return membership.deregister();
+    },
     dispose: () => store[Symbol.asyncDispose](),
   });
 
@@ -402,6 +419,7 @@
   }
   await membership.start();
   store.add(membership);
+  if (usage !== undefined) duties.run(usage.duty);
   await Promise.all([tables.start(), workers.start()]);
   duties.run(workerOrders);
   store.add(
