refactor(gateway): the probe of the platform has a file of its own

Change: platformProbe.ts; no change of behaviour. The test of the orders' duty gives its context the new mayCall.

--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -30,7 +30,6 @@
 import { Membership } from '../membership/membership.ts';
 import type { Peer, TablesView } from '../membership/membershipView.ts';
 import { PeerClients } from '../membership/peerClients.ts';
-import { NODES_PREFIX } from '../membership/registration.ts';
 import { splitAddress } from '../membership/splitAddress.ts';
 import { RequestPermits } from '../limits/requestPermits.ts';
 import { createLogger, type Logger } from '../observability/logger.ts';
@@ -55,6 +54,7 @@
 import { instrumentServices } from './instrumentedServices.ts';
 import { PeerServer } from './peerServer.ts';
 import { PlatformFollowers } from './platformFollowers.ts';
+import { startPlatformProbe } from './platformProbe.ts';
 import { StreamForwarder } from './streamForwarder.ts';
 import { TablesFollower } from './tablesFollower.ts';
 import { LoadBalancer } from './loadBalancer.ts';
@@ -68,12 +68,6 @@
 /** Time a change may take to arrive from the platform before a node that lacks it reads the objects again, in ms. */
 const CHANGE_PROPAGATION_GRACE_MS = 250;
 
-/** Interval between checks that the platform responds to this node, in ms; a stale read costs a tenth of a call. */
-const PLATFORM_PROBE_INTERVAL_MS = 1000;
-
-/** The same interval at a node that callers are not sent to, in ms; hundreds of them would call all the time. */
-const RESERVE_PROBE_INTERVAL_MS = 5000;
-
 /** Interval between checks whether other nodes have become the relays, in ms. */
 const RELAY_CHECK_INTERVAL_MS = 250;
 
@@ -390,17 +384,6 @@
     dispose: () => store[Symbol.asyncDispose](),
   });
 
-  // A node that follows the platform through relays calls it too rarely to notice an outage or its end.
-  const probePlatform = async () => {
-    const wasLost = health.lost;
-    try {
-      await platform.read(`${NODES_PREFIX}${settings.name}`, { allowStale: true });
-      if (wasLost) logger.info('platform-answers-again');
-    } catch (error) {
-      logger.debug('platform-probe-failed', { message: messageOf(error) });
-    }
-  };
-
   const started = new Stopwatch(clock);
   await peerServer.listen(peerAddress);
   if (gateway.datagramAddress !== undefined) {
@@ -430,9 +413,12 @@
     }),
   );
   store.add(repeatEvery(clock, RELAY_CHECK_INTERVAL_MS, () => followers.checkRelays()));
-  const probeIntervalMs = () =>
-    isPreferredEntry(membership) ? PLATFORM_PROBE_INTERVAL_MS : RESERVE_PROBE_INTERVAL_MS;
-  store.add(repeatEvery(clock, probeIntervalMs, () => probePlatform()));
+  store.add(
+    startPlatformProbe({
+      ...{ clock, logger, platform, health, nodeName: settings.name },
+      isPreferred: () => isPreferredEntry(membership),
+    }),
+  );
   logger.info('node-started', {
     incarnation: self.incarnation,
     front: gateway.frontAddress,
--- a/src/node/workerOrders/__tests__/workerOrdersDuty.test.ts
+++ b/src/node/workerOrders/__tests__/workerOrdersDuty.test.ts
@@ -86,6 +86,7 @@
       },
       {
         ...{ ...credentials, calls, signal: this.abort.signal },
+        mayCall: () => this.isHolder,
         verify: () => Promise.resolve(this.isHolder),
       },
     );
