fix(gateway): a quarter of the descriptors for other nodes, half for callers

Cause: followers of a relay keep a call open each, and an eighth of 2,212 descriptors, of which a call counted twice, is too little for the 410 nodes that are planned. Change: calls of nodes count one descriptor; half of the descriptors is for callers; waits in a test are bounded.

--- a/src/node/decisions/requestMemory/__tests__/connectionTable.test.ts
+++ b/src/node/decisions/requestMemory/__tests__/connectionTable.test.ts
@@ -4,7 +4,7 @@
 import { VirtualClock } from '../../../../shared/virtualClock.ts';
 import { type ConnectionActivity, ConnectionTable } from '../connectionTable.ts';
 
-const LIMITS = { maxDescriptors: 4, maxOfAddress: 3, maxPipelined: 2 };
+const LIMITS = { maxDescriptors: 4, descriptorsPerRequest: 1, maxOfAddress: 3, maxPipelined: 2 };
 const TIMEOUTS = { headTimeoutMs: 3000, unreadTimeoutMs: 15_000 };
 const QUIET: ConnectionActivity = { bytesRead: 0, unreadBytes: 0 };
 
--- a/src/node/decisions/requestMemory/connectionTable.ts
+++ b/src/node/decisions/requestMemory/connectionTable.ts
@@ -16,6 +16,8 @@
 export interface ConnectionLimits {
   /** Descriptors for connections of clients and for the requests in progress on them. */
   readonly maxDescriptors: number;
+  /** Descriptors that a request in progress occupies beside its client's connection. */
+  readonly descriptorsPerRequest: number;
   /** Connections of one client address. */
   readonly maxOfAddress: number;
   /** Requests in progress on one connection. */
@@ -88,9 +90,9 @@
     return this.#connections.size;
   }
 
-  /** Connections and requests in progress; each request occupies a connection to a worker. */
+  /** Descriptors of the connections and of the requests in progress. */
   get descriptors(): number {
-    return this.#connections.size + this.#inProgress;
+    return this.#connections.size + this.#limits.descriptorsPerRequest * this.#inProgress;
   }
 
   /** Adds a connection. Returns the connections to close, among them possibly the new one. */
--- a/src/node/decisions/requestMemory/memoryPlan.ts
+++ b/src/node/decisions/requestMemory/memoryPlan.ts
@@ -59,8 +59,9 @@
       Math.max(MIN_RESPONSE_BYTES, freeBytes * RESPONSE_SHARE),
     ),
     decodeBytes: Math.max(4 * maxBodyBytes, freeBytes),
-    callerDescriptors: Math.floor((fileDescriptors * 5) / 8),
-    peerDescriptors: Math.floor(fileDescriptors / 8),
+    callerDescriptors: Math.floor(fileDescriptors / 2),
+    // Followers of a relay keep a call open each; 410 nodes need less than a quarter of 2,212 descriptors.
+    peerDescriptors: Math.floor(fileDescriptors / 4),
     statusDescriptors: Math.floor(fileDescriptors / 16),
   };
 };
--- a/src/node/requestMemory/__tests__/requestMemory.test.ts
+++ b/src/node/requestMemory/__tests__/requestMemory.test.ts
@@ -15,6 +15,9 @@
 
 const MAX_BODY_BYTES = 1024 * 1024;
 
+/** A condition that does not hold by then never will; ends the loop, which would keep the process alive. */
+const WAIT_LIMIT_MS = 15_000;
+
 const LIMITS = {
   ...{ maxHeaderBytes: 16_384, maxBodyBytes: MAX_BODY_BYTES },
   ...{ headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
@@ -77,7 +80,9 @@
   `POST ${path} HTTP/1.1\r\nHost: h\r\n${framing}\r\n\r\n`;
 
 const until = async (condition: () => boolean): Promise<void> => {
+  const endMs = performance.now() + WAIT_LIMIT_MS;
   while (!condition()) {
+    if (performance.now() > endMs) throw new Error(`not reached: ${condition.toString()}`);
     await new Promise((resolve) => {
       setTimeout(resolve, 5);
     });
--- a/src/node/requestMemory/requestMemory.ts
+++ b/src/node/requestMemory/requestMemory.ts
@@ -89,18 +89,23 @@
     this.#decoding = new DecodeBudget(() => settings.decodeBytes ?? plan().decodeBytes);
     const { callerDescriptors, peerDescriptors, statusDescriptors } = plan();
     const maxConnections = settings.maxConnections ?? callerDescriptors;
-    const guard = (maxDescriptors: number, maxOfAddress: number) =>
+    const guard = (maxDescriptors: number, maxOfAddress: number, descriptorsPerRequest: number) =>
       new ConnectionGuard({
         clock,
-        limits: { maxDescriptors, maxOfAddress, maxPipelined: settings.maxPipelinedRequests },
+        limits: {
+          ...{ maxDescriptors, maxOfAddress, descriptorsPerRequest },
+          maxPipelined: settings.maxPipelinedRequests,
+        },
         onEnded: (reason, fields) => this.#recordEnd('connection-ended', reason, fields),
       });
     this.callers = guard(
       maxConnections,
       settings.maxConnectionsPerAddress ?? Math.floor(maxConnections * ADDRESS_SHARE),
+      // A connection to a worker.
+      1,
     );
-    this.peers = guard(peerDescriptors, peerDescriptors);
-    this.status = guard(statusDescriptors, statusDescriptors);
+    this.peers = guard(peerDescriptors, peerDescriptors, 0);
+    this.status = guard(statusDescriptors, statusDescriptors, 0);
     this.#lastSweepMs = clock.monotonicMs();
     this.#sweeps = repeatEvery(clock, SWEEP_INTERVAL_MS, () => this.#sweep());
   }
