feat(gateway): requests wait in front of full pools and are admitted by the sharing decision

Cause: see decisions/sharing; the decision had no use yet.

Change: AdmissionGate asks PoolAdmission before the first attempt of Forwarder and StreamForwarder, for pools without engines whose workers have reported their load; all others are served as before. Scoring calls of batches are marked in ForwardedRequest.scoring. Log lines request-admitted (after a wait) and request-refused-by-admission, gauge hyssoppulley_queued_requests, counter hyssoppulley_admission_refusals_total, accountsWaiting() for the operator view. A refusal by the workers gets the time of the queue as Retry-After.

--- a/src/node/batches/itemScorer.ts
+++ b/src/node/batches/itemScorer.ts
@@ -40,6 +40,7 @@
         body: Buffer.from(call.body),
         sinceArrival: new Stopwatch(clock),
         budgetMs: SCORING_BUDGET_MS,
+        scoring: true,
       };
       const outcome = route && (await forwarder.forward(request, route, signal));
       if (outcome?.kind === 'answer') {
--- a/src/node/gateway/forwardedRequest.ts
+++ b/src/node/gateway/forwardedRequest.ts
@@ -19,6 +19,8 @@
   readonly body: Buffer;
   /** Client account that sent the request. @default none */
   readonly account?: ForwardingAccount;
+  /** Whether a finished text of a batch waits for the response. @default false */
+  readonly scoring?: boolean;
   /** Started when the request arrived. */
   readonly sinceArrival: Stopwatch;
   /** Time allowed by the caller and the route, counted from the arrival, in ms. */
--- a/src/node/gateway/forwarder.ts
+++ b/src/node/gateway/forwarder.ts
@@ -9,9 +9,11 @@
   REQUEST_FAILED_STATUS,
   RETRY_BUDGET_FRACTION,
 } from './constants.ts';
+import type { AdmissionGate } from './admissionGate.ts';
 import type { ForwardedRequest, ForwardOutcome, ResponseOutcome } from './forwardedRequest.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
 import type { LoadBalancer } from './loadBalancer.ts';
+import { withPlace } from './withPlace.ts';
 import { withinBudget } from './withinBudget.ts';
 import {
   type AttemptOptions,
@@ -24,6 +26,8 @@
   readonly clock: Clock;
   readonly attempts: WorkerAttempts;
   readonly loadBalancer: LoadBalancer;
+  /** @default each request is sent at once */
+  readonly admission?: Pick<AdmissionGate, 'admit'>;
 }
 
 /** Delay before a hedged attempt is sent to a second worker, in ms. */
@@ -59,13 +63,15 @@
     route: GatewayRoute,
     signal: AbortSignal,
   ): Promise<ForwardOutcome> {
-    const { clock, loadBalancer } = this.#options;
+    const { clock, loadBalancer, admission } = this.#options;
     const pool = loadBalancer.choosePool(route);
     if (pool === undefined) return { kind: 'not-run', reason: 'the route has no pool' };
     return withinBudget(clock, request, signal, (attemptsSignal) =>
-      route.kind === 'idempotent'
-        ? this.#forwardIdempotent(request, route, pool, attemptsSignal)
-        : this.#forwardAtMostOnce(request, route, pool, attemptsSignal),
+      withPlace(admission, { request, route, pool, signal: attemptsSignal }, () =>
+        route.kind === 'idempotent'
+          ? this.#forwardIdempotent(request, route, pool, attemptsSignal)
+          : this.#forwardAtMostOnce(request, route, pool, attemptsSignal),
+      ),
     );
   }
 
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -41,6 +41,7 @@
 import { RequestTracker } from '../requestTracker.ts';
 import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
 import { Shutdown } from '../shutdown.ts';
+import { AdmissionGate } from './admissionGate.ts';
 import type { GatewayAdapter } from './adapter.ts';
 import { entryAddresses, isPreferredEntry } from './entryAddresses.ts';
 import { Forwarder } from './forwarder.ts';
@@ -255,9 +256,15 @@
     ...{ clock, logger, loadBalancer, limits, permits, poison, isMostUrgent },
     calls: adapter.workerCalls,
   });
-  const forwarder = new Forwarder({ clock, loadBalancer, attempts });
+  const admission = store.add(
+    new AdmissionGate({
+      ...{ clock, random, logger, metrics, loadBalancer, isMostUrgent },
+      isShared: (pool) => tables.tables?.pools.get(pool)?.engine === undefined,
+    }),
+  );
+  const forwarder = new Forwarder({ clock, loadBalancer, attempts, admission });
   const streamForwarder = new StreamForwarder({
-    ...{ clock, loadBalancer, attempts },
+    ...{ clock, loadBalancer, attempts, admission },
     versionField: adapter.eventVersionField,
   });
   const batches = store.add(
@@ -385,6 +392,7 @@
   store.add(
     repeatEvery(clock, SWEEP_INTERVAL_MS, () => {
       loadBalancer.sweep();
+      admission.retain((pool) => tables.tables?.pools.has(pool) ?? true);
       permits.sweep();
       limits.retain((id) => registry.find(id) !== undefined, clock.monotonicMs());
     }),
--- a/src/node/gateway/loadBalancer.ts
+++ b/src/node/gateway/loadBalancer.ts
@@ -6,6 +6,7 @@
 import { AnswerTimes } from '../decisions/placement/answerTimes.ts';
 import { selectByPredictedCompletion } from '../decisions/placement/predictedCompletion.ts';
 import { WorkerReports } from '../decisions/placement/workerReports.ts';
+import type { PoolOccupancy } from '../decisions/sharing/poolRoom.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
 import type { WorkerLoad } from './workerCalls.ts';
 import type { RegisteredWorker, WorkerRegistry } from './workerRegistry.ts';
@@ -101,6 +102,21 @@
     return (select ?? selectWorkerByDefault)(candidates, context)?.worker;
   }
 
+  /** What this node believes about the load of a pool; undefined while none of its workers has reported its load. */
+  occupancyOf(pool: string): PoolOccupancy | undefined {
+    const { clock, registry } = this.#options;
+    const registered = registry.usable(pool);
+    if (!registered.some(({ id }) => this.#reports.has(id))) return undefined;
+    const nowMs = clock.monotonicMs();
+    const workers = this.healthCheck.selectUsable(registered, nowMs).map((worker) => {
+      const report = this.#reports.of(worker.id, nowMs);
+      const inFlight = this.#inFlight.of(worker.id);
+      return { slots: report?.slots ?? worker.slots, load: inFlight + (report?.others ?? 0) };
+    });
+    const inFlight = registered.reduce((sum, { id }) => sum + this.#inFlight.of(id), 0);
+    return { workers, inFlight };
+  }
+
   /** Usual time of a route's work at this node, in ms. */
   workMs({ name, targetLatencyMs }: PlacedRoute): number {
     return this.#answerTimes.usualMs(name) ?? targetLatencyMs * ASSUMED_WORK_SHARE;
--- a/src/node/gateway/streamForwarder.ts
+++ b/src/node/gateway/streamForwarder.ts
@@ -9,6 +9,7 @@
   RETRY_BUDGET_FRACTION,
   STREAM_STALL_MS,
 } from './constants.ts';
+import type { AdmissionGate } from './admissionGate.ts';
 import type { ForwardedRequest, StreamOutcome, StreamSink } from './forwardedRequest.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
 import type { LoadBalancer } from './loadBalancer.ts';
@@ -20,12 +21,15 @@
   type ResponseReader,
   type WorkerAttempts,
 } from './workerAttempts.ts';
+import { withPlace } from './withPlace.ts';
 import { withinBudget } from './withinBudget.ts';
 
 export interface StreamForwarderOptions {
   readonly clock: Clock;
   readonly loadBalancer: LoadBalancer;
   readonly attempts: WorkerAttempts;
+  /** @default each request is sent at once */
+  readonly admission?: Pick<AdmissionGate, 'admit'>;
   /** Name of the field by which an event tells that the weight version changes at it. */
   readonly versionField: string;
 }
@@ -61,7 +65,7 @@
     sink: StreamSink,
     signal: AbortSignal,
   ): Promise<StreamOutcome> {
-    const { clock, loadBalancer, versionField } = this.#options;
+    const { clock, loadBalancer, versionField, admission } = this.#options;
     const pool = loadBalancer.choosePool(route);
     if (pool === undefined) return { kind: 'not-run', reason: 'the route has no pool' };
     const join = new EventStreamJoin({
@@ -71,7 +75,9 @@
     const relay = new StreamRelay(sink, join);
     const tried = new Set<string>();
     return withinBudget(clock, request, signal, (attemptsSignal) =>
-      this.#run({ request, route, pool, relay, tried, signal: attemptsSignal }),
+      withPlace<StreamOutcome>(admission, { request, route, pool, signal: attemptsSignal }, () =>
+        this.#run({ request, route, pool, relay, tried, signal: attemptsSignal }),
+      ),
     );
   }
 
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -40,6 +40,12 @@
       labelNames: ['pool', 'priority'],
       registers,
     }),
+    admissionRefusals: new Counter({
+      name: 'hyssoppulley_admission_refusals_total',
+      help: 'Requests refused before they were sent to a worker, by pool and reason (no-worker, over-budget, queue-full, evicted, account-full, left)',
+      labelNames: ['pool', 'reason'],
+      registers,
+    }),
     requestLimitChanges: new Counter({
       name: 'hyssoppulley_request_limit_changes_total',
       help: 'Changes of the request limits that workers name, by change (named, changed, lifted)',
