--- a/src/node/decisions/sharing/__tests__/poolAdmission.test.ts
+++ b/src/node/decisions/sharing/__tests__/poolAdmission.test.ts
@@ -60,6 +60,14 @@
   );
 });
 
+// Guards against more requests than slots when several are admitted before the first has reached a worker.
+test('admitted requests count before they are in flight at a worker', () => {
+  const admission = createAdmission();
+  const kinds = Array.from({ length: 7 }, () => admission.offer(requestOf(), poolOf([0]), 0).kind);
+  expect(kinds).toEqual([...Array.from({ length: 6 }, () => 'admitted' as const), 'waiting']);
+  expect(admission.advance(poolOf([0]), 1).admitted.length).toEqual(0);
+});
+
 // Guards against callers who wait for a pool that has no workers.
 test('a pool without workers refuses at once, also what waits', () => {
   const { admission } = createBusyAdmission();
