--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -44,6 +44,7 @@
 import { createUsage } from '../usage/createUsage.ts';
 import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
 import { Shutdown } from '../shutdown.ts';
+import { AdmissionGate } from './admissionGate.ts';
 import type { GatewayAdapter } from './adapter.ts';
 import { CHANGE_PROPAGATION_GRACE_MS } from './constants.ts';
 import { entryAddresses, isPreferredEntry } from './entryAddresses.ts';
@@ -280,9 +281,15 @@
     responseMemory: requestMemory.responses,
     calls: adapter.workerCalls,
   });
-  const forwarder = new Forwarder({ clock, loadBalancer, attempts });
+  const admission = store.add(
+    new AdmissionGate({
+      ...{ clock, random, logger, metrics, loadBalancer, isMostUrgent },
+      isShared: (pool) => tables.tables?.pools.get(pool)?.engine === undefined,
+    }),
+  );
+  const forwarder = new Forwarder({ clock, loadBalancer, attempts, admission });
   const streamForwarder = new StreamForwarder({
-    ...{ clock, loadBalancer, attempts },
+    ...{ clock, loadBalancer, attempts, admission },
     versionField: adapter.eventVersionField,
   });
   const batches = store.add(
@@ -420,6 +427,7 @@
   store.add(
     repeatEvery(clock, SWEEP_INTERVAL_MS, () => {
       loadBalancer.sweep();
+      admission.retain((pool) => tables.tables?.pools.has(pool) ?? true);
       permits.sweep();
       limits.retain((id) => registry.find(id) !== undefined, clock.monotonicMs());
     }),
