feat(operator): accounts show their waiting and refused requests

Cause: authentication and admission to pools were built side by side. Change: the priority that counts is that of the account; the view of accounts adds what waits and was refused by full pools.

--- a/src/node/accounts/__tests__/accountServices.test.ts
+++ b/src/node/accounts/__tests__/accountServices.test.ts
@@ -62,17 +62,17 @@
   authenticate('key-1');
   const shown = () =>
     services
-      .status()
-      .map(({ name, keys, priority, requests, refused }) => [
-        ...[name, keys, priority, Number(requests), Number(refused)],
+      .status([{ account: 'account-1', waiting: 3, refused: 2 }])
+      .map(({ name, keys, priority, requests, waiting, refused }) => [
+        ...[name, keys, priority, Number(requests), waiting, Number(refused)],
       ]);
   expect(shown()).toEqual([
-    ['account-0', 1, 0, 1, 0],
-    ['account-1', 1, 1, 1, 1],
+    ['account-0', 1, 0, 1, 0, 0],
+    ['account-1', 1, 1, 1, 3, 3],
   ]);
   tables.accounts = new AccountIndex([{ name: 'account-1', keys: [] }]);
   services.tablesChanged();
-  expect(shown()).toEqual([['account-1', 0, undefined, 1, 1]]);
+  expect(shown()).toEqual([['account-1', 0, undefined, 1, 3, 3]]);
 });
 
 // Guards against a refusal whose cause on-call cannot find, and against a key in the log.
--- a/src/node/accounts/accountServices.ts
+++ b/src/node/accounts/accountServices.ts
@@ -6,6 +6,7 @@
 import type { HeartbeatResponse } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import type { Stopwatch } from '../../shared/clock.ts';
 import { TablesConfirmation } from '../decisions/accounts/tablesConfirmation.ts';
+import type { AccountWaiting } from '../gateway/admissionGate.ts';
 import type { RequestTarget } from '../gateway/gatewayServices.ts';
 import type { GatewayRoute } from '../gateway/gatewayTables.ts';
 import type { TablesFollower } from '../gateway/tablesFollower.ts';
@@ -89,15 +90,21 @@
     this.#counts.retain((account) => accounts?.accounts.has(account) ?? false);
   }
 
-  /** The accounts in force, for operators. */
-  status(): AccountStatus[] {
+  /**
+   * The accounts in force, for operators.
+   *
+   * @param waiting - accounts whose requests wait for full pools or were refused by them
+   */
+  status(waiting: readonly AccountWaiting[]): AccountStatus[] {
     const index = this.#options.tables.accounts;
+    const waitingOf = new Map(waiting.map((each) => [each.account, each]));
     return [...(index?.accounts.values() ?? [])].map(({ name, priority }) => {
       const { requests, refused } = this.#counts.of(name);
       return create(AccountStatusSchema, {
         ...{ name, priority, keys: index?.keysOf(name) ?? 0 },
         requests: BigInt(requests),
-        refused: BigInt(refused),
+        waiting: waitingOf.get(name)?.waiting,
+        refused: BigInt(refused + (waitingOf.get(name)?.refused ?? 0)),
       });
     });
   }
--- a/src/node/gateway/admissionGate.ts
+++ b/src/node/gateway/admissionGate.ts
@@ -23,7 +23,7 @@
   /** Whether callers compete for the pool; engines order their requests themselves, by priority. */
   readonly isShared: (pool: string) => boolean;
   /** Whether no other route of the pool is more urgent than one of this priority. */
-  readonly isMostUrgent: (route: GatewayRoute, pool: string) => boolean;
+  readonly isMostUrgent: (priority: number, pool: string) => boolean;
 }
 
 /** A request for a place in a pool. */
@@ -157,7 +157,7 @@
     const isScoring = request.scoring ?? false;
     return {
       ...{ route: route.name, account: request.account?.name ?? '', priority, isScoring },
-      isUrgent: !isScoring && isMostUrgent({ ...route, priority }, pool),
+      isUrgent: !isScoring && isMostUrgent(priority, pool),
       deadlineMs: arrivedMs + request.budgetMs,
       targetMs: arrivedMs + route.targetLatencyMs,
       workMs: loadBalancer.workMs(route),
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -353,7 +353,7 @@
 
   const operatorViews: GatewayOperatorViews = {
     revision: () => tables.tables?.revision ?? 0,
-    accounts: () => accounts.status(),
+    accounts: () => accounts.status(admission.accountsWaiting()),
     usage: () => usage?.statuses() ?? [],
     duties: () => duties.statuses(),
     workerOrders: () => workerOrders.statuses(),
