fix(accounts): an empty list of accounts admits no key

Cause: an empty list counted as none, so that taking the last account away would have let every caller in. Change: only tables without a list need no keys.

--- a/src/node/gateway/tablesFollower.ts
+++ b/src/node/gateway/tablesFollower.ts
@@ -116,8 +116,8 @@
       logger.warn('tables-outdated', { revision: tables.revision, held: this.#tables.revision });
       return;
     }
-    const { revision, routes, pools, accounts = [] } = tables;
-    const keys = countKeys(accounts);
+    const { revision, routes, pools, accounts } = tables;
+    const keys = countKeys(accounts ?? []);
     if (keys > MAX_ACCOUNT_KEYS) {
       const held = this.#tables?.revision;
       logger.error('tables-rejected', { revision, keys, maxKeys: MAX_ACCOUNT_KEYS, held });
@@ -127,7 +127,8 @@
     this.#version = object.version;
     this.#routeIndex = new RouteIndex(routes);
     const previous = this.#accounts;
-    this.#accounts = accounts.length === 0 ? undefined : new AccountIndex(accounts, previous);
+    // An empty list has no keys that could be accepted: taking the last account away must not admit everybody.
+    this.#accounts = accounts === undefined ? undefined : new AccountIndex(accounts, previous);
     this.#mostUrgent = new Map();
     this.#logAccounts(revision, previous);
     logger.info('tables-in-force', {
