fix(gateway): only tables count as seen tables

Cause: a later object of the same kind that holds no tables let a node believe that it had seen the tables which a heartbeat announced. Change: the version is noted after decoding.

--- a/src/node/gateway/__tests__/tablesAccounts.test.ts
+++ b/src/node/gateway/__tests__/tablesAccounts.test.ts
@@ -18,7 +18,10 @@
   const logger: Logger = { ...silentLogger, info: record, warn: record, error: record };
   const tables = new TablesFollower({
     ...{ logger, onChange: () => {} },
-    kind: { prefix: 'config/', decode: ({ value }) => value as GatewayTables },
+    kind: {
+      prefix: 'config/',
+      decode: ({ key, value }) => (key === 'config/main' ? (value as GatewayTables) : undefined),
+    },
     followers: {
       follow: (options) => {
         onEvent = options.onEvent;
@@ -33,7 +36,12 @@
     const object = { key: 'config/main', version, operationId: '', value };
     onEvent({ type: 'written', object });
   };
-  return { tables, write, logged };
+  const writeOther = (otherVersion: number) =>
+    onEvent({
+      type: 'written',
+      object: { key: 'config/other', version: otherVersion, operationId: '', value: {} },
+    });
+  return { tables, write, writeOther, logged };
 };
 
 const holderOf = (tables: TablesFollower, key: string) =>
@@ -68,6 +76,14 @@
   expect(JSON.stringify(logged).includes('the-secret')).toEqual(false);
 });
 
+// Guards against a node that does not ask for tables it has missed because it has seen a later object of the same kind.
+test('objects of the same kind that hold no tables do not count as seen tables', () => {
+  const { tables, write, writeOther } = follow();
+  write(1);
+  writeOther(100);
+  expect([tables.version, tables.handledVersion]).toEqual([1, 1]);
+});
+
 const accounts = fc.option(
   fc.array(
     fc.record({
--- a/src/node/gateway/tablesFollower.ts
+++ b/src/node/gateway/tablesFollower.ts
@@ -107,11 +107,11 @@
     if (type === 'removed') return;
     const { logger, kind, onChange } = this.#options;
     const tables = kind.decode(object);
-    this.#handledVersion = Math.max(this.#handledVersion, object.version);
     if (tables === undefined) {
       logger.error('tables-unreadable', { key: object.key, version: object.version });
       return;
     }
+    this.#handledVersion = Math.max(this.#handledVersion, object.version);
     if (this.#tables !== undefined && tables.revision < this.#tables.revision) {
       logger.warn('tables-outdated', { revision: tables.revision, held: this.#tables.revision });
       return;
