refactor(gateway): the path of requests to workers has a file of its own

Change: requestPath.ts creates the load balancer, permits, the poison guard, attempts, admission and forwarders; no change of behaviour.

--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -29,12 +29,9 @@
 import type { Peer, TablesView } from '../membership/membershipView.ts';
 import { PeerClients } from '../membership/peerClients.ts';
 import { splitAddress } from '../membership/splitAddress.ts';
-import { RequestPermits } from '../limits/requestPermits.ts';
 import { createLogger, type Logger } from '../observability/logger.ts';
 import { createMetrics } from '../observability/metrics.ts';
 import { MetricsServer } from './metricsServer.ts';
-import { PoisonExchange } from '../poison/poisonExchange.ts';
-import { PoisonGuard } from '../poison/poisonGuard.ts';
 import { createPlatformClient } from '../platform/createPlatformClient.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import { PlatformHealth } from '../platform/platformHealth.ts';
@@ -44,23 +41,19 @@
 import { createUsage } from '../usage/createUsage.ts';
 import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
 import { Shutdown } from '../shutdown.ts';
-import { AdmissionGate } from './admissionGate.ts';
 import type { GatewayAdapter } from './adapter.ts';
 import { CHANGE_PROPAGATION_GRACE_MS } from './constants.ts';
 import { entryAddresses, isPreferredEntry } from './entryAddresses.ts';
-import { Forwarder } from './forwarder.ts';
 import { createGatewayOperatorHandlers, type GatewayOperatorViews } from './gatewayOperator.ts';
 import type { GatewayServices } from './gatewayServices.ts';
 import { instrumentServices } from './instrumentedServices.ts';
 import { PeerServer } from './peerServer.ts';
+import { createRequestPath } from './requestPath.ts';
 import { PlatformFollowers } from './platformFollowers.ts';
 import { startPlatformProbe } from './platformProbe.ts';
-import { StreamForwarder } from './streamForwarder.ts';
 import { TablesFollower } from './tablesFollower.ts';
 import { TablesCatchUp } from './tablesCatchUp.ts';
-import { LoadBalancer } from './loadBalancer.ts';
 import { createNoticeListener, type NoticeListener } from './workerNotices.ts';
-import { WorkerAttempts } from './workerAttempts.ts';
 import { WorkerRegistry } from './workerRegistry.ts';
 
 /** Long-poll wait of a dispatcher's calls for changes, in ms; also bounds how long a dead connection goes unnoticed. */
@@ -234,25 +227,6 @@
     tablesAgeMs: () => accounts.confirmedAgeMs,
   });
 
-  const loadBalancer = new LoadBalancer({
-    ...{ clock, random, registry },
-    availabilityZone: settings.availabilityZone,
-  });
-  const permits = new RequestPermits({
-    ...{ clock, logger, metrics, limits, registry },
-    view: membership,
-    call: (node, request, timeoutMs) =>
-      peerClients.permits(node).issuePermits(request, { timeoutMs }),
-  });
-  const isMostUrgent = (priority: number, pool: string) =>
-    priority <= tables.mostUrgentPriority(pool);
-  const poison = new PoisonGuard({ clock, logger, metrics });
-  const poisonExchange = store.add(
-    new PoisonExchange({
-      ...{ clock, random, logger, guard: poison, view: membership },
-      call: (node, request, timeoutMs) => peerClients.poison(node).exchange(request, { timeoutMs }),
-    }),
-  );
   const requestMemory = store.add(
     new RequestMemory({
       ...{ clock, logger, metrics, gateway },
@@ -275,23 +249,17 @@
       peerClients.usage(node).reportCounts(request, { timeoutMs }),
   });
   if (usage !== undefined) store.add(usage);
-  const attempts = new WorkerAttempts({
-    ...{ clock, logger, loadBalancer, limits, permits, poison, isMostUrgent },
-    usage: usage?.counter,
-    responseMemory: requestMemory.responses,
-    calls: adapter.workerCalls,
-  });
-  const admission = store.add(
-    new AdmissionGate({
-      ...{ clock, random, logger, metrics, loadBalancer, isMostUrgent },
-      isShared: (pool) => tables.tables?.pools.get(pool)?.engine === undefined,
-    }),
-  );
-  const forwarder = new Forwarder({ clock, loadBalancer, attempts, admission });
-  const streamForwarder = new StreamForwarder({
-    ...{ clock, loadBalancer, attempts, admission },
-    versionField: adapter.eventVersionField,
-  });
+  const { loadBalancer, permits, poison, poisonExchange, admission, forwarder, streamForwarder } =
+    createRequestPath(
+      {
+        ...{ clock, random, logger, metrics, registry, limits, peerClients, adapter, tables },
+        view: membership,
+        availabilityZone: settings.availabilityZone,
+        usage: usage?.counter,
+        responseMemory: requestMemory.responses,
+      },
+      store,
+    );
   const batches = store.add(
     new BatchSubsystem({
       ...{
