perf(usage): the next candidate is found without sorting all nodes

Cause: each node looks for the receivers of its counts once a second, and sorting compares hashes of many of up to 410 nodes. Change: one pass over the candidates. Result: npx tsx scripts/runTests.ts src/node/usage/__tests__/usageReports.test.ts 15 passed. The gain was not measured.

--- a/src/node/decisions/holderClaim.ts
+++ b/src/node/decisions/holderClaim.ts
@@ -47,4 +47,8 @@
 ): HolderCandidate | undefined =>
   candidates
     .filter(({ eligible }) => eligible)
-    .sort((left, right) => compareCandidates(subject, left, right))[0];
+    .reduce<HolderCandidate | undefined>(
+      (first, each) =>
+        first === undefined || compareCandidates(subject, each, first) < 0 ? each : first,
+      undefined,
+    );
