fix(duties): a 409 to an order is a loss of the duty only if the record names another node

Cause: the control API answers 409 both to an outdated token and when there are no workers to be had; the client told them apart by words in the body that its interface does not promise, so that a reclaim with no workers left would have ended the duty. Change: after a 409 to an order, the holder reads its record again; if it still names this node, no later term can have been used, and there are no workers. The test of a later term says now that the record names another node, as it must then.

--- a/src/node/duties/__tests__/dutyFailures.test.ts
+++ b/src/node/duties/__tests__/dutyFailures.test.ts
@@ -1,6 +1,9 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { type DutyNode, startDutyNodes } from './dutyHarness.ts';
+import { repeatEvery } from '../../../shared/repeat.ts';
+import type { WorkerOrderResult } from '../controlCalls.ts';
+import type { Duty } from '../duty.ts';
+import { type DutyNode, type NodeParts, startDutyNodes } from './dutyHarness.ts';
 
 const NAMES = ['a', 'b', 'c'];
 
@@ -171,6 +174,30 @@
   );
 });
 
+// Guards against a holder that gives the duty up because there are no workers to be had, which the control API answers with
+// the same status as a call under an outdated token.
+test('a 409 to an order is no loss of the duty while the record names this node', async () => {
+  const results: WorkerOrderResult[] = [];
+  const createDuty = ({ clock }: NodeParts): Duty => ({
+    name: 'usage-reports',
+    start: ({ calls, verify }) =>
+      repeatEvery(clock, 2000, async () => {
+        if (!(await verify())) return;
+        const order = { pool: 'p', availabilityZone: 'z', count: 2, spot: true };
+        results.push(await calls.orderWorkers(order));
+      }),
+  });
+  using run = startDutyNodes(NAMES, { createDuty });
+  await run.clock.advanceAsync(10_000);
+  const holder = requireHolder(run.holder());
+  expect(results.length > 1).toEqual(true);
+  expect(results.every((result) => result === 'none-available')).toEqual(true);
+  holder.state.platformLost = true;
+  await run.clock.advanceAsync(4000);
+  expect(results.includes('fenced')).toEqual(false);
+  expect(run.holder()?.name === holder.name).toEqual(false);
+});
+
 for (const mode of ['silent', 'refuses'] as const) {
   // Guards against a duty that moves, or ends, because the control API does not work.
   test(`the holder keeps the duty while the control API ${mode} and calls again afterwards`, async () => {
--- a/src/node/duties/__tests__/fakeControl.ts
+++ b/src/node/duties/__tests__/fakeControl.ts
@@ -51,7 +51,11 @@
         await sleep(clock, 2500);
         return 'unknown';
       },
-      orderWorkers: () => Promise.resolve('refused'),
+      // The control API has no workers, and says so with the status that it also has for an outdated token.
+      orderWorkers: () => {
+        this.callCount += 1;
+        return Promise.resolve('fenced');
+      },
     };
   }
 
--- a/src/node/duties/duty.ts
+++ b/src/node/duties/duty.ts
@@ -159,6 +159,7 @@
       budget: new CallBudget(clock, {
         callsPerSecond: Math.max(1, control.callsPerSecond / control.duties.length),
       }),
+      isStillHolder: async () => (await this.election.confirm()) && this.election.heldTerm === term,
       onFenced: () => {
         this.election.resign('the control API has seen a later term', term);
         this.election.recheck();
--- a/src/node/duties/guardedControlCalls.ts
+++ b/src/node/duties/guardedControlCalls.ts
@@ -23,6 +23,8 @@
   readonly budget: CallBudget;
   /** Whether a call may be sent at this moment. */
   readonly maySend: () => boolean;
+  /** Reads the record of the duty. Returns false also when the platform does not respond. */
+  readonly isStillHolder: () => Promise<boolean>;
   /** Called when the control API has seen a higher term. */
   readonly onFenced: () => void;
 }
@@ -65,7 +67,18 @@
 
   orderWorkers(order: Omit<WorkerOrder, keyof HolderCredentials>): Promise<WorkerOrderResult> {
     const { calls, credentials } = this.#options;
-    return this.#send('order-workers', () => calls.orderWorkers({ ...order, ...credentials }));
+    return this.#send('order-workers', async () => {
+      const result = await calls.orderWorkers({ ...order, ...credentials });
+      return result === 'fenced' ? this.#explainConflict() : result;
+    });
+  }
+
+  /**
+   * The control API responds with the same status to a later term and to an order for which it has no workers. A later
+   * term was written to the record before its holder could make a call.
+   */
+  async #explainConflict(): Promise<'fenced' | 'none-available'> {
+    return (await this.#options.isStillHolder()) ? 'none-available' : 'fenced';
   }
 
   async #send<T extends WorkerOrderResult>(
--- a/src/node/election/holderElection.ts
+++ b/src/node/election/holderElection.ts
@@ -163,6 +163,15 @@
   async verify(): Promise<boolean> {
     const verifiedMs = this.#readAt?.elapsedMs() ?? Infinity;
     if (this.#heldTerm !== undefined && verifiedMs < VERIFICATION_TTL_MS) return true;
+    return this.confirm();
+  }
+
+  /**
+   * Confirms by a new read of the record that this node is the holder.
+   *
+   * @returns false also when the platform does not respond
+   */
+  async confirm(): Promise<boolean> {
     try {
       await this.#readRecord();
     } catch (error) {
--- a/src/node/workerOrders/__tests__/workerOrdersDuty.test.ts
+++ b/src/node/workerOrders/__tests__/workerOrdersDuty.test.ts
@@ -56,6 +56,9 @@
 
   isHolder = true;
 
+  /** Whether the record of the duty names another node. */
+  isSuperseded = false;
+
   readonly duty: WorkerOrdersDuty;
 
   /** @param workersPerZone - ordinary workers, too few for the reported demand when there is one */
@@ -73,6 +76,7 @@
       ...{ ...common, duty: 'worker-orders', calls: control, credentials },
       budget: new CallBudget(this.clock, { callsPerSecond: 50 }),
       // The duty's own check must suffice.
+      isStillHolder: () => Promise.resolve(!this.isSuperseded),
       maySend: () => true,
       onFenced: () => this.abort.abort(),
     });
@@ -145,6 +149,7 @@
 test('after a refusal because of a later term nothing more is sent', async () => {
   using harness = new DutyHarness(2);
   harness.api.answer = () => Promise.resolve('fenced');
+  harness.isSuperseded = true;
   await harness.advance(1);
   const { length } = harness.sent;
   expect(length > 0).toEqual(true);
