--- a/src/node/duties/constants.ts
+++ b/src/node/duties/constants.ts
@@ -12,3 +12,6 @@
 
 /** Key prefix under which the holders of duties are stored at the platform. */
 export const DUTIES_PREFIX = 'duties/';
+
+/** Interval between checks of the holder of a duty, in ms. */
+export const DUTY_CHECK_INTERVAL_MS = 1000;
--- a/src/node/duties/dutyElection.ts
+++ b/src/node/duties/dutyElection.ts
@@ -2,7 +2,7 @@
 import { type DutyRecord, DutyRecordSchema } from '../../gen/hyssoppulley/v1/duty_pb.ts';
 import type { ElectionSubject } from '../election/electionSubject.ts';
 import { HolderElection, type HolderElectionOptions } from '../election/holderElection.ts';
-import { DUTIES_PREFIX, RELEASE_GRACE_MS } from './constants.ts';
+import { DUTIES_PREFIX, DUTY_CHECK_INTERVAL_MS, RELEASE_GRACE_MS } from './constants.ts';
 import type { DutyName } from './controlCalls.ts';
 
 export interface DutyElectionOptions extends Omit<HolderElectionOptions<DutyRecord>, 'subject'> {
@@ -28,6 +28,8 @@
   encode: (record) => toJson(DutyRecordSchema, record),
   decode: (value) => fromJson(DutyRecordSchema, value as JsonValue, { ignoreUnknownFields: true }),
   releaseGraceMs: RELEASE_GRACE_MS,
+  // A call every few seconds bears a later take-over than the items of a pool do, and small VMs bear fewer checks.
+  checkIntervalMs: DUTY_CHECK_INTERVAL_MS,
 });
 
 /** Elects the node that performs a duty. */
--- a/src/node/election/electionSubject.ts
+++ b/src/node/election/electionSubject.ts
@@ -31,4 +31,6 @@
    * leaving holder is replaced at once.
    */
   readonly releaseGraceMs?: number;
+  /** Interval between checks of the holder's state, in ms; each one looks at all peers. @default 200 */
+  readonly checkIntervalMs?: number;
 }
--- a/src/node/election/holderElection.ts
+++ b/src/node/election/holderElection.ts
@@ -137,7 +137,8 @@
   constructor(options: HolderElectionOptions<R>) {
     this.#options = options;
     this.#started = new Stopwatch(options.clock);
-    this.#timer = repeatEvery(options.clock, CHECK_INTERVAL_MS, () => void this.#check(), 0);
+    const { checkIntervalMs = CHECK_INTERVAL_MS } = options.subject;
+    this.#timer = repeatEvery(options.clock, checkIntervalMs, () => void this.#check(), 0);
   }
 
   /** The holder, according to the latest information of this node. */
