--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -11,7 +11,7 @@
 import { firstOrderDelayMs, type FirstOrderConditions } from '../decisions/firstOrderDelay.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
 import type { RequestPermits } from '../limits/requestPermits.ts';
-import type { GatewayTables } from '../gateway/gatewayTables.ts';
+import { type GatewayTables, hasAccounts } from '../gateway/gatewayTables.ts';
 import type { WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
@@ -36,11 +36,8 @@
   MAX_ORDER_TRANSIT_MS,
   RETENTION_SWEEP_INTERVAL_MS,
 } from './constants.ts';
-import {
-  DispatcherElection,
-  type ElectionView,
-  VERIFICATION_TTL_MS,
-} from './dispatcherElection.ts';
+import { type ElectionView, VERIFICATION_TTL_MS } from '../election/holderElection.ts';
+import { DispatcherElection } from './dispatcherElection.ts';
 import { PartialTextCache } from './partialTextCache.ts';
 import type { GenerationCalls } from './generationCalls.ts';
 import type { ItemScorer } from './itemScorer.ts';
@@ -75,7 +72,7 @@
   readonly maxLoading?: number;
   /** Follows published weights until disposed. */
   readonly followWeights: (onChange: () => void) => PublishedWeights & Disposable;
-  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds' | 'weightLoads'>;
+  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds' | 'stepsContend' | 'weightLoads'>;
   /** Rules for when a new dispatcher may send its first order to a worker. */
   readonly orderRules: Pick<FirstOrderConditions, 'fenced' | 'leaseMs'>;
   /** How long results stay readable after the submission, in ms. */
@@ -168,6 +165,7 @@
       weights,
       writer: view.self.incarnation,
       engine: () => this.#options.tables()?.pools.get(pool)?.engine,
+      hasAccounts: () => hasAccounts(this.#options.tables()),
       calls: this.#options.generations,
       newestVersion: (model) => published.newest(model),
       partialTexts: this.#partialTexts,
@@ -319,7 +317,7 @@
           for (const entry of await platform.list(prefix)) await platform.remove(entry.key);
         }
         for (let part = 0; part < record.partCount; part += 1) {
-          await platform.remove(itemsKey(record.id, part));
+          await platform.remove(itemsKey(record, part));
         }
         logger.info('batch-removed', { batch: record.id, ageMs });
       } catch (error) {
--- a/src/node/batches/batchObjects.ts
+++ b/src/node/batches/batchObjects.ts
@@ -1,6 +1,8 @@
-import { fromJson, type JsonValue, toJson } from '@bufbuild/protobuf';
+import { hash } from 'node:crypto';
+import { fromJson, type JsonObject, type JsonValue, toJson } from '@bufbuild/protobuf';
 import {
   type BatchItem,
+  BatchItemSchema,
   BatchItemsSchema,
   type BatchLogEntry,
   BatchLogEntrySchema,
@@ -28,8 +30,21 @@
 export const isBatchId = (id: string): boolean => /^[0-9A-Za-z_-]{1,64}$/.test(id);
 
 export const batchKey = (batchId: string): string => `${BATCHES_PREFIX}${batchId}`;
-export const itemsKey = (batchId: string, part: number): string =>
-  `${ITEMS_PREFIX}${batchId}.${part}`;
+
+/** Length of the part of an items key that stands for the account, in hexadecimal digits. */
+const OWNER_DIGEST_LENGTH = 16;
+
+/**
+ * Key of a part of a batch's items. It depends on the account, because items are stored before the record that decides
+ * to whom the batch belongs: those of another account under the same id must not become part of it.
+ */
+export const itemsKey = (
+  { id, account }: Pick<BatchRecord, 'id' | 'account'>,
+  part: number,
+): string => {
+  const owner = account === '' ? '' : `.${hash('sha256', account).slice(0, OWNER_DIGEST_LENGTH)}`;
+  return `${ITEMS_PREFIX}${id}${owner}.${part}`;
+};
 
 /** Key prefix of a batch's result log. Each batch has its own kind, so that one list call returns the entire log. */
 export const logPrefix = (batchId: string): string => `batch-log-${batchId}/`;
@@ -64,8 +79,28 @@
   }
 };
 
+const NO_BYTES = new Uint8Array();
+
+const encodeBytes = (bytes: Uint8Array): { readonly body?: string } =>
+  bytes.length === 0
+    ? {}
+    : { body: Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString('base64') };
+
+const encodeItem = (item: BatchItem): JsonObject => {
+  const { body, scoring } = item;
+  // protobuf-es builds base64 character by character, which takes about 50 bytes of heap for each.
+  const json = toJson(BatchItemSchema, {
+    ...item,
+    body: NO_BYTES,
+    scoring: scoring && { ...scoring, body: NO_BYTES },
+  }) as JsonObject;
+  if (scoring === undefined) return { ...json, ...encodeBytes(body) };
+  const scoringJson = { ...(json.scoring as JsonObject), ...encodeBytes(scoring.body) };
+  return { ...json, ...encodeBytes(body), scoring: scoringJson };
+};
+
 export const encodeItems = (items: BatchItem[]): JsonValue =>
-  toJson(BatchItemsSchema, { $typeName: 'hyssoppulley.v1.BatchItems', items });
+  items.length === 0 ? {} : { items: items.map(encodeItem) };
 export const decodeItems = (value: unknown): BatchItem[] =>
   fromJson(BatchItemsSchema, value as JsonValue, READ_OPTIONS).items;
 
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -1,6 +1,7 @@
 import { type Clock, sleep } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import type { Random } from '../../shared/random.ts';
+import type { BatchCaller } from '../decisions/accounts/batchOwnership.ts';
 import type { GatewayAdapter } from '../gateway/adapter.ts';
 import type { Forwarder } from '../gateway/forwarder.ts';
 import type { GatewayRoute } from '../gateway/gatewayTables.ts';
@@ -30,9 +31,11 @@
   type EndResult,
   releaseFormerDispatcher,
 } from './batchService.ts';
+import type { DispatcherDemand } from './batchDemand.ts';
 import { BATCHES_PREFIX, tryDecodeBatch } from './batchObjects.ts';
 import { OPEN_BATCHES_BACKOFF } from './constants.ts';
-import { dispatcherLease, type ElectionView } from './dispatcherElection.ts';
+import type { ElectionView } from '../election/holderElection.ts';
+import { dispatcherLease } from './dispatcherElection.ts';
 import { ItemScorer } from './itemScorer.ts';
 
 export interface BatchSubsystemOptions {
@@ -105,6 +108,11 @@
     );
   }
 
+  /** Demand of the pools that this node dispatches. */
+  demands(): DispatcherDemand[] {
+    return this.coordinators().flatMap(({ dispatcher }) => dispatcher?.demand() ?? []);
+  }
+
   /** Joins the dispatcher election of every pool that a batch route leads to. */
   tablesChanged(): void {
     for (const pool of this.#routedPools()) this.#join(pool);
@@ -138,17 +146,18 @@
     });
   }
 
-  read(batchId: string, after: number, waitMs: number): Promise<BatchRead> {
-    return this.#reader.read(batchId, after, waitMs);
+  read(...read: Parameters<BatchReader['read']>): Promise<BatchRead> {
+    return this.#reader.read(...read);
   }
 
-  readItem(batchId: string, itemId: string): Promise<ItemRead> {
-    return this.#reader.readItem(batchId, itemId);
+  readItem(...read: Parameters<BatchReader['readItem']>): Promise<ItemRead> {
+    return this.#reader.readItem(...read);
   }
 
-  end(batchId: string): Promise<EndResult> {
+  end(batchId: string, caller: BatchCaller): Promise<EndResult> {
     return endBatch(batchId, {
       ...this.#options,
+      caller,
       onEnded: ({ pool }) => this.#notifyDispatcher(pool, batchId, true),
     });
   }
--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -9,7 +9,8 @@
 import type { GenerationCalls, GenerationEnd } from './generationCalls.ts';
 
 /** Why the dispatcher stopped a run before its end. */
-export type StopReason = 'stalled' | 'slow-worker' | 'batch-ended' | 'released' | 'wrong-version';
+export type StopReason =
+  'stalled' | 'slow-worker' | 'worker-leaving' | 'batch-ended' | 'released' | 'wrong-version';
 
 /** How a run ended. */
 export type RunEnd =
@@ -22,6 +23,8 @@
   readonly calls: GenerationCalls;
   readonly state: ItemState;
   readonly worker: RegisteredWorker;
+  /** Name of the client account as sent with the item. @default what the trainer set */
+  readonly account?: string;
   /** Called when the response starts, with the weight version that generates it. */
   readonly onVersion: (version: number) => void;
   /** Called with the time since the previous event, in ms. */
@@ -60,6 +63,11 @@
     return this.#events;
   }
 
+  /** Whether the run has been stopped and will end. */
+  get isStopped(): boolean {
+    return this.#stopReason !== undefined;
+  }
+
   get elapsedMs(): number {
     return this.#started.elapsedMs();
   }
@@ -77,7 +85,7 @@
 
   /** Runs the item until the run ends or is stopped. Does not throw. */
   async execute(): Promise<RunEnd> {
-    const { calls, onVersion } = this.#options;
+    const { calls, onVersion, account } = this.#options;
     const { item, text, batch } = this.state;
     const resumeAfter = text.events.length > 0 ? text.events.length : undefined;
     try {
@@ -90,6 +98,7 @@
           host: batch.record.host,
           headers: item.headers.map(({ name, value }) => [name.toLowerCase(), value] as const),
           body: Buffer.from(item.body),
+          account,
           resumeAfter,
           priority: ITEM_ENGINE_PRIORITY,
         },
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -6,12 +6,12 @@
   ItemResultSchema,
   ItemState as ResultState,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
-import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
+import { type Clock, sleep } from '../../shared/clock.ts';
 import type { Random } from '../../shared/random.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
+import { accountOfItems } from '../decisions/accounts/batchOwnership.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
-import { type Placement, placeItems } from '../decisions/items/itemPlacement.ts';
 import { REQUEST_FAILED_STATUS } from '../gateway/constants.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
@@ -21,12 +21,12 @@
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { PoisonGuard } from '../poison/poisonGuard.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
-import { BatchState } from './batchState.ts';
+import { batchDemands, type DispatcherDemand } from './batchDemand.ts';
+import { BatchState, type DispatcherRead } from './batchState.ts';
 import {
   BROKEN_STREAM_BACKOFF_MS,
   CHECKPOINT_INTERVAL_MS,
   ITEM_UNPROCESSABLE_STATUS,
-  MAX_PLACEMENT_TURN_MS,
   REJECTION_BACKOFF_MS,
   RUN_CHECK_INTERVAL_MS,
 } from './constants.ts';
@@ -35,12 +35,13 @@
 import type { PartialTextCache } from './partialTextCache.ts';
 import type { GenerationCalls } from './generationCalls.ts';
 import { runLogFields, ItemRun, type RunEnd } from './itemRun.ts';
+import { ItemPlacer } from './itemPlacer.ts';
 import type { ItemScorer } from './itemScorer.ts';
 import type { ItemState } from './itemState.ts';
 import { StaleViewGuard, type StaleViewGuardOptions } from './staleViewGuard.ts';
 import { unstoredProgress, CheckpointStore } from './checkpointStore.ts';
-import { stopSlowRuns, stopStalledRuns } from './runSupervision.ts';
-import { sharedPromptOf, toWaitingItem } from './waitingItem.ts';
+import { stopRunsOnLeavingWorkers, stopSlowRuns, stopStalledRuns } from './runSupervision.ts';
+import { sharedPromptOf } from './waitingItem.ts';
 import { countByWorker, SuspectedItems } from './suspectedItems.ts';
 import { TextRestarts } from './textRestarts.ts';
 import { WeightRefresher } from './weightRefresher.ts';
@@ -57,12 +58,14 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
-  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds'>;
+  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds' | 'stepsContend'>;
   readonly registry: WorkerRegistry;
   readonly limits: RequestLimits;
   readonly permits: Pick<RequestPermits, 'obtain'>;
   readonly poison: Pick<PoisonGuard, 'verdictOf' | 'recordBroken'>;
   readonly engine: () => EnginePool | undefined;
+  /** Whether the tables hold client accounts. @default never */
+  readonly hasAccounts?: () => boolean;
   readonly calls: GenerationCalls;
   readonly scorer: ItemScorer;
   readonly weights: WeightLoads;
@@ -90,12 +93,6 @@
   readonly signal?: AbortSignal;
 }
 
-/** Results of a batch as read at its dispatcher. */
-export interface DispatcherRead {
-  readonly total: number;
-  readonly results: BatchState['log']['results'];
-}
-
 /** Runs the items of a pool's batches on the pool's workers. Only the elected node has a dispatcher for the pool. */
 export class PoolDispatcher implements Disposable {
   readonly #options: PoolDispatcherOptions;
@@ -117,12 +114,12 @@
 
   readonly #refresher: WeightRefresher;
 
-  readonly #textRestarts: TextRestarts;
-
   readonly #suspected: SuspectedItems;
 
   readonly #viewGuard: StaleViewGuard;
 
+  readonly #placer: ItemPlacer;
+
   readonly #timers = new DisposableStore();
 
   #placementScheduled = false;
@@ -137,9 +134,16 @@
       permitsOf: (id) => this.#permits.available(id),
     });
     this.#refresher = new WeightRefresher({ ...options, workers: this.#workers });
-    this.#textRestarts = new TextRestarts({ ...options, workers: this.#workers });
     this.#suspected = new SuspectedItems(options);
     this.#viewGuard = new StaleViewGuard(options);
+    this.#placer = new ItemPlacer({
+      ...options,
+      ...{ workers: this.#workers, permits: this.#permits, suspected: this.#suspected },
+      viewGuard: this.#viewGuard,
+      textRestarts: new TextRestarts({ ...options, workers: this.#workers }),
+      schedule: () => this.schedule(),
+      startRun: (state, worker) => this.#startRun(state, worker),
+    });
     this.#timers.add(repeatEvery(options.clock, RUN_CHECK_INTERVAL_MS, () => this.#checkRuns()));
     this.#timers.add(repeatEvery(options.clock, CHECKPOINT_INTERVAL_MS, () => this.#checkpoint()));
   }
@@ -148,6 +152,11 @@
     return this.#closed;
   }
 
+  /** Account to which a batch belongs; undefined for an unknown batch. */
+  ownerOf(batchId: string): string | undefined {
+    return this.#batches.get(batchId)?.record.account;
+  }
+
   has(batchId: string): boolean {
     return this.#batches.has(batchId);
   }
@@ -257,6 +266,17 @@
     this.schedule();
   }
 
+  /** Work that the open batches still need from workers. */
+  demand(): DispatcherDemand {
+    const { clock, engine, pool, term } = this.#options;
+    const { tokensPerEvent = 1, slots = 1 } = engine() ?? {};
+    return {
+      ...{ pool, term, tokensPerEvent, slotsPerWorker: slots },
+      batches: batchDemands(this.#openBatches(), tokensPerEvent, clock.nowMs()),
+      eventGapMs: Math.round(this.#workers.measuredGapMs),
+    };
+  }
+
   /** Schedules a placement of waiting items. Several calls before it runs result in one placement. */
   schedule(): void {
     if (this.#placementScheduled || this.#closed) return;
@@ -293,65 +313,21 @@
 
   #placeItems(): void {
     const workers = this.#workers.usable();
-    if (this.#viewGuard.mayStartRuns()) this.#startWaitingItems(workers);
-    this.#refresher.refresh(workers, this.#openBatches(), [...this.#runs.values()]);
-  }
-
-  #startWaitingItems(workers: readonly RegisteredWorker[]): void {
-    const waiting = this.#waitingItems();
-    const turn = new Stopwatch(this.#options.clock);
-    const suspectedOn = this.#suspected.recentWorkers(this.#runs.values());
-    const placementWorkers = this.#workers
-      .forPlacement(this.#runningByWorker())
-      .map((worker) => ({ ...worker, hasSuspected: suspectedOn.has(worker.id) }));
-    this.#textRestarts.restartHeldTexts(waiting.values(), placementWorkers);
-    const placements = placeItems(
-      [...waiting].map(([key, state]) =>
-        toWaitingItem(
-          key,
-          state,
-          this.#options.engine()?.tokensPerEvent ?? 1,
-          this.#suspected.verdictOf(state) === 'suspected',
-        ),
-      ),
-      placementWorkers,
-    );
-    for (const placement of placements) {
-      // On a small VM the starts of a large step take seconds, in which the view gets too old and nothing else is handled.
-      if (!this.#viewGuard.mayStartRuns()) return;
-      if (turn.elapsedMs() > MAX_PLACEMENT_TURN_MS) {
-        this.schedule();
-        return;
-      }
-      this.#startRun(placement, waiting, workers);
+    if (this.#viewGuard.mayStartRuns()) {
+      const runs = [...this.#runs.values()];
+      this.#placer.place(this.#openBatches(), this.#waitingItems(), runs, workers);
     }
-    const unplaced = waiting.size - placements.length;
-    if (unplaced > 0) this.#askForPermits(unplaced);
-  }
-
-  /** Asks for permits to start waiting items on workers that have free slots but a request limit. */
-  #askForPermits(waitingCount: number): void {
-    const running = this.#runningByWorker();
-    const open = this.#workers.withFreeSlots(running);
-    const freeSlots = open.reduce((sum, { freeSlots: free }) => sum + free, 0);
-    const workers = open.map(({ worker }) => worker);
-    void this.#permits.ask(workers, Math.min(waitingCount, freeSlots), () => this.schedule());
+    this.#refresher.refresh(workers, this.#openBatches(), [...this.#runs.values()]);
   }
 
-  #startRun(
-    { item: key, worker: workerId }: Placement,
-    waiting: ReadonlyMap<string, ItemState>,
-    workers: readonly RegisteredWorker[],
-  ): void {
-    const state = waiting.get(key);
-    const worker = workers.find(({ id }) => id === workerId);
-    if (state === undefined || worker === undefined) return;
+  #startRun(state: ItemState, worker: RegisteredWorker): void {
     state.start();
     this.#permits.use(worker.id);
     const { clock, calls, weights } = this.#options;
     const { model } = state.batch.record;
     const run = new ItemRun({
       ...{ clock, calls, state, worker },
+      account: accountOfItems(state.batch.record.account, this.#options.hasAccounts?.() ?? false),
       onVersion: (version) => weights.recordVersion(worker.id, model, version),
       onGap: (gapMs) => this.#workers.recordGap(worker.id, gapMs),
     });
@@ -454,15 +430,17 @@
     void sleep(this.#options.clock, forMs).then(() => this.schedule());
   }
 
-  #runningByWorker(): Map<string, number> {
-    return countByWorker(this.#runs.values());
-  }
-
-  /** Stops runs on unresponsive or slow workers, so that their items continue on other workers. */
+  /** Stops runs on unresponsive, slow or leaving workers, so that their items continue on other workers. */
   #checkRuns(): void {
-    const { clock, weights } = this.#options;
-    stopStalledRuns([...this.#runs.values()], this.#workers.stallMs, clock.monotonicMs());
-    stopSlowRuns([...this.#runs.values()], this.#runningByWorker(), this.#workers, weights);
+    const { clock, weights, registry, engine } = this.#options;
+    const runs = [...this.#runs.values()];
+    stopStalledRuns(runs, this.#workers.stallMs, clock.monotonicMs());
+    stopRunsOnLeavingWorkers(runs, countByWorker(runs), {
+      ...{ registry, weights, workers: this.#workers },
+      tokensPerEvent: engine()?.tokensPerEvent ?? 1,
+      nowMs: clock.monotonicMs(),
+    });
+    stopSlowRuns(runs, countByWorker(runs), this.#workers, weights);
     this.schedule();
   }
 
--- a/src/node/batches/waitingItem.ts
+++ b/src/node/batches/waitingItem.ts
@@ -1,4 +1,4 @@
-import type { BatchItem } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import type { BatchItem, BatchRecord } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import type { WaitingItem } from '../decisions/items/itemPlacement.ts';
 import type { ItemState } from './itemState.ts';
 
@@ -13,20 +13,35 @@
 export const expectedTokens = ({ expectedOutputTokens, maxOutputTokens }: BatchItem): number =>
   expectedOutputTokens || maxOutputTokens;
 
+/**
+ * Expected number of tokens that an item still generates. An item that exceeds its expected length is likely to be one of
+ * the longest, so its estimate grows with its text.
+ */
+export const remainingTokens = ({ item, text }: ItemState, tokensPerEvent: number): number => {
+  const done = text.events.length * tokensPerEvent;
+  const expected = expectedTokens(item);
+  return done < expected ? expected - done : done / 2;
+};
+
+/** Time by which a batch of the most urgent priority goes before one of this priority, in ms. */
+export const batchDelayMs = ({ priority }: BatchRecord): number => priority * PRIORITY_STEP_MS;
+
+/** Rank of a batch by submission time and priority; lower ranks go first. */
+export const batchRankOf = (record: BatchRecord): number =>
+  Number(record.submittedAtMs) + batchDelayMs(record);
+
 /** Converts an item to the form that the item placement needs. */
 export const toWaitingItem = (
   key: string,
-  { item, text, batch, avoidedWorker }: ItemState,
+  state: ItemState,
   tokensPerEvent: number,
   suspected: boolean,
 ): WaitingItem => {
-  const done = text.events.length * tokensPerEvent;
-  const expected = expectedTokens(item);
+  const { item, text, batch, avoidedWorker } = state;
   return {
     key,
-    batchRank: Number(batch.record.submittedAtMs) + batch.record.priority * PRIORITY_STEP_MS,
-    // An item that exceeds its expected length is likely to be one of the longest, so its estimate grows with its text.
-    expectedTokens: done < expected ? expected - done : done / 2,
+    batchRank: batchRankOf(batch.record),
+    expectedTokens: remainingTokens(state, tokensPerEvent),
     prompt: sharedPromptOf(item),
     model: batch.record.model,
     allows: (version) => text.allows(version),
--- a/src/node/gateway/forwardedRequest.ts
+++ b/src/node/gateway/forwardedRequest.ts
@@ -17,8 +17,10 @@
   readonly host: string;
   readonly headers: HeaderList;
   readonly body: Buffer;
-  /** Client account that sent the request. @default none */
+  /** Client account that sent the request; its name is empty on a public route. @default there are no accounts */
   readonly account?: ForwardingAccount;
+  /** Whether a finished text of a batch waits for the response. @default false */
+  readonly scoring?: boolean;
   /** Started when the request arrived. */
   readonly sinceArrival: Stopwatch;
   /** Time allowed by the caller and the route, counted from the arrival, in ms. */
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -2,22 +2,23 @@
 import { NEVER } from 'rxjs';
 import { BatchService } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { NodeIdentitySchema, PeerService } from '../../gen/hyssoppulley/v1/peer_pb.ts';
+import { DemandService } from '../../gen/hyssoppulley/v1/demand_pb.ts';
 import { PermitService } from '../../gen/hyssoppulley/v1/permit_pb.ts';
-import {
-  GatewayOperatorService,
-  ListUploadsResponseSchema,
-} from '../../gen/hyssoppulley/v1/gateway_operator_pb.ts';
+import { GatewayOperatorService } from '../../gen/hyssoppulley/v1/gateway_operator_pb.ts';
 import { PoisonService } from '../../gen/hyssoppulley/v1/poison_pb.ts';
 import { RelayService } from '../../gen/hyssoppulley/v1/relay_pb.ts';
 import { TablesSchema } from '../../gen/hyssoppulley/v1/tables_pb.ts';
+import { UsageService } from '../../gen/hyssoppulley/v1/usage_pb.ts';
 import { type Clock, Stopwatch, systemClock } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { onInvariantViolation } from '../../shared/invariants.ts';
 import { newId, type Random, systemRandom } from '../../shared/random.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
+import { AccountServices, longestTablesWaitMs } from '../accounts/accountServices.ts';
 import { createBatchHandlers } from '../batches/batchService.ts';
 import { BatchSubsystem } from '../batches/batchSubsystem.ts';
+import { DutySubsystem } from '../duties/dutySubsystem.ts';
 import { RequestLimits } from '../decisions/requestLimits.ts';
 import { ServingLease } from '../decisions/servingLease.ts';
 import {
@@ -27,48 +28,37 @@
 import { Membership } from '../membership/membership.ts';
 import type { Peer, TablesView } from '../membership/membershipView.ts';
 import { PeerClients } from '../membership/peerClients.ts';
-import { NODES_PREFIX } from '../membership/registration.ts';
 import { splitAddress } from '../membership/splitAddress.ts';
-import { RequestPermits } from '../limits/requestPermits.ts';
 import { createLogger, type Logger } from '../observability/logger.ts';
 import { createMetrics } from '../observability/metrics.ts';
 import { MetricsServer } from './metricsServer.ts';
-import { PoisonExchange } from '../poison/poisonExchange.ts';
-import { PoisonGuard } from '../poison/poisonGuard.ts';
 import { createPlatformClient } from '../platform/createPlatformClient.ts';
 import type { PlatformObjects } from '../platform/platformClient.ts';
 import { PlatformHealth } from '../platform/platformHealth.ts';
+import { WorkerOrders } from '../workerOrders/workerOrders.ts';
+import { RequestMemory } from '../requestMemory/requestMemory.ts';
 import { RequestTracker } from '../requestTracker.ts';
+import { createUsage } from '../usage/createUsage.ts';
 import type { ResolvedGateway, ResolvedSettings } from '../settings/resolveSettings.ts';
 import { Shutdown } from '../shutdown.ts';
 import type { GatewayAdapter } from './adapter.ts';
+import { CHANGE_PROPAGATION_GRACE_MS } from './constants.ts';
 import { entryAddresses, isPreferredEntry } from './entryAddresses.ts';
-import { Forwarder } from './forwarder.ts';
-import type { GatewayRoute } from './gatewayTables.ts';
 import { createGatewayOperatorHandlers, type GatewayOperatorViews } from './gatewayOperator.ts';
 import type { GatewayServices } from './gatewayServices.ts';
 import { instrumentServices } from './instrumentedServices.ts';
 import { PeerServer } from './peerServer.ts';
+import { createRequestPath } from './requestPath.ts';
 import { PlatformFollowers } from './platformFollowers.ts';
-import { StreamForwarder } from './streamForwarder.ts';
+import { startPlatformProbe } from './platformProbe.ts';
 import { TablesFollower } from './tablesFollower.ts';
-import { LoadBalancer } from './loadBalancer.ts';
+import { TablesCatchUp } from './tablesCatchUp.ts';
 import { createNoticeListener, type NoticeListener } from './workerNotices.ts';
-import { WorkerAttempts } from './workerAttempts.ts';
 import { WorkerRegistry } from './workerRegistry.ts';
 
 /** Long-poll wait of a dispatcher's calls for changes, in ms; also bounds how long a dead connection goes unnoticed. */
 const DISPATCHER_LONG_POLL_MS = 2500;
 
-/** Time a change may take to arrive from the platform before a node that lacks it reads the objects again, in ms. */
-const CHANGE_PROPAGATION_GRACE_MS = 250;
-
-/** Interval between checks that the platform responds to this node, in ms; a stale read costs a tenth of a call. */
-const PLATFORM_PROBE_INTERVAL_MS = 1000;
-
-/** The same interval at a node that callers are not sent to, in ms; hundreds of them would call all the time. */
-const RESERVE_PROBE_INTERVAL_MS = 5000;
-
 /** Interval between checks whether other nodes have become the relays, in ms. */
 const RELAY_CHECK_INTERVAL_MS = 250;
 
@@ -185,18 +175,25 @@
     new TablesFollower({
       ...{ logger, followers },
       kind: adapter.tables,
-      // eslint-disable-next-line @typescript-eslint/no-use-before-define
-      onChange: () => batches.tablesChanged(),
+      maxWaitMs: longestTablesWaitMs(gateway),
+      onChange: () => {
+        /* eslint-disable @typescript-eslint/no-use-before-define */
+        accounts.tablesChanged();
+        batches.tablesChanged();
+        /* eslint-enable @typescript-eslint/no-use-before-define */
+      },
     }),
   );
+  const accounts = new AccountServices({ logger, metrics, tables, settings: gateway });
+  const tablesCatchUp = new TablesCatchUp({
+    ...{ clock, logger, tables },
+    adoptFrom: (peer, minVersion) => followers.adoptFrom(peer, adapter.tables.prefix, minVersion),
+  });
   // A watch may miss a change without an error; heartbeats from a node that has received the change reveal this.
   const refreshIfBehind = (peer: Peer) => {
+    tablesCatchUp.peerAhead(peer);
     clock.schedule(CHANGE_PROPAGATION_GRACE_MS, () => {
       const fields = { peer: peer.identity.name };
-      if (peer.acceptedRevision > tables.version && tables.connected) {
-        logger.info('tables-change-missed', { ...fields, version: peer.acceptedRevision });
-        tables.refresh();
-      }
       if (peer.workersVersion > workersVersion && workers.connected) {
         logger.info('workers-change-missed', { ...fields, version: peer.workersVersion });
         workers.refresh();
@@ -220,47 +217,49 @@
       datagrams?.send ?? ((target, request) => sendByHttp(target, request, timing.peerTimeoutMs)),
     servingLease: new ServingLease(timing.isolationMs),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
-    heldLeases: () => batches.heldLeases(),
+    heldLeases: () => [...batches.heldLeases(), ...duties.heldLeases()],
     preparedRevision: () => 0,
     drainsEnabled: false,
     platformLost: () => health.lost,
     workersVersion: () => workersVersion,
     onPeerAhead: refreshIfBehind,
+    onPeerResponse: (...response) => accounts.peerResponded(...response),
+    tablesAgeMs: () => accounts.confirmedAgeMs,
   });
 
-  const loadBalancer = new LoadBalancer({
-    ...{ clock, random, registry },
-    availabilityZone: settings.availabilityZone,
-  });
-  const permits = new RequestPermits({
-    ...{ clock, logger, metrics, limits, registry },
-    view: membership,
-    call: (node, request, timeoutMs) =>
-      peerClients.permits(node).issuePermits(request, { timeoutMs }),
-  });
-  const isMostUrgent = (route: GatewayRoute, pool: string) =>
-    (tables.tables?.routes ?? []).every(
-      ({ kind, pools, priority }) =>
-        kind === 'batch' ||
-        priority >= route.priority ||
-        pools.every((other) => other.pool !== pool),
-    );
-  const poison = new PoisonGuard({ clock, logger, metrics });
-  const poisonExchange = store.add(
-    new PoisonExchange({
-      ...{ clock, random, logger, guard: poison, view: membership },
-      call: (node, request, timeoutMs) => peerClients.poison(node).exchange(request, { timeoutMs }),
+  const requestMemory = store.add(
+    new RequestMemory({
+      ...{ clock, logger, metrics, gateway },
+      requestLimits: () => tables.tables?.requestLimits,
     }),
   );
-  const attempts = new WorkerAttempts({
-    ...{ clock, logger, loadBalancer, limits, permits, poison, isMostUrgent },
-    calls: adapter.workerCalls,
-  });
-  const forwarder = new Forwarder({ clock, loadBalancer, attempts });
-  const streamForwarder = new StreamForwarder({
-    ...{ clock, loadBalancer, attempts },
-    versionField: adapter.eventVersionField,
+  const duties = store.add(
+    new DutySubsystem({
+      ...{ platform, clock, random, logger, metrics, health, view: membership },
+      control: adapter.control,
+      fenced: gateway.ordersFenced,
+      leaseMs: gateway.orderLeaseMs,
+    }),
+  );
+  const usage = createUsage({
+    ...{ platform, clock, random, logger, metrics, view: membership, duties },
+    control: gateway.control,
+    asked: adapter.control?.duties ?? [],
+    call: (node, request, timeoutMs) =>
+      peerClients.usage(node).reportCounts(request, { timeoutMs }),
   });
+  if (usage !== undefined) store.add(usage);
+  const { loadBalancer, permits, poison, poisonExchange, admission, forwarder, streamForwarder } =
+    createRequestPath(
+      {
+        ...{ clock, random, logger, metrics, registry, limits, peerClients, adapter, tables },
+        view: membership,
+        availabilityZone: settings.availabilityZone,
+        usage: usage?.counter,
+        responseMemory: requestMemory.responses,
+      },
+      store,
+    );
   const batches = store.add(
     new BatchSubsystem({
       ...{
@@ -287,6 +286,13 @@
       weightsLongPollMs: DISPATCHER_LONG_POLL_MS,
     }),
   );
+  const workerOrders = store.add(
+    new WorkerOrders({
+      ...{ clock, logger, metrics, registry, peerClients, duties },
+      tables: () => tables.tables,
+      demands: () => batches.demands(),
+    }),
+  );
   const requests = new RequestTracker();
   const gatewayServices: GatewayServices = {
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
@@ -299,12 +305,14 @@
       const route = tables.routes.find(host, path);
       return route === undefined ? { kind: 'no-route' } : { kind: 'route', route };
     },
+    authenticate: (...request) => accounts.authenticate(...request),
+    authenticateBatchCall: (...request) => accounts.authenticateBatchCall(...request),
     forward: (...request) => forwarder.forward(...request),
     forwardStream: (...request) => streamForwarder.forward(...request),
     submitBatch: (...batch) => batches.submit(...batch),
     readBatch: (...read) => batches.read(...read),
     readItem: (...read) => batches.readItem(...read),
-    endBatch: (batchId) => batches.end(batchId),
+    endBatch: (...end) => batches.end(...end),
   };
   const services = instrumentServices(gatewayServices, {
     ...{ clock, logger, metrics },
@@ -313,18 +321,19 @@
 
   const operatorViews: GatewayOperatorViews = {
     revision: () => tables.tables?.revision ?? 0,
-    accounts: () => [],
-    usage: () => [],
-    duties: () => [],
-    workerOrders: () => [],
+    accounts: () => accounts.status(admission.accountsWaiting()),
+    usage: () => usage?.statuses() ?? [],
+    duties: () => duties.statuses(),
+    workerOrders: () => workerOrders.statuses(),
     suspects: () => poison.suspects(),
     clearSuspect: (digest) => poison.clear(digest),
-    uploads: () => create(ListUploadsResponseSchema),
+    uploads: () => requestMemory.view(),
   };
-  const servers = store.add(adapter.createServers(services, requests));
+  const servers = store.add(adapter.createServers(services, requests, requestMemory));
   const peerServer = store.add(
     new PeerServer({
       logger,
+      memory: requestMemory,
       routes: (router) => {
         router.service(PeerService, { heartbeat: (request) => membership.heartbeat(request) });
         router.service(
@@ -336,7 +345,11 @@
         );
         router.service(RelayService, followers.handlers());
         router.service(PermitService, { issuePermits: (request) => permits.issue(request) });
+        router.service(DemandService, workerOrders.handlers);
         router.service(PoisonService, { exchange: (request) => poisonExchange.receive(request) });
+        router.service(UsageService, {
+          reportCounts: (request) => usage?.exchange.receive(request) ?? {},
+        });
         router.service(GatewayOperatorService, createGatewayOperatorHandlers(operatorViews));
       },
     }),
@@ -345,25 +358,19 @@
     ...{ clock, logger, requests },
     keepServingMs: gateway.graceMs - STOP_MARGIN_MS - REQUEST_COMPLETION_MS,
     deadlineMs: gateway.graceMs - STOP_MARGIN_MS,
-    announce: () => membership.announceLeaving(),
+    announce: async () => {
+      await Promise.all([membership.announceLeaving(), duties.release()]);
+    },
     closeListener: () => servers.stopAccepting(),
     abortRequests: () => servers.abortRequests(),
-    handOvers: [],
-    deregister: () => membership.deregister(),
+    handOvers: usage === undefined ? [] : [() => usage.exchange.push()],
+    deregister: async () => {
+      await usage?.exchange.push();
+      return membership.deregister();
+    },
     dispose: () => store[Symbol.asyncDispose](),
   });
 
-  // A node that follows the platform through relays calls it too rarely to notice an outage or its end.
-  const probePlatform = async () => {
-    const wasLost = health.lost;
-    try {
-      await platform.read(`${NODES_PREFIX}${settings.name}`, { allowStale: true });
-      if (wasLost) logger.info('platform-answers-again');
-    } catch (error) {
-      logger.debug('platform-probe-failed', { message: messageOf(error) });
-    }
-  };
-
   const started = new Stopwatch(clock);
   await peerServer.listen(peerAddress);
   if (gateway.datagramAddress !== undefined) {
@@ -382,18 +389,24 @@
   }
   await membership.start();
   store.add(membership);
+  if (usage !== undefined) duties.run(usage.duty);
   await Promise.all([tables.start(), workers.start()]);
+  duties.run(workerOrders);
   store.add(
     repeatEvery(clock, SWEEP_INTERVAL_MS, () => {
       loadBalancer.sweep();
+      admission.retain((pool) => tables.tables?.pools.has(pool) ?? true);
       permits.sweep();
       limits.retain((id) => registry.find(id) !== undefined, clock.monotonicMs());
     }),
   );
   store.add(repeatEvery(clock, RELAY_CHECK_INTERVAL_MS, () => followers.checkRelays()));
-  const probeIntervalMs = () =>
-    isPreferredEntry(membership) ? PLATFORM_PROBE_INTERVAL_MS : RESERVE_PROBE_INTERVAL_MS;
-  store.add(repeatEvery(clock, probeIntervalMs, () => probePlatform()));
+  store.add(
+    startPlatformProbe({
+      ...{ clock, logger, platform, health, nodeName: settings.name },
+      isPreferred: () => isPreferredEntry(membership),
+    }),
+  );
   logger.info('node-started', {
     incarnation: self.incarnation,
     front: gateway.frontAddress,
--- a/src/node/gateway/streamForwarder.ts
+++ b/src/node/gateway/streamForwarder.ts
@@ -9,6 +9,7 @@
   RETRY_BUDGET_FRACTION,
   STREAM_STALL_MS,
 } from './constants.ts';
+import type { AdmissionGate } from './admissionGate.ts';
 import type { ForwardedRequest, StreamOutcome, StreamSink } from './forwardedRequest.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
 import type { LoadBalancer } from './loadBalancer.ts';
@@ -20,12 +21,15 @@
   type ResponseReader,
   type WorkerAttempts,
 } from './workerAttempts.ts';
+import { withPlace } from './withPlace.ts';
 import { withinBudget } from './withinBudget.ts';
 
 export interface StreamForwarderOptions {
   readonly clock: Clock;
   readonly loadBalancer: LoadBalancer;
   readonly attempts: WorkerAttempts;
+  /** @default each request is sent at once */
+  readonly admission?: Pick<AdmissionGate, 'admit'>;
   /** Name of the field by which an event tells that the weight version changes at it. */
   readonly versionField: string;
 }
@@ -61,7 +65,7 @@
     sink: StreamSink,
     signal: AbortSignal,
   ): Promise<StreamOutcome> {
-    const { clock, loadBalancer, versionField } = this.#options;
+    const { clock, loadBalancer, versionField, admission } = this.#options;
     const pool = loadBalancer.choosePool(route);
     if (pool === undefined) return { kind: 'not-run', reason: 'the route has no pool' };
     const join = new EventStreamJoin({
@@ -71,7 +75,9 @@
     const relay = new StreamRelay(sink, join);
     const tried = new Set<string>();
     return withinBudget(clock, request, signal, (attemptsSignal) =>
-      this.#run({ request, route, pool, relay, tried, signal: attemptsSignal }),
+      withPlace<StreamOutcome>(admission, { request, route, pool, signal: attemptsSignal }, () =>
+        this.#run({ request, route, pool, relay, tried, signal: attemptsSignal }),
+      ),
     );
   }
 
@@ -146,9 +152,9 @@
   /** @param mayRepeat - whether another attempt can confirm that a stream of unknown length has ended */
   #reader(relay: StreamRelay, stall: StallTimer | undefined, mayRepeat: boolean): ResponseReader {
     const { attempts } = this.#options;
-    return async (worker, response) => {
-      if (!isEventStream(response)) return attempts.readResponse(worker, response);
-      const end = await relay.relay(response, stall);
+    return async (worker, response, onEvent) => {
+      if (!isEventStream(response)) return attempts.readResponse(worker, response, onEvent);
+      const end = await relay.relay(response, stall, onEvent);
       if (end !== 'complete' && mayRepeat) {
         return { worker, mayHaveRun: true, reason: 'the end of the stream is not certain' };
       }
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -1,6 +1,7 @@
 import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { WorkerCallError } from '../dataPath/workerHttpClient.ts';
+import { priorityOf } from '../decisions/accounts/mostUrgentPriority.ts';
 import type { WorkerResult } from '../decisions/passiveHealthCheck.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
 import type { RequestPermits } from '../limits/requestPermits.ts';
@@ -11,6 +12,9 @@
 import type { LoadBalancer } from './loadBalancer.ts';
 import type { PoisonGuard } from '../poison/poisonGuard.ts';
 import { createResponseReader } from './readResponse.ts';
+import { isEventStream } from './streamRelay.ts';
+import type { UsageCounter } from '../usage/usageCounter.ts';
+import type { ResponseMemory } from '../dataPath/responseMemory.ts';
 import type { WorkerCalls, WorkerLoad, WorkerResponse } from './workerCalls.ts';
 import type { RegisteredWorker } from './workerRegistry.ts';
 
@@ -30,10 +34,15 @@
   readonly condemned?: boolean;
 }
 
-/** Consumes the body of a worker's response. Throws when it is not complete or not usable. */
+/**
+ * Consumes the body of a worker's response. Throws when it is not complete or not usable.
+ *
+ * @param onEvent - to be called for each event of a stream
+ */
 export type ResponseReader = (
   worker: RegisteredWorker,
   response: WorkerResponse,
+  onEvent: () => void,
 ) => Promise<AttemptResult>;
 
 /** What a worker is recorded to have done when its attempt was aborted before it was complete. */
@@ -64,8 +73,12 @@
   readonly limits: Pick<RequestLimits, 'of'>;
   readonly permits: Pick<RequestPermits, 'obtain'>;
   readonly poison: PoisonGuard;
-  /** Whether no other route of the pool is more urgent. Only requests of such routes wait for a permit. */
-  readonly isMostUrgent: (route: GatewayRoute, pool: string) => boolean;
+  /** Whether no other request for the pool can be more urgent. Only such requests wait for a permit. */
+  readonly isMostUrgent: (priority: number, pool: string) => boolean;
+  /** Counts the requests of client accounts that workers began to run. @default they are not counted */
+  readonly usage?: Pick<UsageCounter, 'startAttempt'>;
+  /** Memory of the responses that are read. @default a limit of its own */
+  readonly responseMemory?: ResponseMemory;
 }
 
 /** Part of the remaining time budget that a request may wait for a permit. */
@@ -77,12 +90,13 @@
 /** Sends requests to workers one attempt at a time, and records how the worker did. */
 export class WorkerAttempts {
   /** Reads complete responses. All forwarders of a node share its limit on the bytes in memory. */
-  readonly readResponse = createResponseReader();
+  readonly readResponse: ResponseReader;
 
   readonly #options: WorkerAttemptsOptions;
 
   constructor(options: WorkerAttemptsOptions) {
     this.#options = options;
+    this.readResponse = createResponseReader(options.responseMemory);
   }
 
   /** Sends the request to one worker; undefined when too little time is left or no worker is available. */
@@ -138,7 +152,7 @@
     const avoided = trial ? new Set([...tried, ...poison.trialWorkers]) : tried;
     const candidates = loadBalancer.candidates(pool, avoided, tried.size < route.maxAttempts);
     const free = candidates.filter(({ id }) => limits.of(id) === undefined);
-    const worker = loadBalancer.choose(optional ? free : candidates);
+    const worker = loadBalancer.choose(optional ? free : candidates, route);
     if (worker === undefined) return undefined;
     if (limits.of(worker.id) === undefined) {
       return this.#run(worker, request, route, options, remainingMs);
@@ -157,7 +171,7 @@
     const { clock, loadBalancer, limits, permits, isMostUrgent, logger } = this.#options;
     const { pool, signal } = options;
     const remainingMs = () => request.budgetMs - request.sinceArrival.elapsedMs();
-    const mayWait = free.length === 0 && isMostUrgent(route, pool);
+    const mayWait = free.length === 0 && isMostUrgent(priorityOf(request.account, route), pool);
     const maxDelayMs = mayWait ? remainingMs() * MAX_PERMIT_WAIT_SHARE : 0;
     const grant = await permits.obtain({ pool, workers: limited, maxDelayMs });
     const [permit] = grant.permits;
@@ -166,7 +180,10 @@
     const usable = new Set(loadBalancer.candidates(pool, new Set(), true).map(({ id }) => id));
     const worker =
       limited.find(({ id }) => id === permit?.worker && usable.has(id)) ??
-      loadBalancer.choose(free.filter(({ id }) => usable.has(id) && limits.of(id) === undefined));
+      loadBalancer.choose(
+        free.filter(({ id }) => usable.has(id) && limits.of(id) === undefined),
+        route,
+      );
     if (worker !== undefined && !signal.aborted && remainingMs() >= MIN_REMAINING_MS) {
       return this.#run(worker, request, route, options, remainingMs());
     }
@@ -194,14 +211,15 @@
     options: AttemptOptions,
     remainingMs: number,
   ): Promise<AttemptResult> {
-    const { clock, calls, loadBalancer, limits, logger, poison } = this.#options;
+    const { clock, calls, loadBalancer, limits, logger, poison, usage } = this.#options;
     const { pool, tried, signal, newConnection, resumeAfter, read, classifyAborted } = options;
     const limitPerSecond = limits.of(worker.id);
     const { id: requestId, method, path, host, headers, body } = request;
     const started = new Stopwatch(clock);
+    using counted = usage?.startAttempt(request, route.name);
     tried.add(worker.id);
     if (options.trial) poison.trialWorkers.add(worker.id);
-    loadBalancer.begin(worker.id);
+    const placement = loadBalancer.begin(worker.id, route);
     let result: WorkerResult | 'abandoned' = 'failed';
     let load: WorkerLoad | undefined;
     let isBroken = false;
@@ -211,7 +229,11 @@
       const message = { requestId, method, path, host, headers, body, account, remainingMs };
       const response = await calls.send(worker, { ...message, newConnection, resumeAfter }, signal);
       ({ load } = response);
-      attemptResult = await read(worker, response);
+      const began = () => counted?.began(response.load?.waiting);
+      // A stream counts with its first event.
+      if (!response.notRun && !isEventStream(response)) began();
+      attemptResult = await read(worker, response, began);
+      if (!response.notRun && attemptResult.response !== undefined) began();
       if (response.notRun) result = 'refused';
       else if (!is5xx(response.statusCode)) result = 'answered';
       if (!response.notRun) poison.recordAnswer(request);
@@ -221,7 +243,7 @@
       if (signal.aborted) result = classifyAborted(started.elapsedMs());
       else isBroken = !notConnected;
     }
-    loadBalancer.release(worker.id, result, load);
+    loadBalancer.release(placement, result, load);
     if (options.trial) poison.trialWorkers.delete(worker.id);
     if (isBroken) {
       const others = loadBalancer.inFlightOn(worker.id);
@@ -236,6 +258,7 @@
       status: attemptResult.response?.statusCode,
       resumeAfter,
       limitPerSecond,
+      ...placement.known,
       result,
       reason: attemptResult.response === undefined ? attemptResult.reason : undefined,
     });
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -40,12 +40,41 @@
       labelNames: ['pool', 'priority'],
       registers,
     }),
+    admissionRefusals: new Counter({
+      name: 'hyssoppulley_admission_refusals_total',
+      help: 'Requests refused before they were sent to a worker, by pool and reason (no-worker, over-budget, queue-full, evicted, account-full, left)',
+      labelNames: ['pool', 'reason'],
+      registers,
+    }),
     requestLimitChanges: new Counter({
       name: 'hyssoppulley_request_limit_changes_total',
       help: 'Changes of the request limits that workers name, by change (named, changed, lifted)',
       labelNames: ['change'],
       registers,
     }),
+    dutyCalls: new Counter({
+      name: 'hyssoppulley_duty_calls_total',
+      help: 'Calls to the control API, by duty, call and result',
+      labelNames: ['duty', 'call', 'result'],
+      registers,
+    }),
+    usageWindows: new Counter({
+      name: 'hyssoppulley_usage_windows_total',
+      help: 'Windows of usage by how this node reported them (in-time, late, skipped)',
+      labelNames: ['outcome'],
+      registers,
+    }),
+    usageDropped: new Counter({
+      name: 'hyssoppulley_usage_dropped_total',
+      help: 'Requests of client accounts that were not counted because a bound was reached',
+      registers,
+    }),
+    dutyHeld: new Gauge({
+      name: 'hyssoppulley_duty_held',
+      help: 'Whether this node holds a duty (1) or not (0), by duty',
+      labelNames: ['duty'],
+      registers,
+    }),
     permits: new Counter({
       name: 'hyssoppulley_request_permits_total',
       help: 'Permits asked for to send requests to workers with a request limit, by pool and outcome (granted, denied)',
@@ -99,6 +128,24 @@
       buckets: [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5],
       registers,
     }),
+    workerOrders: new Counter({
+      name: 'hyssoppulley_worker_orders_total',
+      help: 'Orders for workers, by pool and result',
+      labelNames: ['pool', 'result'],
+      registers,
+    }),
+    workersNeeded: new Gauge({
+      name: 'hyssoppulley_workers_needed',
+      help: 'Workers that a pool needs by the last decision, by pool',
+      labelNames: ['pool'],
+      registers,
+    }),
+    stepsContend: new Gauge({
+      name: 'hyssoppulley_steps_contend',
+      help: 'Whether training steps contend for the slots of a pool (1), by pool',
+      labelNames: ['pool'],
+      registers,
+    }),
     itemRuns: new Counter({
       name: 'hyssoppulley_item_runs_total',
       help: 'Item runs on workers, by pool and how they ended',
@@ -118,6 +165,23 @@
       labelNames: ['pool', 'outcome'],
       registers,
     }),
+    requestMemoryBytes: new Gauge({
+      name: 'hyssoppulley_request_memory_bytes',
+      help: 'Memory that callers make the node hold, by use (uploads, responses, decoding)',
+      labelNames: ['use'],
+      registers,
+    }),
+    callerConnections: new Gauge({
+      name: 'hyssoppulley_caller_connections',
+      help: 'Open connections of callers',
+      registers,
+    }),
+    uploadsEnded: new Counter({
+      name: 'hyssoppulley_uploads_refused_total',
+      help: 'Uploads, responses and connections that were refused or ended to bound memory and descriptors, by reason',
+      labelNames: ['reason'],
+      registers,
+    }),
     invariantViolations: new Counter({
       name: 'hyssoppulley_invariant_violations_total',
       help: 'Invariant violations, by name; any increase indicates a bug',
