feat(batches): items at no worker are reported with the reason

Change: once a second the dispatcher looks for items of open batches that have been at no worker for over 2 s although workers have free slots; event=items-held names the batch, the number of items, one of them and one of nine reasons, at most once in 5 s for a batch and reason; hyssoppulley_items_held counts them. No decision changes.

--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -72,7 +72,10 @@
   readonly maxLoading?: number;
   /** Follows published weights until disposed. */
   readonly followWeights: (onChange: () => void) => PublishedWeights & Disposable;
-  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds' | 'stepsContend' | 'weightLoads'>;
+  readonly metrics: Pick<
+    Metrics,
+    'itemRuns' | 'itemRunSeconds' | 'itemsHeld' | 'stepsContend' | 'weightLoads'
+  >;
   /** Rules for when a new dispatcher may send its first order to a worker. */
   readonly orderRules: Pick<FirstOrderConditions, 'fenced' | 'leaseMs'>;
   /** How long results stay readable after the submission, in ms. */
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -85,3 +85,12 @@
 
 /** Longest time for which a dispatcher starts runs without handling anything else, in ms. */
 export const MAX_PLACEMENT_TURN_MS = 100;
+
+/** Interval between checks for items that are at no worker although workers are free, in ms. */
+export const HELD_ITEMS_CHECK_INTERVAL_MS = 1000;
+
+/** Time at no worker from which an item is reported, in ms. Placements of a busy pool take less. */
+export const MIN_HELD_MS = 2000;
+
+/** Shortest time between two reports of one batch for the same reason, in ms. */
+export const HELD_ITEMS_LOG_INTERVAL_MS = 5000;
--- a/src/node/batches/engineWorkers.ts
+++ b/src/node/batches/engineWorkers.ts
@@ -94,6 +94,16 @@
     }));
   }
 
+  /** Number of items that the request limit of a worker allows to start now. */
+  permitsOf(worker: string): number {
+    return this.#options.permitsOf(worker);
+  }
+
+  /** Weight version under which a worker accepts runs of a model; undefined while it accepts none. */
+  versionOf(worker: string, model: string): number | undefined {
+    return this.#options.weights.versionOf(worker, model);
+  }
+
   isSlow(worker: string): boolean {
     return this.#eventGaps.isSlow(worker, this.#options.clock.monotonicMs());
   }
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -26,6 +26,7 @@
 import {
   BROKEN_STREAM_BACKOFF_MS,
   CHECKPOINT_INTERVAL_MS,
+  HELD_ITEMS_CHECK_INTERVAL_MS,
   ITEM_UNPROCESSABLE_STATUS,
   REJECTION_BACKOFF_MS,
   RUN_CHECK_INTERVAL_MS,
@@ -34,6 +35,7 @@
 import { EngineWorkers } from './engineWorkers.ts';
 import type { PartialTextCache } from './partialTextCache.ts';
 import type { GenerationCalls } from './generationCalls.ts';
+import { HeldItems } from './heldItems.ts';
 import { runLogFields, ItemRun, type RunEnd } from './itemRun.ts';
 import { ItemPlacer } from './itemPlacer.ts';
 import type { ItemScorer } from './itemScorer.ts';
@@ -58,7 +60,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
-  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds' | 'stepsContend'>;
+  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds' | 'itemsHeld' | 'stepsContend'>;
   readonly registry: WorkerRegistry;
   readonly limits: RequestLimits;
   readonly permits: Pick<RequestPermits, 'obtain'>;
@@ -120,6 +122,8 @@
 
   readonly #placer: ItemPlacer;
 
+  readonly #held: HeldItems;
+
   readonly #timers = new DisposableStore();
 
   #placementScheduled = false;
@@ -144,6 +148,15 @@
       schedule: () => this.schedule(),
       startRun: (state, worker) => this.#startRun(state, worker),
     });
+    this.#held = new HeldItems({
+      ...{ ...options, workers: this.#workers, suspected: this.#suspected },
+      viewGuard: this.#viewGuard,
+    });
+    this.#timers.add(
+      repeatEvery(options.clock, HELD_ITEMS_CHECK_INTERVAL_MS, () =>
+        this.#held.report(this.#openBatches(), this.#runs),
+      ),
+    );
     this.#timers.add(repeatEvery(options.clock, RUN_CHECK_INTERVAL_MS, () => this.#checkRuns()));
     this.#timers.add(repeatEvery(options.clock, CHECKPOINT_INTERVAL_MS, () => this.#checkpoint()));
   }
@@ -322,6 +335,7 @@
 
   #startRun(state: ItemState, worker: RegisteredWorker): void {
     state.start();
+    this.#held.recordStart(state);
     this.#permits.use(worker.id);
     const { clock, calls, weights } = this.#options;
     const { model } = state.batch.record;
--- a/src/node/batches/suspectedItems.ts
+++ b/src/node/batches/suspectedItems.ts
@@ -1,7 +1,9 @@
 import { BatchSuspicion } from '../decisions/poisonRequests/batchSuspicion.ts';
+import type { SuspicionHold } from '../decisions/items/holdReason.ts';
 import type { PoisonVerdict } from '../decisions/poisonRequests/poisonRequests.ts';
 import { MAX_TRIAL_MS, type PoisonGuard } from '../poison/poisonGuard.ts';
 import type { Logger } from '../observability/logger.ts';
+import type { BatchState } from './batchState.ts';
 import type { ItemRun } from './itemRun.ts';
 import type { ItemState } from './itemState.ts';
 
@@ -18,6 +20,10 @@
   return running;
 };
 
+/** Batches with a run in progress. */
+export const runningBatches = (runs: readonly ItemRun[]): Set<BatchState> =>
+  new Set(runs.map(({ state }) => state.batch));
+
 /** Recognises items and batches under which workers end. */
 export class SuspectedItems {
   readonly #options: SuspectedItemsOptions;
@@ -35,17 +41,26 @@
   /** The waiting items that may start now: no condemned ones, and one at a time of a suspected batch. */
   startable(waiting: readonly ItemState[], runs: readonly ItemRun[]): ItemState[] {
     this.#recordSurvivors(runs);
-    const started = new Set(runs.map(({ state }) => state.batch));
+    const started = runningBatches(runs);
     return waiting.filter((state) => {
-      if (this.verdictOf(state) === 'condemned') return false;
-      const verdict = this.#batches.verdictOf(state.batch.record.id);
-      if (verdict === 'unsuspected') return true;
-      if (verdict === 'condemned' || started.has(state.batch)) return false;
+      if (this.holdOf(state, started) !== undefined) return false;
       started.add(state.batch);
       return true;
     });
   }
 
+  /**
+   * Why an item may not start now; undefined if it may.
+   *
+   * @param started - batches with a run in progress
+   */
+  holdOf(state: ItemState, started: ReadonlySet<BatchState>): SuspicionHold | undefined {
+    if (this.verdictOf(state) === 'condemned') return 'item-condemned';
+    const verdict = this.#batches.verdictOf(state.batch.record.id);
+    if (verdict === 'condemned') return 'batch-condemned';
+    return verdict === 'suspected' && started.has(state.batch) ? 'batch-suspected' : undefined;
+  }
+
   /** Holds it against an item and its batch if the worker that broke off its run has ended. */
   async recordBroken({ state, worker }: ItemRun, runs: Iterable<ItemRun>): Promise<void> {
     const { poison, pool, logger } = this.#options;
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -152,6 +152,12 @@
       labelNames: ['pool', 'end'],
       registers,
     }),
+    itemsHeld: new Gauge({
+      name: 'hyssoppulley_items_held',
+      help: 'Items of open batches that are at no worker for over 2 s although workers are free, by pool and reason',
+      labelNames: ['pool', 'reason'],
+      registers,
+    }),
     itemRunSeconds: new Histogram({
       name: 'hyssoppulley_item_run_seconds',
       help: 'Duration of one item run on one worker, by pool',
