test(batches): items are held for good after workers were lost by chance

Cause: not fixed here. A batch is condemned when all workers of its runs end at once, because the last run that breaks off counts as one that ran alone; an item is condemned when three workers end under it, however much text it had generated there; both wait without a time limit that a step could meet. The bound of 5 s at no worker is the users'.

--- a/src/node/batches/__tests__/workerLosses.test.ts
+++ b/src/node/batches/__tests__/workerLosses.test.ts
@@ -2,6 +2,61 @@
 import { expect } from 'earl';
 import { DispatcherHarness } from './dispatcherHarness.ts';
 
+/** Time at no worker, while workers are idle, after which an accepted item counts as lost, in ms. */
+const MAX_IDLE_MS = 5000;
+
+const itemsOf = (batch: string, count: number) =>
+  Array.from({ length: count }, (_, index) => `${batch}-${index}`);
+
+const WORKERS = ['w0', 'w1', 'w2', 'w3'];
+
+// Guards against a batch that is held until its end because all its workers ended at once.
+test('a batch goes on after all workers have ended at once', async () => {
+  using harness = new DispatcherHarness({ workers: 4 });
+  await harness.addBatch('a', 20);
+  await harness.clock.advanceAsync(400);
+  harness.endWorkers(WORKERS, 500);
+  expect(await harness.longestIdleMs(itemsOf('a', 20), 12_000)).toBeLessThan(MAX_IDLE_MS);
+  expect(harness.finished.size).toEqual(20);
+});
+
+// Guards against a batch that is held until its end because its workers ended shortly after each other.
+test('a batch goes on after all workers have ended one after the other', async () => {
+  for (const gapMs of [1, 5, 20, 60, 150, 300]) {
+    using harness = new DispatcherHarness({ workers: 4 });
+    await harness.addBatch('a', 20);
+    await harness.clock.advanceAsync(400);
+    WORKERS.forEach((name, index) =>
+      harness.clock.schedule(index * gapMs, () => harness.endWorkers([name], 500)),
+    );
+    expect(await harness.longestIdleMs(itemsOf('a', 20), 12_000)).toBeLessThan(MAX_IDLE_MS);
+    expect(harness.finished.size).toEqual(20);
+  }
+});
+
+// Guards against a long item that is held because several workers ended while they generated parts of it.
+test('an item whose workers end while its text grows is sent on', async () => {
+  using harness = new DispatcherHarness({ workers: 4, eventsOf: () => 200 });
+  await harness.addBatch('a', 4);
+  for (let round = 0; round < 6; round += 1) {
+    harness.clock.schedule(600 * (round + 1), () => harness.endWorkers(WORKERS, 100));
+  }
+  expect(await harness.longestIdleMs(itemsOf('a', 4), 20_000)).toBeLessThan(MAX_IDLE_MS);
+  expect(harness.finished.size).toEqual(4);
+});
+
+// Guards against a batch whose items wait for one that started alone at a worker that does not answer.
+test('a suspected batch goes on while its only run is at a silent worker', async () => {
+  using harness = new DispatcherHarness({ workers: 4 });
+  await harness.addBatch('a', 20);
+  await harness.clock.advanceAsync(100);
+  harness.endWorkers(WORKERS, 500);
+  await harness.clock.advanceAsync(510);
+  for (const name of WORKERS.slice(0, 2)) harness.silence(name, true);
+  expect(await harness.longestIdleMs(itemsOf('a', 20), 20_000)).toBeLessThan(MAX_IDLE_MS);
+  expect(harness.finished.size).toEqual(20);
+});
+
 // Guards against items that are held for seconds without a trace in the log or the metrics.
 test('items that are at no worker while workers are idle are reported with the reason', async () => {
   using harness = new DispatcherHarness({ workers: 2, isDeadly: (item) => item === 'a-0' });
