fix(poison): workers that are lost together do not condemn a request, and a condemned one is tried again

By new tests, not reported: a request that many callers send, and that ran on three workers when these were lost, got 502 from all nodes for 60 s. Cause: three ends condemned a request however close they were, and nothing but the expiry of the suspicion ended that. Runs of items never counted as trials, so an item needed three ends where a request needs two. Change: ends within a second of each other count as one loss. A condemned request is tried once more after the last end, by one caller at a time on each node after 6 s, an item after 4 s; if that trial fails too, it is held until its suspicion expires. A run of an item that was suspected when it started is a trial.

--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -346,6 +346,7 @@
       onGap: (gapMs) => this.#workers.recordGap(worker.id, gapMs),
     });
     this.#runs.set(state, run);
+    this.#suspected.recordStart(run);
     this.#workers.recordPrompt(worker.id, sharedPromptOf(state.item));
     const eventsBefore = state.text.events.length;
     const limitPerSecond = this.#options.limits.of(worker.id);
--- a/src/node/batches/suspectedItems.ts
+++ b/src/node/batches/suspectedItems.ts
@@ -7,6 +7,12 @@
 import type { ItemRun } from './itemRun.ts';
 import type { ItemState } from './itemState.ts';
 
+/**
+ * Time from the end of a worker under an item that started as a trial to its next trial, in ms. Workers that are lost
+ * together are back or replaced by then, and the results of a training step can still be in time.
+ */
+const ITEM_RETRIAL_MS = 4000;
+
 export interface SuspectedItemsOptions {
   readonly pool: string;
   readonly poison: Pick<PoisonGuard, 'verdictOf' | 'recordBroken'>;
@@ -30,12 +36,15 @@
 
   readonly #batches = new BatchSuspicion();
 
+  /** Runs whose item was suspected when they started. */
+  readonly #trials = new WeakSet<ItemRun>();
+
   constructor(options: SuspectedItemsOptions) {
     this.#options = options;
   }
 
   verdictOf({ request }: ItemState): PoisonVerdict {
-    return this.#options.poison.verdictOf(request);
+    return this.#options.poison.verdictOf(request, ITEM_RETRIAL_MS);
   }
 
   /** The waiting items that may start now: no condemned ones, and one at a time of a suspected batch. */
@@ -61,18 +70,24 @@
     return verdict === 'suspected' && started.has(state.batch) ? 'batch-suspected' : undefined;
   }
 
+  /** Records that a run starts, so that a later end of its worker counts as that of a trial if it is one. */
+  recordStart(run: ItemRun): void {
+    if (this.verdictOf(run.state) === 'suspected') this.#trials.add(run);
+  }
+
   /** Holds it against an item and its batch if the worker that broke off its run has ended. */
-  async recordBroken({ state, worker }: ItemRun, runs: Iterable<ItemRun>): Promise<void> {
+  async recordBroken(run: ItemRun, runs: Iterable<ItemRun>): Promise<void> {
     const { poison, pool, logger } = this.#options;
-    const others = [...runs].filter((run) => run.state !== state);
+    const { state, worker } = run;
+    const others = [...runs].filter((other) => other !== run);
     const hasEnded = await poison.recordBroken({
-      ...{ request: state.request, worker, pool, trial: false },
+      ...{ request: state.request, worker, pool, trial: this.#trials.has(run) },
       others: countByWorker(others).get(worker.id) ?? 0,
     });
     if (!hasEnded) return;
     const { id } = state.batch.record;
     const before = this.#batches.verdictOf(id);
-    const isAlone = others.every((run) => run.state.batch !== state.batch);
+    const isAlone = others.every((other) => other.state.batch !== state.batch);
     this.#batches.recordEnd(id, `${worker.id}@${worker.startedAtMs}`, isAlone);
     const verdict = this.#batches.verdictOf(id);
     if (verdict === before) return;
--- a/src/node/decisions/poisonRequests/poisonRequests.ts
+++ b/src/node/decisions/poisonRequests/poisonRequests.ts
@@ -17,22 +17,47 @@
 
 /**
  * What to do with a request. `suspected`: it runs only as a trial, alone among those on its worker. `condemned`: it is not
- * sent to a worker any more.
+ * sent to a worker for now.
  */
 export type PoisonVerdict = 'unsuspected' | 'suspected' | 'condemned';
 
-/** Number of workers that may end under a request before it is not sent on, whatever else ran there. */
+/** Number of times at which workers may end under a request before it is not sent on, whatever else ran there. */
 export const MAX_WORKER_ENDS = 3;
 
-/** The same number if the last worker ended during a trial of the request. */
+/** Number of workers that may end under a request before it is not sent on, if one of them ended during its trial. */
 const MAX_WORKER_ENDS_WITH_TRIAL = 2;
 
+/** Ends within this time of each other count as one, in ms: workers of a zone are lost within it. */
+const SAME_LOSS_MS = 1000;
+
+/** Number of trials that may fail before a request is not sent on until its suspicion expires. */
+const MAX_FAILED_TRIALS = 2;
+
+/**
+ * Time from the last end to another trial of a condemned request, in ms. Longer than callers take to come back, and short
+ * enough that a request which many callers send is not refused for long after workers were lost by chance.
+ */
+export const REQUEST_RETRIAL_MS = 6000;
+
 /** Time after which the end of a worker is no longer held against a request, in ms. */
 export const SUSPICION_TTL_MS = 60_000;
 
 /** Maximum number of requests that are remembered; an end of a worker adds as many as ran there. */
 export const MAX_SUSPECTED_REQUESTS = 512;
 
+/** Counts the times at which workers ended; workers that end shortly after each other are lost at the same time. */
+const countLosses = (ends: readonly WorkerEnd[]): number => {
+  let losses = 0;
+  let sinceMs = -Infinity;
+  for (const { atMs } of [...ends].sort((left, right) => left.atMs - right.atMs)) {
+    if (atMs - sinceMs >= SAME_LOSS_MS) {
+      losses += 1;
+      sinceMs = atMs;
+    }
+  }
+  return losses;
+};
+
 /**
  * Remembers under which requests workers have ended, by a digest of the request, so that it is recognised when its caller
  * repeats it under another id or at another node. A worker that ends takes down all requests that run there. They all
@@ -46,12 +71,21 @@
     return this.#requests.size;
   }
 
-  verdictOf(digest: string, nowMs: number): PoisonVerdict {
+  /** @param retrialMs - time from the last end of a worker to another trial */
+  verdictOf(digest: string, nowMs: number, retrialMs = REQUEST_RETRIAL_MS): PoisonVerdict {
     const ends = this.#currentEnds(digest, nowMs);
     if (ends.length === 0) return 'unsuspected';
-    const hasFailedTrial =
-      ends.length >= MAX_WORKER_ENDS_WITH_TRIAL && ends.some((end) => end.trial);
-    return ends.length >= MAX_WORKER_ENDS || hasFailedTrial ? 'condemned' : 'suspected';
+    const failedTrials = countLosses(ends.filter(({ trial }) => trial));
+    if (failedTrials >= MAX_FAILED_TRIALS) return 'condemned';
+    const hasFailedTrial = failedTrials > 0 && ends.length >= MAX_WORKER_ENDS_WITH_TRIAL;
+    if (!hasFailedTrial && countLosses(ends) < MAX_WORKER_ENDS) return 'suspected';
+    const lastEndMs = Math.max(...ends.map(({ atMs }) => atMs));
+    return nowMs - lastEndMs < retrialMs ? 'condemned' : 'suspected';
+  }
+
+  /** Whether a worker ended during a trial of the request. */
+  hasFailedTrial(digest: string, nowMs: number): boolean {
+    return this.#currentEnds(digest, nowMs).some(({ trial }) => trial);
   }
 
   /** Number of workers that ended under a request. */
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -123,7 +123,7 @@
     using slot =
       poison.verdictOf(request) === 'condemned'
         ? undefined
-        : await poison.startTrial(options.pool, workerCount, options.signal);
+        : await poison.startTrial(request, options.pool, workerCount, options.signal);
     const verdict = poison.verdictOf(request);
     if (verdict === 'condemned') {
       const ends = poison.endsOf(request);
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -48,6 +48,9 @@
 
   readonly #trials = new TrialSlots();
 
+  /** Digests of requests with a failed trial that are tried again now. */
+  readonly #retried = new Set<string>();
+
   readonly #hasEnded: (address: string) => Promise<boolean>;
 
   #onChange: ((digest: string) => void) | undefined;
@@ -68,12 +71,17 @@
     this.#onChange = onChange;
   }
 
-  /** What to do with a request. */
-  verdictOf(request: DigestedRequest): PoisonVerdict {
+  /**
+   * What to do with a request.
+   *
+   * @param retrialMs - time from the last end of a worker to another trial @default `REQUEST_RETRIAL_MS`
+   */
+  verdictOf(request: DigestedRequest, retrialMs?: number): PoisonVerdict {
     // Without suspected requests, none is digested.
     if (this.requests.size === 0 && this.#probed.size === 0) return 'unsuspected';
     const digest = this.#digestOf(request);
-    const verdict = this.requests.verdictOf(digest, this.#options.clock.monotonicMs());
+    const nowMs = this.#options.clock.monotonicMs();
+    const verdict = this.requests.verdictOf(digest, nowMs, retrialMs);
     // Without this, a slow probe lets a hedged attempt take a second worker with it.
     return verdict === 'unsuspected' && this.#probed.has(digest) ? 'suspected' : verdict;
   }
@@ -85,11 +93,12 @@
 
   /**
    * Waits until a suspected request may run. The result ends its trial, which also ends after `MAX_TRIAL_MS`; undefined if
-   * `signal` was aborted first.
+   * `signal` was aborted first, or if an equal request with a failed trial is being tried again.
    *
    * @param workerCount - number of workers of the pool
    */
   async startTrial(
+    request: DigestedRequest,
     pool: string,
     workerCount: number,
     signal: AbortSignal,
@@ -97,13 +106,21 @@
     const capacity = Math.max(1, Math.floor(workerCount * MAX_TRIAL_SHARE));
     const slot = await this.#trials.acquire(pool, capacity, signal);
     if (slot === undefined) return undefined;
+    const digest = this.#digestOf(request);
+    if (this.#retried.has(digest)) {
+      slot[Symbol.dispose]();
+      return undefined;
+    }
+    const { clock } = this.#options;
+    if (this.requests.hasFailedTrial(digest, clock.monotonicMs())) this.#retried.add(digest);
     let ended = false;
     const end = () => {
       if (ended) return;
       ended = true;
+      this.#retried.delete(digest);
       slot[Symbol.dispose]();
     };
-    const timer = this.#options.clock.schedule(MAX_TRIAL_MS, end);
+    const timer = clock.schedule(MAX_TRIAL_MS, end);
     return {
       [Symbol.dispose]() {
         timer[Symbol.dispose]();
