fix(batches): a batch is not held for good because its workers were lost together

Cause: whether an item ran alone was asked when its worker ended. The last of several runs that break off together finds no other run of its batch, so it passed for the single trial of a suspected batch, and a batch was condemned without an end. Change: a run counts as a trial if it started as the only one of a suspected batch. After a failed trial the batch pauses for 4 s and is tried once more; only a second failure condemns it. An item that survives clears it, condemned or not.

--- a/src/node/batches/suspectedItems.ts
+++ b/src/node/batches/suspectedItems.ts
@@ -1,4 +1,5 @@
-import { BatchSuspicion } from '../decisions/poisonRequests/batchSuspicion.ts';
+import type { Clock } from '../../shared/clock.ts';
+import { BatchSuspicion, type BatchVerdict } from '../decisions/poisonRequests/batchSuspicion.ts';
 import type { SuspicionHold } from '../decisions/items/holdReason.ts';
 import type { PoisonVerdict } from '../decisions/poisonRequests/poisonRequests.ts';
 import { MAX_TRIAL_MS, type PoisonGuard } from '../poison/poisonGuard.ts';
@@ -13,9 +14,16 @@
  */
 const ITEM_RETRIAL_MS = 4000;
 
+/** What is tried by a run: whether its item, or its batch, ends workers. */
+interface Trial {
+  readonly ofItem: boolean;
+  readonly ofBatch: boolean;
+}
+
 export interface SuspectedItemsOptions {
   readonly pool: string;
   readonly poison: Pick<PoisonGuard, 'verdictOf' | 'recordBroken'>;
+  readonly clock: Clock;
   readonly logger: Logger;
 }
 
@@ -30,14 +38,17 @@
 export const runningBatches = (runs: readonly ItemRun[]): Set<BatchState> =>
   new Set(runs.map(({ state }) => state.batch));
 
+/** Whether the worker of a run has generated a part of the item, so that the item does not end workers as it starts. */
+const hasSurvived = ({ elapsedMs, events }: ItemRun): boolean =>
+  elapsedMs > MAX_TRIAL_MS && events > 0;
+
 /** Recognises items and batches under which workers end. */
 export class SuspectedItems {
   readonly #options: SuspectedItemsOptions;
 
   readonly #batches = new BatchSuspicion();
 
-  /** Runs whose item was suspected when they started. */
-  readonly #trials = new WeakSet<ItemRun>();
+  readonly #trials = new WeakMap<ItemRun, Trial>();
 
   constructor(options: SuspectedItemsOptions) {
     this.#options = options;
@@ -65,33 +76,36 @@
    */
   holdOf(state: ItemState, started: ReadonlySet<BatchState>): SuspicionHold | undefined {
     if (this.verdictOf(state) === 'condemned') return 'item-condemned';
-    const verdict = this.#batches.verdictOf(state.batch.record.id);
+    const verdict = this.#verdictOfBatch(state.batch);
     if (verdict === 'condemned') return 'batch-condemned';
     return verdict === 'suspected' && started.has(state.batch) ? 'batch-suspected' : undefined;
   }
 
   /** Records that a run starts, so that a later end of its worker counts as that of a trial if it is one. */
   recordStart(run: ItemRun): void {
-    if (this.verdictOf(run.state) === 'suspected') this.#trials.add(run);
+    const ofItem = this.verdictOf(run.state) === 'suspected';
+    const ofBatch = this.#verdictOfBatch(run.state.batch) === 'suspected';
+    if (ofItem || ofBatch) this.#trials.set(run, { ofItem, ofBatch });
   }
 
   /** Holds it against an item and its batch if the worker that broke off its run has ended. */
   async recordBroken(run: ItemRun, runs: Iterable<ItemRun>): Promise<void> {
-    const { poison, pool, logger } = this.#options;
+    const { poison, pool, clock, logger } = this.#options;
     const { state, worker } = run;
+    const { ofItem = false, ofBatch = false } = this.#trials.get(run) ?? {};
     const others = [...runs].filter((other) => other !== run);
     const hasEnded = await poison.recordBroken({
-      ...{ request: state.request, worker, pool, trial: this.#trials.has(run) },
+      ...{ request: state.request, worker, pool, trial: ofItem },
       others: countByWorker(others).get(worker.id) ?? 0,
     });
     if (!hasEnded) return;
     const { id } = state.batch.record;
-    const before = this.#batches.verdictOf(id);
-    const isAlone = others.every((other) => other.state.batch !== state.batch);
-    this.#batches.recordEnd(id, `${worker.id}@${worker.startedAtMs}`, isAlone);
-    const verdict = this.#batches.verdictOf(id);
+    const before = this.#verdictOfBatch(state.batch);
+    const workerStart = `${worker.id}@${worker.startedAtMs}`;
+    this.#batches.recordEnd(id, workerStart, ofBatch, clock.monotonicMs());
+    const verdict = this.#verdictOfBatch(state.batch);
     if (verdict === before) return;
-    logger.warn('batch-suspicion-changed', { batch: id, pool, verdict, before, isAlone });
+    logger.warn('batch-suspicion-changed', { batch: id, pool, verdict, before, trial: ofBatch });
   }
 
   /** Forgets batches that have ended. */
@@ -111,12 +125,16 @@
 
   /** Clears batches with an item that a worker generates without ending. */
   #recordSurvivors(runs: readonly ItemRun[]): void {
-    for (const { elapsedMs, events, state } of runs) {
-      const survives = elapsedMs > MAX_TRIAL_MS && events > 0;
-      const { id } = state.batch.record;
-      if (survives && this.#batches.recordSurvival(id)) {
-        this.#options.logger.info('batch-suspicion-cleared', { batch: id, item: state.item.id });
-      }
-    }
+    for (const run of runs) if (hasSurvived(run)) this.#clearBatch(run.state);
+  }
+
+  #clearBatch({ batch, item }: ItemState): void {
+    const { id } = batch.record;
+    if (!this.#batches.recordSurvival(id)) return;
+    this.#options.logger.info('batch-suspicion-cleared', { batch: id, item: item.id });
+  }
+
+  #verdictOfBatch({ record }: BatchState): BatchVerdict {
+    return this.#batches.verdictOf(record.id, this.#options.clock.monotonicMs());
   }
 }
--- a/src/node/decisions/poisonRequests/batchSuspicion.ts
+++ b/src/node/decisions/poisonRequests/batchSuspicion.ts
@@ -1,17 +1,24 @@
-/** What to do with the items of a batch. `suspected`: one of them runs at a time. `condemned`: none is started any more. */
+/** What to do with the items of a batch. `suspected`: they start one at a time. `condemned`: none is started for now. */
 export type BatchVerdict = 'unsuspected' | 'suspected' | 'condemned';
 
-/** Number of workers that end under items of a batch before its items run one at a time. */
+/** Number of workers that end under items of a batch before its items start one at a time. */
 const MIN_ENDS_FOR_SUSPICION = 2;
 
-/** The same number before its last item is not started any more, if the last of them ended under an item that ran alone. */
-const MIN_ENDS_FOR_CONDEMNATION = 3;
+/**
+ * Time from the first failed trial of a batch to its second one, in ms. Workers that are lost together are back or replaced
+ * by then, and the results of a training step can still be in time.
+ */
+export const BATCH_RETRIAL_MS = 4000;
+
+/** Number of failed trials after which no item of a batch is started any more. */
+const MAX_FAILED_TRIALS = 2;
 
 interface BatchEnds {
   /** Starts of workers that ended under items of the batch since the last item that survived. */
   readonly workers: Set<string>;
-  /** Whether one of them ended while a single item of the batch ran. */
-  endedAlone: boolean;
+  /** Number of items that started as the only one of a suspected batch and whose worker ended. */
+  failedTrials: number;
+  lastTrialMs: number;
 }
 
 /**
@@ -19,35 +26,44 @@
  * workers with it, because each of them looked like another request.
  *
  * Evidence is what all items of a batch have in common: while workers end under its items and none has survived, the next
- * item runs alone. A single item that survives clears the batch, so that the crash of a zone delays a batch by one start.
+ * item starts alone, as a trial. Workers that are lost by chance also end at about the same time, so only an item that
+ * started as a trial counts against its batch, and a batch is tried once more after a pause. An item that survives clears
+ * it. Times are monotonic.
  */
 export class BatchSuspicion {
   readonly #ends = new Map<string, BatchEnds>();
 
-  verdictOf(batchId: string): BatchVerdict {
+  verdictOf(batchId: string, nowMs: number): BatchVerdict {
     const ends = this.#ends.get(batchId);
     if (ends === undefined || ends.workers.size < MIN_ENDS_FOR_SUSPICION) return 'unsuspected';
-    const isCondemned = ends.endedAlone && ends.workers.size >= MIN_ENDS_FOR_CONDEMNATION;
-    return isCondemned ? 'condemned' : 'suspected';
+    if (ends.failedTrials >= MAX_FAILED_TRIALS) return 'condemned';
+    const isPaused = ends.failedTrials > 0 && nowMs - ends.lastTrialMs < BATCH_RETRIAL_MS;
+    return isPaused ? 'condemned' : 'suspected';
   }
 
   /**
-   * Records that a worker ended under an item.
+   * Records that a worker ended under an item that had not survived there.
    *
    * @param worker - worker and its start
-   * @param wasAlone - whether no other item of the batch ran when the worker ended
+   * @param trial - whether the item started as the only one of a suspected batch
    */
-  recordEnd(batchId: string, worker: string, wasAlone: boolean): void {
-    const ends = this.#ends.get(batchId) ?? { workers: new Set<string>(), endedAlone: false };
-    const wasSuspected = this.verdictOf(batchId) === 'suspected';
+  recordEnd(batchId: string, worker: string, trial: boolean, nowMs: number): void {
+    const ends = this.#ends.get(batchId) ?? {
+      workers: new Set<string>(),
+      failedTrials: 0,
+      lastTrialMs: -Infinity,
+    };
     ends.workers.add(worker);
-    ends.endedAlone ||= wasSuspected && wasAlone;
+    if (trial) {
+      ends.failedTrials += 1;
+      ends.lastTrialMs = nowMs;
+    }
     this.#ends.set(batchId, ends);
   }
 
-  /** Records that a worker has generated a part of an item and goes on. Returns whether that cleared the batch. */
+  /** Records that a worker has generated a part of an item and goes on. Returns whether ends were held against the batch. */
   recordSurvival(batchId: string): boolean {
-    return this.verdictOf(batchId) === 'condemned' ? false : this.#ends.delete(batchId);
+    return this.#ends.delete(batchId);
   }
 
   /** Forgets batches that have ended. */
