fix(batches): the end of a worker is not held against an item that it had generated for some time

Cause: every end of a worker under an item was held against it, and nothing that it did afterwards cleared it: neither a text that grew nor one that was completed. Why it works: a text continues after its last event, so an item that ends workers as they reach some event makes no progress in its next run, and is recognised then.

--- a/src/node/batches/__tests__/workerLosses.test.ts
+++ b/src/node/batches/__tests__/workerLosses.test.ts
@@ -38,7 +38,7 @@
 test('an item whose workers end while its text grows is sent on', async () => {
   using harness = new DispatcherHarness({ workers: 4, eventsOf: () => 200 });
   await harness.addBatch('a', 4);
-  for (let round = 0; round < 6; round += 1) {
+  for (let round = 0; round < 16; round += 1) {
     harness.clock.schedule(600 * (round + 1), () => harness.endWorkers(WORKERS, 100));
   }
   expect(await harness.longestIdleMs(itemsOf('a', 4), 20_000)).toBeLessThan(MAX_IDLE_MS);
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -64,7 +64,7 @@
   readonly registry: WorkerRegistry;
   readonly limits: RequestLimits;
   readonly permits: Pick<RequestPermits, 'obtain'>;
-  readonly poison: Pick<PoisonGuard, 'verdictOf' | 'recordBroken'>;
+  readonly poison: Pick<PoisonGuard, 'verdictOf' | 'recordAnswer' | 'recordBroken'>;
   readonly engine: () => EnginePool | undefined;
   /** Whether the tables hold client accounts. @default never */
   readonly hasAccounts?: () => boolean;
@@ -373,6 +373,7 @@
     }
     state.requeue(worker.id);
     const isStopped = end.kind === 'stopped';
+    if (end.kind === 'complete' || end.kind === 'failed') this.#suspected.recordAnswer(run);
     if (end.kind === 'complete' || (end.kind === 'uncertain' && state.confirmEnd())) {
       this.#workers.recordResult(worker.id, 'answered');
       void this.#score(state);
--- a/src/node/batches/suspectedItems.ts
+++ b/src/node/batches/suspectedItems.ts
@@ -22,7 +22,7 @@
 
 export interface SuspectedItemsOptions {
   readonly pool: string;
-  readonly poison: Pick<PoisonGuard, 'verdictOf' | 'recordBroken'>;
+  readonly poison: Pick<PoisonGuard, 'verdictOf' | 'recordAnswer' | 'recordBroken'>;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -88,9 +88,13 @@
     if (ofItem || ofBatch) this.#trials.set(run, { ofItem, ofBatch });
   }
 
-  /** Holds it against an item and its batch if the worker that broke off its run has ended. */
+  /**
+   * Holds it against an item and its batch if the worker that broke off its run has ended. A worker that had generated a
+   * part of the item ended for another reason: if the item were the cause, its next run would make no progress.
+   */
   async recordBroken(run: ItemRun, runs: Iterable<ItemRun>): Promise<void> {
     const { poison, pool, clock, logger } = this.#options;
+    if (hasSurvived(run)) return;
     const { state, worker } = run;
     const { ofItem = false, ofBatch = false } = this.#trials.get(run) ?? {};
     const others = [...runs].filter((other) => other !== run);
@@ -108,6 +112,12 @@
     logger.warn('batch-suspicion-changed', { batch: id, pool, verdict, before, trial: ofBatch });
   }
 
+  /** Clears an item that a worker has answered, and its batch. */
+  recordAnswer({ state }: ItemRun): void {
+    this.#options.poison.recordAnswer(state.request);
+    this.#clearBatch(state);
+  }
+
   /** Forgets batches that have ended. */
   retainBatches(isOpen: (batchId: string) => boolean): void {
     this.#batches.retain(isOpen);
@@ -123,9 +133,13 @@
     );
   }
 
-  /** Clears batches with an item that a worker generates without ending. */
+  /** Clears items of which a worker has generated a part, and their batches. */
   #recordSurvivors(runs: readonly ItemRun[]): void {
-    for (const run of runs) if (hasSurvived(run)) this.#clearBatch(run.state);
+    for (const run of runs) {
+      if (!hasSurvived(run)) continue;
+      if (this.verdictOf(run.state) === 'unsuspected') this.#clearBatch(run.state);
+      else this.recordAnswer(run);
+    }
   }
 
   #clearBatch({ batch, item }: ItemState): void {
