fix(batches): a suspected batch does not wait for one silent worker after another

Callers saw (by the test only): all items of a batch at no worker for 5.3 s after its workers were lost and two of four came back without answering; each trial of the batch went to a silent worker and kept the others waiting. Cause: only an item that generated events cleared a suspected batch, and any run of the batch kept its other items waiting. Change: a run keeps the others of a suspected batch waiting for 1 s at most. A trial at a worker that stays silent, but does not end, clears the batch.

--- a/src/node/batches/heldItems.ts
+++ b/src/node/batches/heldItems.ts
@@ -8,7 +8,7 @@
 import type { ItemRun } from './itemRun.ts';
 import type { ItemState } from './itemState.ts';
 import type { StaleViewGuard } from './staleViewGuard.ts';
-import { countByWorker, runningBatches, type SuspectedItems } from './suspectedItems.ts';
+import { countByWorker, justStartedBatches, type SuspectedItems } from './suspectedItems.ts';
 
 export interface HeldItemsOptions {
   readonly pool: string;
@@ -68,7 +68,7 @@
     const { clock, suspected } = this.#options;
     const running = [...runs.values()];
     const poolOf = this.#poolStates(running);
-    const startedBatches = runningBatches(running);
+    const startedBatches = justStartedBatches(running);
     const groups = new Map<string, HeldGroup>();
     for (const batch of open) {
       for (const state of batch.items.values()) {
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -389,6 +389,7 @@
       if (run.events === 0) this.#pauseWorker(worker.id, BROKEN_STREAM_BACKOFF_MS);
     } else if (isStopped && end.reason === 'stalled') {
       this.#workers.recordResult(worker.id, 'silent');
+      this.#suspected.recordStall(run);
     } else if (isStopped && end.reason === 'wrong-version') {
       if (state.batch.record.singleVersion) state.restartText(this.#options.term);
     }
--- a/src/node/batches/suspectedItems.ts
+++ b/src/node/batches/suspectedItems.ts
@@ -8,6 +8,12 @@
 import type { ItemRun } from './itemRun.ts';
 import type { ItemState } from './itemState.ts';
 
+/**
+ * Longest time for which an item of a suspected batch keeps the others from starting, in ms. The worker may be silent, or
+ * busy with other items.
+ */
+const MAX_ALONE_MS = 1000;
+
 /**
  * Time from the end of a worker under an item that started as a trial to its next trial, in ms. Workers that are lost
  * together are back or replaced by then, and the results of a training step can still be in time.
@@ -34,9 +40,9 @@
   return running;
 };
 
-/** Batches with a run in progress. */
-export const runningBatches = (runs: readonly ItemRun[]): Set<BatchState> =>
-  new Set(runs.map(({ state }) => state.batch));
+/** Batches with an item that has started so recently that, if the batch is suspected, its other items wait for it. */
+export const justStartedBatches = (runs: readonly ItemRun[]): Set<BatchState> =>
+  new Set(runs.filter(({ elapsedMs }) => elapsedMs < MAX_ALONE_MS).map(({ state }) => state.batch));
 
 /** Whether the worker of a run has generated a part of the item, so that the item does not end workers as it starts. */
 const hasSurvived = ({ elapsedMs, events }: ItemRun): boolean =>
@@ -61,7 +67,7 @@
   /** The waiting items that may start now: no condemned ones, and one at a time of a suspected batch. */
   startable(waiting: readonly ItemState[], runs: readonly ItemRun[]): ItemState[] {
     this.#recordSurvivors(runs);
-    const started = runningBatches(runs);
+    const started = justStartedBatches(runs);
     return waiting.filter((state) => {
       if (this.holdOf(state, started) !== undefined) return false;
       started.add(state.batch);
@@ -72,7 +78,7 @@
   /**
    * Why an item may not start now; undefined if it may.
    *
-   * @param started - batches with a run in progress
+   * @param started - batches with an item that has just started
    */
   holdOf(state: ItemState, started: ReadonlySet<BatchState>): SuspicionHold | undefined {
     if (this.verdictOf(state) === 'condemned') return 'item-condemned';
@@ -118,6 +124,11 @@
     this.#clearBatch(state);
   }
 
+  /** Clears a batch whose trial was at a silent worker, so that the batch does not wait for one such worker after another. */
+  recordStall(run: ItemRun): void {
+    if (this.#trials.get(run)?.ofBatch) this.#clearBatch(run.state);
+  }
+
   /** Forgets batches that have ended. */
   retainBatches(isOpen: (batchId: string) => boolean): void {
     this.#batches.retain(isOpen);
@@ -136,9 +147,10 @@
   /** Clears items of which a worker has generated a part, and their batches. */
   #recordSurvivors(runs: readonly ItemRun[]): void {
     for (const run of runs) {
-      if (!hasSurvived(run)) continue;
-      if (this.verdictOf(run.state) === 'unsuspected') this.#clearBatch(run.state);
-      else this.recordAnswer(run);
+      if (hasSurvived(run)) {
+        if (this.verdictOf(run.state) === 'unsuspected') this.#clearBatch(run.state);
+        else this.recordAnswer(run);
+      } else if (run.elapsedMs > MAX_ALONE_MS) this.recordStall(run);
     }
   }
 
