--- a/src/node/batches/__tests__/dispatcherHarness.ts
+++ b/src/node/batches/__tests__/dispatcherHarness.ts
@@ -1,6 +1,12 @@
 import { create } from '@bufbuild/protobuf';
 import { InMemoryPlatform } from '../../../../playground/inMemoryPlatform.ts';
-import { BatchItemSchema, BatchRecordSchema } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
+import {
+  type BatchItem,
+  BatchItemSchema,
+  type BatchRecord,
+  BatchRecordSchema,
+} from '../../../gen/hyssoppulley/v1/batch_pb.ts';
+import { sleep } from '../../../shared/clock.ts';
 import { seededRandom } from '../../../shared/random.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
 import { WorkerCallError } from '../../dataPath/workerHttpClient.ts';
@@ -17,7 +23,7 @@
 import { PoolDispatcher } from '../poolDispatcher.ts';
 
 const POOL = 'p';
-const SLOTS = 8;
+const DEFAULT_SLOTS = 8;
 
 /** Time from the submission of a batch until its results are due, in ms. */
 export const RESULT_DEADLINE_MS = 7500;
@@ -41,17 +47,29 @@
 
 export interface DispatcherHarnessOptions {
   readonly workers: number;
+  /** Number of items that a worker runs at the same time. @default 8 */
+  readonly slots?: number;
   /** Number of events of an item's text. @default 40 */
   readonly eventsOf?: (item: string) => number;
-  /** Whether an item ends the process of a worker when its run starts. @default never */
+  /** Whether an item ends the process of a worker. @default never */
   readonly isDeadly?: (item: string) => boolean;
+  /** Time from the start of a run until a deadly item ends the worker, in ms. @default `EVENT_GAP_MS` */
+  readonly deadlyAfterMs?: number;
+  /** Time from the start of a run to its first event, in ms. The response starts earlier. @default `EVENT_GAP_MS` */
+  readonly firstEventMs?: number;
+  /** Time between two events of a run, in ms. @default `EVENT_GAP_MS` */
+  readonly eventGapMs?: number;
+  /** Time that a probe of a worker takes, in ms. @default 0 */
+  readonly probeMs?: number;
+  /** Path of an item's request; its body is empty. @default its own */
+  readonly pathOf?: (item: string) => string;
 }
 
 /** A dispatcher on a virtual clock with workers whose processes end and start again. Items have no scores. */
 export class DispatcherHarness implements Disposable {
   readonly clock = new VirtualClock();
 
-  readonly dispatcher: PoolDispatcher;
+  dispatcher: PoolDispatcher;
 
   /** Number of runs by item. */
   readonly runCounts = new Map<string, number>();
@@ -61,6 +79,8 @@
   /** Fields of the lines logged, by event. */
   readonly logged = new Map<string, LogFields[]>();
 
+  readonly metrics = createMetrics();
+
   /** Number of ended worker processes. */
   endedWorkers = 0;
 
@@ -72,6 +92,12 @@
 
   readonly #registry: WorkerRegistry;
 
+  readonly #createDispatcher: (term: number) => PoolDispatcher;
+
+  readonly #batches: { readonly record: BatchRecord; readonly items: BatchItem[] }[] = [];
+
+  #term = 1;
+
   constructor(options: DispatcherHarnessOptions) {
     this.#options = options;
     const log = (event: string, fields: LogFields = {}) => {
@@ -91,45 +117,69 @@
       ...{ holder: 'n', fencing: 1, verifyHolder: () => Promise.resolve(true) },
       ...{ maySendOrders: () => false, onFenced() {}, onChange() {}, onLoad() {} },
     });
-    this.dispatcher = new PoolDispatcher({
-      ...{ ...common, random, weights, registry: this.#registry },
-      ...{ pool: POOL, term: 1, writer: 'n-1', limits: new RequestLimits() },
-      maxValueBytes: 1_000_000,
-      poison: new PoisonGuard({
-        ...{ ...common, metrics: createMetrics() },
-        hasEnded: (address) => Promise.resolve(this.#workers.get(address)?.isUp === false),
-      }),
-      permits: {
-        obtain: () => Promise.resolve({ permits: [], retryAfterMs: 0, issuer: undefined }),
+    const poison = new PoisonGuard({
+      ...{ ...common, metrics: createMetrics() },
+      hasEnded: async (address) => {
+        const hasEnded = this.#workers.get(address)?.isUp === false;
+        if (options.probeMs !== undefined) await sleep(this.clock, options.probeMs);
+        return hasEnded;
       },
-      metrics: createMetrics(),
-      engine: () => ({ slots: SLOTS, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] }),
-      calls: { generate: (...call) => this.#generate(...call) },
-      scorer: {} as ItemScorer,
-      newestVersion: () => 1,
-      partialTexts: new PartialTextCache(),
-      batchView: () => ({ ageMs: 0, platformLost: false }),
-      onSuperseded: () => {},
     });
+    this.#createDispatcher = (term) =>
+      new PoolDispatcher({
+        ...{ ...common, random, weights, registry: this.#registry },
+        ...{ pool: POOL, term, writer: `n-${term}`, limits: new RequestLimits() },
+        maxValueBytes: 1_000_000,
+        poison,
+        permits: {
+          obtain: () => Promise.resolve({ permits: [], retryAfterMs: 0, issuer: undefined }),
+        },
+        metrics: this.metrics,
+        engine: () => ({ slots: this.#slots, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] }),
+        calls: { generate: (...call) => this.#generate(...call) },
+        scorer: {} as ItemScorer,
+        newestVersion: () => 1,
+        partialTexts: new PartialTextCache(),
+        batchView: () => ({ ageMs: 0, platformLost: false }),
+        onSuperseded: () => {},
+      });
+    this.dispatcher = this.#createDispatcher(1);
     for (let index = 0; index < options.workers; index += 1) this.#start(`w${index}`);
   }
 
   /** Adds a batch of items `ID-0`, `ID-1` and so on, all of which the trainer waits for. */
-  async addBatch(id: string, itemCount: number): Promise<void> {
+  async addBatch(
+    id: string,
+    itemCount: number,
+    resultDeadlineMs = RESULT_DEADLINE_MS,
+  ): Promise<void> {
     const record = create(BatchRecordSchema, {
       ...{ id, pool: POOL, model: 'm', itemCount, maxAttempts: 3 },
       submittedAtMs: BigInt(this.clock.nowMs()),
-      resultDeadlineMs: RESULT_DEADLINE_MS,
+      resultDeadlineMs,
     });
     const items = Array.from({ length: itemCount }, (_, index) =>
       create(BatchItemSchema, {
-        ...{ id: `${id}-${index}`, path: `/${id}-${index}`, group: `g${index}` },
+        ...{ id: `${id}-${index}`, group: `g${index}` },
+        path: this.#options.pathOf?.(`${id}-${index}`) ?? `/${id}-${index}`,
         maxOutputTokens: this.#eventsOf(`${id}-${index}`),
       }),
     );
+    this.#batches.push({ record, items });
     await this.dispatcher.add(record, items);
   }
 
+  /** Replaces the dispatcher by that of another node, which knows the same suspected requests. */
+  async takeOver(): Promise<void> {
+    const progress = this.dispatcher.release();
+    this.#term += 1;
+    this.dispatcher = this.#createDispatcher(this.#term);
+    for (const { record, items } of this.#batches) {
+      const ofBatch = progress.filter(({ itemId }) => items.some(({ id }) => id === itemId));
+      await this.dispatcher.add(record, items, { takeOver: true, progress: ofBatch });
+    }
+  }
+
   /** Ends the processes of workers, which start again after `downMs`. */
   endWorkers(names: readonly string[], downMs: number): void {
     for (const name of names) {
@@ -142,6 +192,11 @@
     }
   }
 
+  /** Lets the registration of a worker say that it is about to stop. */
+  drain(name: string): void {
+    this.#register(name, true);
+  }
+
   /** Makes a worker accept runs without generating anything. */
   silence(name: string, isSilent: boolean): void {
     const worker = this.#workers.get(name);
@@ -151,17 +206,19 @@
   /**
    * Lets time pass.
    *
+   * @param maxBusyShare - time counts only while at most this share of the slots is busy @default 1
    * @returns longest time in ms for which an unfinished item of `items` was at no worker
    */
-  async longestIdleMs(items: readonly string[], forMs: number): Promise<number> {
+  async longestIdleMs(items: readonly string[], forMs: number, maxBusyShare = 1): Promise<number> {
     const stepMs = 10;
+    const maxRuns = maxBusyShare * this.#slots * this.#options.workers;
     const idleMs = new Map<string, number>();
     let longestMs = 0;
     for (let passedMs = 0; passedMs < forMs; passedMs += stepMs) {
       await this.clock.advanceAsync(stepMs);
       const running = new Set([...this.#runs].map(({ item }) => item));
       for (const item of items) {
-        const isIdle = !running.has(item) && !this.finished.has(item);
+        const isIdle = !running.has(item) && !this.finished.has(item) && this.#runs.size <= maxRuns;
         idleMs.set(item, isIdle ? (idleMs.get(item) ?? 0) + stepMs : 0);
         longestMs = Math.max(longestMs, idleMs.get(item) ?? 0);
       }
@@ -173,6 +230,10 @@
     this.dispatcher[Symbol.dispose]();
   }
 
+  get #slots(): number {
+    return this.#options.slots ?? DEFAULT_SLOTS;
+  }
+
   #eventsOf(item: string): number {
     return this.#options.eventsOf?.(item) ?? 40;
   }
@@ -180,9 +241,14 @@
   #start(name: string): void {
     const startedAtMs = (this.#workers.get(name)?.startedAtMs ?? 0) + 1;
     this.#workers.set(name, { startedAtMs, isUp: true, isSilent: false });
+    this.#register(name, false);
+  }
+
+  #register(name: string, draining: boolean): void {
+    const startedAtMs = this.#workers.get(name)?.startedAtMs ?? 0;
     const value = {
-      ...{ id: name, pool: POOL, address: name, availabilityZone: 'z', slots: SLOTS },
-      ...{ draining: false, startedAtMs, heartbeatCount: 1 },
+      ...{ id: name, pool: POOL, address: name, availabilityZone: 'z', slots: this.#slots },
+      ...{ draining, startedAtMs, heartbeatCount: draining ? 2 : 1 },
       models: [{ name: 'm', version: 1 }],
     };
     const object = { key: `servers/${name}`, version: startedAtMs, operationId: '', value };
@@ -211,25 +277,35 @@
       };
       this.#runs.add(run);
       signal.addEventListener('abort', run.breakOff, { once: true });
+      const {
+        isDeadly,
+        deadlyAfterMs = EVENT_GAP_MS,
+        firstEventMs = EVENT_GAP_MS,
+        eventGapMs = EVENT_GAP_MS,
+      } = this.#options;
+      const isRunning = () => this.#runs.has(run) && !state.isSilent;
       let number = resumeAfter ?? 0;
       const generate = () => {
-        if (!this.#runs.has(run) || state.isSilent) return;
-        if (this.#options.isDeadly?.(item)) {
-          this.endWorkers([worker], 500);
-          return;
-        }
-        if (number === (resumeAfter ?? 0)) listener.onResponseStart(1, undefined);
+        if (!isRunning()) return;
         number += 1;
         listener.onEvent({ number, data: `${item}.${number}`, version: 1 });
         if (number < this.#eventsOf(item)) {
-          this.clock.schedule(EVENT_GAP_MS, generate);
+          this.clock.schedule(eventGapMs, generate);
           return;
         }
         this.#runs.delete(run);
         this.finished.add(item);
         resolve({ kind: 'complete' });
       };
-      this.clock.schedule(EVENT_GAP_MS, generate);
+      if (isDeadly?.(item)) {
+        this.clock.schedule(deadlyAfterMs, () => {
+          if (isRunning()) this.endWorkers([worker], 500);
+        });
+      }
+      this.clock.schedule(EVENT_GAP_MS, () => {
+        if (isRunning()) listener.onResponseStart(1, undefined);
+      });
+      this.clock.schedule(firstEventMs, generate);
     });
   }
 }
