fix(poison): only evidence of a trial condemns, and suspected work starts again quickly after a loss

Cause: a run that had generated for 250 ms cleared everything; only three ends of a request were kept, so that failed trials were forgotten; every suspected item started alone at its worker; a failed trial counted also when all workers were lost. Change: - A run must outlive those under which workers ended, by half, to clear its item or batch (survival.ts); all ends count. - A trial fails only if no other worker of the pool ended at that time; three others are probed (commonLosses.ts). Ends of workers that leave or are not registered do not count. - Suspected work starts slowly at each worker: one, then one more for each that survived (trialWindows.ts, trialSlots.ts); what ended two workers starts alone. - 24 ends of a request are kept; pauses grow with each failed trial, and differ a little between nodes. - Trials at silent workers widen a suspected batch instead of clearing it; its items take turns, and none starts while the worker of another is probed. An item that a later batch carries is tried there, and a last trial that no worker began is repeated. Due times follow the dispatcher's own clock. - items-held names item-suspected; the gauge falls to 0 when a dispatcher stops.

--- a/src/node/batches/__tests__/dispatcherHarness.ts
+++ b/src/node/batches/__tests__/dispatcherHarness.ts
@@ -119,6 +119,7 @@
     });
     const poison = new PoisonGuard({
       ...{ ...common, metrics: createMetrics() },
+      workersOf: (pool) => this.#registry.usable(pool),
       hasEnded: async (address) => {
         const hasEnded = this.#workers.get(address)?.isUp === false;
         if (options.probeMs !== undefined) await sleep(this.clock, options.probeMs);
--- a/src/node/batches/__tests__/itemPlacer.test.ts
+++ b/src/node/batches/__tests__/itemPlacer.test.ts
@@ -48,7 +48,7 @@
       withFreeSlots: () => [],
     },
     permits: { ask: () => Promise.resolve() },
-    suspected: { verdictOf: () => 'unsuspected', recentWorkers: () => new Set() },
+    suspected: { suspicionOf: () => undefined, trialsAt: () => ({}) },
     textRestarts: { restartHeldTexts: () => {} },
     viewGuard: { mayStartRuns: () => true },
     schedule: () => {},
--- a/src/node/batches/heldItems.ts
+++ b/src/node/batches/heldItems.ts
@@ -8,7 +8,7 @@
 import type { ItemRun } from './itemRun.ts';
 import type { ItemState } from './itemState.ts';
 import type { StaleViewGuard } from './staleViewGuard.ts';
-import { countByWorker, justStartedBatches, type SuspectedItems } from './suspectedItems.ts';
+import { countByWorker, type SuspectedItems } from './suspectedItems.ts';
 
 export interface HeldItemsOptions {
   readonly pool: string;
@@ -16,7 +16,7 @@
   readonly logger: Logger;
   readonly metrics: Pick<Metrics, 'itemsHeld'>;
   readonly workers: Pick<EngineWorkers, 'usable' | 'withFreeSlots' | 'permitsOf' | 'versionOf'>;
-  readonly suspected: Pick<SuspectedItems, 'holdOf'>;
+  readonly suspected: Pick<SuspectedItems, 'holdOf' | 'suspicionOf' | 'trialsAt' | 'youngRuns'>;
   readonly viewGuard: Pick<StaleViewGuard, 'mayStartRuns'>;
 }
 
@@ -29,7 +29,7 @@
 }
 
 /** Reports items of open batches that are at no worker for seconds although workers have free slots, and why. */
-export class HeldItems {
+export class HeldItems implements Disposable {
   readonly #options: HeldItemsOptions;
 
   /** Started when an item was first found at no worker. */
@@ -68,7 +68,7 @@
     const { clock, suspected } = this.#options;
     const running = [...runs.values()];
     const poolOf = this.#poolStates(running);
-    const startedBatches = justStartedBatches(running);
+    const youngRuns = suspected.youngRuns(running);
     const groups = new Map<string, HeldGroup>();
     for (const batch of open) {
       for (const state of batch.items.values()) {
@@ -84,7 +84,8 @@
         if (idleMs < MIN_HELD_MS) continue;
         const item = {
           isWaiting: phase === 'waiting',
-          suspicion: suspected.holdOf(state, startedBatches),
+          suspicion: suspected.holdOf(state, youngRuns),
+          trial: suspected.suspicionOf(state),
           allows: (version: number) => text.allows(version),
         };
         const reason = holdReason(item, poolOf(batch.record.model));
@@ -101,7 +102,7 @@
 
   /** State of the pool as the items of a model see it. */
   #poolStates(runs: readonly ItemRun[]): (model: string) => PoolState {
-    const { workers, viewGuard } = this.#options;
+    const { workers, viewGuard, suspected } = this.#options;
     const free = workers.withFreeSlots(countByWorker(runs)).map(({ worker }) => worker.id);
     const usableWorkers = workers.usable().length;
     const mayStartRuns = viewGuard.mayStartRuns();
@@ -110,10 +111,16 @@
       free: free.map((id) => ({
         permits: workers.permitsOf(id),
         version: workers.versionOf(id, model),
+        ...suspected.trialsAt(id),
       })),
     });
   }
 
+  /** Reports no items any more. */
+  [Symbol.dispose](): void {
+    this.#setMetric([]);
+  }
+
   #setMetric(groups: readonly HeldGroup[]): void {
     const { metrics, pool } = this.#options;
     for (const reason of this.#reported) metrics.itemsHeld.set({ pool, reason }, 0);
--- a/src/node/batches/itemPlacer.ts
+++ b/src/node/batches/itemPlacer.ts
@@ -38,7 +38,7 @@
   readonly engine: () => EnginePool | undefined;
   readonly workers: Pick<EngineWorkers, 'eventGapMs' | 'forPlacement' | 'withFreeSlots'>;
   readonly permits: Pick<EnginePermits, 'ask'>;
-  readonly suspected: Pick<SuspectedItems, 'verdictOf' | 'recentWorkers'>;
+  readonly suspected: Pick<SuspectedItems, 'suspicionOf' | 'trialsAt'>;
   readonly textRestarts: Pick<TextRestarts, 'restartHeldTexts'>;
   readonly viewGuard: Pick<StaleViewGuard, 'mayStartRuns'>;
   /** Schedules another placement. */
@@ -71,17 +71,15 @@
     const { clock, engine, workers, suspected, textRestarts, viewGuard } = this.#options;
     const turn = new Stopwatch(clock);
     const running = countByWorker(runs);
-    const suspectedOn = suspected.recentWorkers(runs);
     const placementWorkers = workers
       .forPlacement(running)
-      .map((worker) => ({ ...worker, hasSuspected: suspectedOn.has(worker.id) }));
+      .map((worker) => ({ ...worker, ...suspected.trialsAt(worker.id) }));
     textRestarts.restartHeldTexts(waiting.values(), placementWorkers);
     const tokensPerEvent = engine()?.tokensPerEvent ?? 1;
     const freeSlots = placementWorkers.reduce((sum, worker) => sum + worker.freeSlots, 0);
     const ranks = waiting.size > freeSlots ? this.#groupRanks(open, usable) : undefined;
     const candidates = [...waiting].flatMap(([key, state]) => {
-      const isSuspected = suspected.verdictOf(state) === 'suspected';
-      const item = toWaitingItem(key, state, tokensPerEvent, isSuspected);
+      const item = toWaitingItem(key, state, tokensPerEvent, suspected.suspicionOf(state));
       if (ranks === undefined) return [item];
       const rank = ranks.get(groupKeyOf(state));
       return rank === undefined ? [] : [{ ...item, batchRank: rank }];
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -19,7 +19,6 @@
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
-import type { PoisonGuard } from '../poison/poisonGuard.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
 import { batchDemands, type DispatcherDemand } from './batchDemand.ts';
 import { BatchState, type DispatcherRead } from './batchState.ts';
@@ -44,7 +43,7 @@
 import { unstoredProgress, CheckpointStore } from './checkpointStore.ts';
 import { stopRunsOnLeavingWorkers, stopSlowRuns, stopStalledRuns } from './runSupervision.ts';
 import { sharedPromptOf } from './waitingItem.ts';
-import { countByWorker, SuspectedItems } from './suspectedItems.ts';
+import { countByWorker, SuspectedItems, type SuspectedItemsOptions } from './suspectedItems.ts';
 import { TextRestarts } from './textRestarts.ts';
 import { WeightRefresher } from './weightRefresher.ts';
 import { limitReadSize, ResultLog } from './resultLog.ts';
@@ -64,7 +63,7 @@
   readonly registry: WorkerRegistry;
   readonly limits: RequestLimits;
   readonly permits: Pick<RequestPermits, 'obtain'>;
-  readonly poison: Pick<PoisonGuard, 'verdictOf' | 'recordAnswer' | 'recordBroken'>;
+  readonly poison: SuspectedItemsOptions['poison'];
   readonly engine: () => EnginePool | undefined;
   /** Whether the tables hold client accounts. @default never */
   readonly hasAccounts?: () => boolean;
@@ -200,6 +199,7 @@
     this.#checkpointStores.set(record.id, checkpoints);
     this.#batches.set(record.id, batch);
     this.#refresher.recordBatch(batch);
+    this.#suspected.recordBatch(batch, !takeOver);
     this.#scoring.set(record.id, new AbortController());
     // Progress handed over by the former dispatcher is applied first, because it is newer than its checkpoints.
     for (const item of [...progress, ...restored]) batch.restoreProgress(item);
@@ -304,6 +304,7 @@
     if (this.#closed) return;
     this.#closed = true;
     void this.#timers[Symbol.asyncDispose]();
+    this.#held[Symbol.dispose]();
     this.#options.weights.close();
     for (const run of this.#runs.values()) run.stop('released');
     for (const abort of this.#scoring.values()) abort.abort();
@@ -351,10 +352,11 @@
     const eventsBefore = state.text.events.length;
     const limitPerSecond = this.#options.limits.of(worker.id);
     void run.execute().then(async (end) => {
-      this.#runs.delete(state);
+      // The run counts as one in progress until its worker has been probed, so that its batch starts no other trial.
       if (end.kind === 'broken' && !end.notConnected) {
         await this.#suspected.recordBroken(run, this.#runs.values());
       }
+      this.#runs.delete(state);
       const { logger, metrics, pool } = this.#options;
       logger.info('item-run', { ...runLogFields(run, end, eventsBefore), limitPerSecond });
       metrics.itemRuns.inc({ pool, end: end.kind });
@@ -373,7 +375,7 @@
     }
     state.requeue(worker.id);
     const isStopped = end.kind === 'stopped';
-    if (end.kind === 'complete' || end.kind === 'failed') this.#suspected.recordAnswer(run);
+    this.#updateSuspicion(run, end);
     if (end.kind === 'complete' || (end.kind === 'uncertain' && state.confirmEnd())) {
       this.#workers.recordResult(worker.id, 'answered');
       void this.#score(state);
@@ -389,13 +391,20 @@
       if (run.events === 0) this.#pauseWorker(worker.id, BROKEN_STREAM_BACKOFF_MS);
     } else if (isStopped && end.reason === 'stalled') {
       this.#workers.recordResult(worker.id, 'silent');
-      this.#suspected.recordStall(run);
     } else if (isStopped && end.reason === 'wrong-version') {
       if (state.batch.record.singleVersion) state.restartText(this.#options.term);
     }
     this.schedule();
   }
 
+  #updateSuspicion(run: ItemRun, end: RunEnd): void {
+    const isNotBegun = end.kind === 'not-run' || (end.kind === 'broken' && end.notConnected);
+    if (isNotBegun) this.#suspected.recordNotBegun(run);
+    else if (end.kind === 'complete' || end.kind === 'failed') this.#suspected.recordAnswer(run);
+    else if (end.kind === 'stopped' && end.reason === 'stalled') this.#suspected.recordStall(run);
+    else if (end.kind !== 'broken') this.#suspected.recordOtherEnd(run);
+  }
+
   #handleItemFailure({ state, worker }: ItemRun, statusCode: number): void {
     if (statusCode === REQUEST_FAILED_STATUS) state.recordFailure();
     const exhausted = state.failedAttempts >= state.batch.record.maxAttempts;
--- a/src/node/batches/waitingItem.ts
+++ b/src/node/batches/waitingItem.ts
@@ -35,7 +35,7 @@
   key: string,
   state: ItemState,
   tokensPerEvent: number,
-  suspected: boolean,
+  suspicion: WaitingItem['suspicion'],
 ): WaitingItem => {
   const { item, text, batch, avoidedWorker } = state;
   return {
@@ -46,6 +46,6 @@
     model: batch.record.model,
     allows: (version) => text.allows(version),
     avoidedWorker,
-    suspected,
+    suspicion,
   };
 };
--- a/src/node/decisions/items/__tests__/holdReason.test.ts
+++ b/src/node/decisions/items/__tests__/holdReason.test.ts
@@ -5,12 +5,13 @@
 const reasonOf = ({
   isWaiting = true,
   suspicion = undefined as SuspicionHold | undefined,
+  trial = undefined as 'weak' | 'strong' | undefined,
   mayStartRuns = true,
   usableWorkers = 2,
   free = [{ permits: Infinity, version: 2 }] as readonly FreeWorker[],
 } = {}) =>
   holdReason(
-    { isWaiting, suspicion, allows: (version) => version >= 2 },
+    { isWaiting, suspicion, trial, allows: (version) => version >= 2 },
     { mayStartRuns, usableWorkers, free },
   );
 
@@ -24,5 +25,8 @@
   expect(reasonOf({ free: [{ permits: 1, version: 1 }] })).toEqual('weight-version');
   expect(reasonOf({ free: [{ permits: 1, version: undefined }] })).toEqual('weight-version');
   expect(reasonOf({ free: [{ permits: 0, version: 2 }] })).toEqual('request-limit');
+  const free = [{ permits: 1, version: 2, trialRoom: 1, hasYoungTrial: true }];
+  expect(reasonOf({ trial: 'strong', free })).toEqual('item-suspected');
+  expect(reasonOf({ trial: 'weak', free })).toEqual('not-placed');
   expect(reasonOf()).toEqual('not-placed');
 });
--- a/src/node/decisions/items/__tests__/itemPlacement.test.ts
+++ b/src/node/decisions/items/__tests__/itemPlacement.test.ts
@@ -89,10 +89,29 @@
 
 // Guards against several items that may end their worker on the same one: an innocent one would be held to be deadly.
 test('suspected items start on different workers, and not where another one has just started', () => {
-  const items = ['a', 'b', 'c'].map((key) => item(key, { suspected: true }));
-  const workers = [worker('w1'), worker('w2'), worker('w3', { hasSuspected: true })];
+  const items = ['a', 'b', 'c'].map((key) => item(key, { suspicion: 'weak' }));
+  const workers = [
+    worker('w1', { trialRoom: 1 }),
+    worker('w2', { trialRoom: 1 }),
+    worker('w3', { trialRoom: 0, hasYoungTrial: true }),
+  ];
   const placements = placeItems([...items, item('other')], workers);
   const suspected = placements.filter((placement) => placement.item !== 'other');
   expect(suspected.map((placement) => placement.worker).sort()).toEqual(['w1', 'w2']);
   expect(placements.length).toEqual(3);
 });
+
+// Guards against a deadly item that takes other suspected ones with it a second time.
+test('a strong suspect starts only where no other trial is young, and nothing suspected beside it', () => {
+  const workers = [
+    worker('w1', { trialRoom: 4, hasYoungTrial: true }),
+    worker('w2', { trialRoom: 4 }),
+  ];
+  const strong = item('strong', { suspicion: 'strong', expectedTokens: 200 });
+  const weak = ['a', 'b'].map((key) => item(key, { suspicion: 'weak' }));
+  expect(placeItems([strong, ...weak], workers)).toEqual([
+    { item: 'strong', worker: 'w2' },
+    { item: 'a', worker: 'w1' },
+    { item: 'b', worker: 'w1' },
+  ]);
+});
--- a/src/node/decisions/items/itemPlacement.ts
+++ b/src/node/decisions/items/itemPlacement.ts
@@ -12,8 +12,11 @@
   readonly allows: (version: number) => boolean;
   /** Worker that the item's previous run was taken from; used again only if no other worker is eligible. */
   readonly avoidedWorker?: string;
-  /** Whether a worker ended under the item, so that it starts on no worker with another such item. @default false */
-  readonly suspected?: boolean;
+  /**
+   * Whether workers ended under the item. A `weak` suspect needs room for a trial at its worker; a `strong` one starts only
+   * where no other trial is young. @default no worker ended under it
+   */
+  readonly suspicion?: 'weak' | 'strong' | undefined;
 }
 
 /** The state of a worker that placement decisions use. */
@@ -28,8 +31,10 @@
   readonly versionOf: (model: string) => number | undefined;
   /** Whether the worker has processed the prompt before. */
   readonly hasProcessedPrompt: (prompt: string) => boolean;
-  /** Whether a suspected item has just started there. @default false */
-  readonly hasSuspected?: boolean;
+  /** Number of suspected items that may start there now. @default any number */
+  readonly trialRoom?: number;
+  /** Whether a suspected item that started there has not survived yet. @default false */
+  readonly hasYoungTrial?: boolean;
 }
 
 export interface Placement {
@@ -44,6 +49,18 @@
 export const longestFirst: ItemOrder = (left, right) =>
   left.batchRank - right.batchRank || right.expectedTokens - left.expectedTokens;
 
+/** Whether an item may start at a worker beside the suspected items there. */
+export const hasTrialRoom = (
+  {
+    trialRoom = Infinity,
+    hasYoungTrial = false,
+  }: Pick<PlacementWorker, 'trialRoom' | 'hasYoungTrial'>,
+  suspicion: WaitingItem['suspicion'],
+): boolean => {
+  if (suspicion === undefined) return true;
+  return suspicion === 'strong' ? !hasYoungTrial : trialRoom > 0;
+};
+
 /** Fraction by which each run on a worker slows its other runs: a generation step takes about 3% longer per run. */
 const SLOWDOWN_PER_RUN = 0.03;
 
@@ -61,8 +78,11 @@
 ): Placement[] => {
   const addedRuns = new Map<string, number>();
   const addedPrompts = new Map<string, Set<string>>();
-  const withSuspected = new Set(
-    workers.filter((worker) => worker.hasSuspected).map(({ id }) => id),
+  const trials = new Map(
+    workers.map(({ id, trialRoom = Infinity, hasYoungTrial }) => [
+      id,
+      { trialRoom, hasYoungTrial },
+    ]),
   );
   const costOf = (worker: PlacementWorker, item: WaitingItem): number => {
     const runs = worker.running + (addedRuns.get(worker.id) ?? 0);
@@ -76,8 +96,8 @@
     const eligible = workers.filter((worker) => {
       const version = worker.versionOf(item.model);
       const hasFreeSlot = worker.freeSlots > (addedRuns.get(worker.id) ?? 0);
-      const isAlone = !item.suspected || !withSuspected.has(worker.id);
-      return hasFreeSlot && isAlone && version !== undefined && item.allows(version);
+      const isAllowed = version !== undefined && item.allows(version);
+      return hasFreeSlot && isAllowed && hasTrialRoom(trials.get(worker.id) ?? {}, item.suspicion);
     });
     const others = eligible.filter(({ id }) => id !== item.avoidedWorker);
     const chosen = (others.length > 0 ? others : eligible).reduce<PlacementWorker | undefined>(
@@ -86,7 +106,11 @@
       undefined,
     );
     if (chosen !== undefined) {
-      if (item.suspected) withSuspected.add(chosen.id);
+      if (item.suspicion !== undefined) {
+        const { trialRoom = 0 } = trials.get(chosen.id) ?? {};
+        const isStrong = item.suspicion === 'strong';
+        trials.set(chosen.id, { trialRoom: isStrong ? 0 : trialRoom - 1, hasYoungTrial: true });
+      }
       addedRuns.set(chosen.id, (addedRuns.get(chosen.id) ?? 0) + 1);
       const prompts = addedPrompts.get(chosen.id) ?? new Set();
       addedPrompts.set(chosen.id, prompts.add(item.prompt));
--- a/src/node/decisions/poisonRequests/__tests__/manyEnds.test.ts
+++ b/src/node/decisions/poisonRequests/__tests__/manyEnds.test.ts
@@ -19,9 +19,9 @@
   requests.recordEnd('d', end('a', 0));
   requests.recordEnd('d', end('b', 500, true));
   requests.recordEnd('d', end('c', 7000, true));
-  expect(requests.verdictOf('d', 20_000)).toEqual('condemned');
-  for (const worker of ['x', 'y', 'z']) requests.recordEnd('d', end(worker, 20_000));
-  expect(requests.verdictOf('d', 20_010)).toEqual('condemned');
+  expect(requests.verdictOf('d', 18_000)).toEqual('condemned');
+  for (const worker of ['x', 'y', 'z']) requests.recordEnd('d', end(worker, 18_000));
+  expect(requests.verdictOf('d', 29_000)).toEqual('condemned');
 });
 
 // Guards against an end that is news each time another node sends it, and a line in the log for each message.
--- a/src/node/decisions/poisonRequests/__tests__/poisonRequests.test.ts
+++ b/src/node/decisions/poisonRequests/__tests__/poisonRequests.test.ts
@@ -5,9 +5,9 @@
   MAX_SUSPECTED_REQUESTS,
   MAX_WORKER_ENDS,
   PoisonRequests,
-  REQUEST_RETRIAL_MS,
   SUSPICION_TTL_MS,
 } from '../poisonRequests.ts';
+import { requestRetrialPauseMs } from '../retrialPause.ts';
 
 const end = (worker: string, atMs = 0, trial = false) => ({ worker, trial, atMs });
 
@@ -35,17 +35,18 @@
   expect(requests.verdictOf('d', 1000)).toEqual('suspected');
 });
 
-// Guards against refusing a request of many callers for a minute because workers were lost twice in a short time.
-test('a condemned request is tried once more after a pause, and held until it expires if that fails as well', () => {
+// Guards against refusing a request of many callers for a minute because workers were lost several times in a short time.
+test('a condemned request is tried again after a pause, which doubles with each trial that fails', () => {
   const requests = new PoisonRequests();
   requests.recordEnd('d', end('a'));
-  requests.recordEnd('d', end('b', 100, true));
-  expect(requests.verdictOf('d', 99 + REQUEST_RETRIAL_MS)).toEqual('condemned');
-  expect(requests.verdictOf('d', 100 + REQUEST_RETRIAL_MS)).toEqual('suspected');
-  const secondMs = 200 + REQUEST_RETRIAL_MS;
-  requests.recordEnd('d', end('c', secondMs, true));
-  expect(requests.verdictOf('d', 99 + SUSPICION_TTL_MS)).toEqual('condemned');
-  expect(requests.verdictOf('d', secondMs + SUSPICION_TTL_MS)).toEqual('unsuspected');
+  let failedMs = 100;
+  for (let failedTrials = 1; failedTrials <= 3; failedTrials += 1) {
+    requests.recordEnd('d', end(`w${failedTrials}`, failedMs, true));
+    const pauseMs = requestRetrialPauseMs(failedTrials);
+    expect(requests.verdictOf('d', failedMs + pauseMs - 1)).toEqual('condemned');
+    expect(requests.verdictOf('d', failedMs + pauseMs)).toEqual('suspected');
+    failedMs += pauseMs + 10;
+  }
 });
 
 // Guards against refusing requests for good that ran on a worker by chance when it ended.
--- a/src/node/decisions/poisonRequests/poisonRequests.ts
+++ b/src/node/decisions/poisonRequests/poisonRequests.ts
@@ -1,8 +1,13 @@
+import { requestRetrialPauseMs, type RetrialPause } from './retrialPause.ts';
+
 /** The end of a worker's process while it ran a request. */
 export interface WorkerEnd {
   /** Worker and its start. */
   readonly worker: string;
-  /** Whether the request ran as a trial: its node ran no other suspected request on the worker. */
+  /**
+   * Whether the request ran as a trial that failed: its node ran no other suspected request on the worker, and no other
+   * worker ended at the same time.
+   */
   readonly trial: boolean;
   readonly atMs: number;
 }
@@ -30,14 +35,11 @@
 /** Ends within this time of each other count as one, in ms: workers of a zone are lost within it. */
 const SAME_LOSS_MS = 1000;
 
-/** Number of trials that may fail before a request is not sent on until its suspicion expires. */
-const MAX_FAILED_TRIALS = 2;
-
 /**
- * Time from the last end to another trial of a condemned request, in ms. Longer than callers take to come back, and short
- * enough that a request which many callers send is not refused for long after workers were lost by chance.
+ * Maximum number of ends that are kept of a request. Several nodes may try it at the same time, and the ends of earlier
+ * trials must not be pushed out.
  */
-export const REQUEST_RETRIAL_MS = 6000;
+export const MAX_KEPT_ENDS = 24;
 
 /** Time after which the end of a worker is no longer held against a request, in ms. */
 export const SUSPICION_TTL_MS = 60_000;
@@ -71,16 +73,24 @@
     return this.#requests.size;
   }
 
-  /** @param retrialMs - time from the last end of a worker to another trial */
-  verdictOf(digest: string, nowMs: number, retrialMs = REQUEST_RETRIAL_MS): PoisonVerdict {
+  /** @param pauseMs - time from the last end of a worker to another trial */
+  verdictOf(
+    digest: string,
+    nowMs: number,
+    pauseMs: RetrialPause = requestRetrialPauseMs,
+  ): PoisonVerdict {
     const ends = this.#currentEnds(digest, nowMs);
     if (ends.length === 0) return 'unsuspected';
     const failedTrials = countLosses(ends.filter(({ trial }) => trial));
-    if (failedTrials >= MAX_FAILED_TRIALS) return 'condemned';
     const hasFailedTrial = failedTrials > 0 && ends.length >= MAX_WORKER_ENDS_WITH_TRIAL;
     if (!hasFailedTrial && countLosses(ends) < MAX_WORKER_ENDS) return 'suspected';
     const lastEndMs = Math.max(...ends.map(({ atMs }) => atMs));
-    return nowMs - lastEndMs < retrialMs ? 'condemned' : 'suspected';
+    return nowMs - lastEndMs < pauseMs(failedTrials) ? 'condemned' : 'suspected';
+  }
+
+  /** When a worker ended last under the request; -Infinity if none did. */
+  lastEndMs(digest: string, nowMs: number): number {
+    return Math.max(-Infinity, ...this.#currentEnds(digest, nowMs).map(({ atMs }) => atMs));
   }
 
   /** Whether a worker ended during a trial of the request. */
@@ -109,18 +119,22 @@
     const known = this.#requests.get(digest);
     const knownEnds = known?.ends ?? [];
     const knownAnsweredMs = known?.answeredMs ?? -Infinity;
+    // The end of a trial is known before it is known that no other worker ended at the same time.
     const added = ends.filter(
-      ({ worker, atMs }) =>
-        nowMs - atMs < SUSPICION_TTL_MS && knownEnds.every((end) => end.worker !== worker),
+      ({ worker, trial, atMs }) =>
+        nowMs - atMs < SUSPICION_TTL_MS &&
+        knownEnds.every((end) => end.worker !== worker || (trial && !end.trial)),
     );
-    if (added.length === 0 && (known === undefined || answeredMs <= knownAnsweredMs)) return false;
+    const unchanged = knownEnds.filter(({ worker }) => added.every((end) => end.worker !== worker));
+    // The latest ends count: an answer may have cleared the earlier ones.
+    const kept = [...unchanged, ...added]
+      .sort((left, right) => left.atMs - right.atMs)
+      .slice(-MAX_KEPT_ENDS);
+    const isNews = added.some((end) => kept.includes(end));
+    if (!isNews && (known === undefined || answeredMs <= knownAnsweredMs)) return false;
     this.#requests.delete(digest);
     this.#requests.set(digest, {
-      digest,
-      // The latest ends count: an answer may have cleared the earlier ones.
-      ends: [...knownEnds, ...added]
-        .sort((left, right) => left.atMs - right.atMs)
-        .slice(-MAX_WORKER_ENDS),
+      ...{ digest, ends: kept },
       answeredMs: Math.max(knownAnsweredMs, answeredMs),
     });
     this.#evict(nowMs);
--- a/src/node/gateway/requestPath.ts
+++ b/src/node/gateway/requestPath.ts
@@ -48,7 +48,11 @@
   });
   const isMostUrgent = (priority: number, pool: string) =>
     priority <= tables.mostUrgentPriority(pool);
-  const poison = new PoisonGuard({ clock, logger, metrics });
+  const poison = new PoisonGuard({
+    ...{ clock, logger, metrics, random },
+    workersOf: (pool) => registry.usable(pool),
+    isLeaving: (worker) => registry.find(worker)?.draining ?? true,
+  });
   const poisonExchange = store.add(
     new PoisonExchange({
       ...{ clock, random, logger, guard: poison, view },
--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -10,7 +10,9 @@
 import type { ForwardedRequest, ResponseOutcome } from './forwardedRequest.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
 import type { LoadBalancer } from './loadBalancer.ts';
-import type { PoisonGuard } from '../poison/poisonGuard.ts';
+import { survivalMs } from '../decisions/poisonRequests/survival.ts';
+import { MIN_ENDS_TO_RUN_ALONE } from '../decisions/poisonRequests/trialWindows.ts';
+import { MAX_TRIAL_MS, type PoisonGuard } from '../poison/poisonGuard.ts';
 import { createResponseReader } from './readResponse.ts';
 import { isEventStream } from './streamRelay.ts';
 import type { UsageCounter } from '../usage/usageCounter.ts';
@@ -120,6 +122,7 @@
     const { poison, logger, loadBalancer } = this.#options;
     const workerCount = loadBalancer.candidates(options.pool, new Set(), true).length;
     const notSent = { worker: { id: '' }, mayHaveRun: false };
+    await poison.judged(request);
     using slot =
       poison.verdictOf(request) === 'condemned'
         ? undefined
@@ -137,6 +140,7 @@
     if (slot === undefined) return { ...notSent, reason: 'the request waited for a trial in vain' };
     const trial = verdict === 'suspected';
     const result = await this.#start(request, route, { ...options, trial });
+    if (result?.response !== undefined) slot.pass();
     return result ?? { ...notSent, reason: 'no worker is available for a trial' };
   }
 
@@ -147,9 +151,9 @@
   ): Promise<AttemptResult> | undefined {
     const remainingMs = request.budgetMs - request.sinceArrival.elapsedMs();
     if (remainingMs < MIN_REMAINING_MS) return undefined;
-    const { loadBalancer, limits, poison } = this.#options;
+    const { loadBalancer, limits } = this.#options;
     const { pool, tried, optional = false, trial = false } = options;
-    const avoided = trial ? new Set([...tried, ...poison.trialWorkers]) : tried;
+    const avoided = trial ? new Set([...tried, ...this.#withoutTrialRoom(request, pool)]) : tried;
     const candidates = loadBalancer.candidates(pool, avoided, tried.size < route.maxAttempts);
     const free = candidates.filter(({ id }) => limits.of(id) === undefined);
     const worker = loadBalancer.choose(optional ? free : candidates, route);
@@ -161,6 +165,16 @@
     return this.#runWithPermit({ free, limited }, request, route, options);
   }
 
+  /** Workers where no other trial may start now. One that has failed before starts only where no other is young. */
+  #withoutTrialRoom(request: ForwardedRequest, pool: string): string[] {
+    const { loadBalancer, poison } = this.#options;
+    const isStrong = poison.endsOf(request) >= MIN_ENDS_TO_RUN_ALONE;
+    return loadBalancer
+      .candidates(pool, new Set(), true)
+      .map(({ id }) => id)
+      .filter((id) => (isStrong ? poison.windows.hasYoungAt(id) : poison.windows.roomAt(id) === 0));
+  }
+
   /** Sends the request to a worker with a request limit, if that leaves room for it in time, or else to another one. */
   async #runWithPermit(
     { free, limited }: Record<'free' | 'limited', readonly RegisteredWorker[]>,
@@ -218,18 +232,26 @@
     const started = new Stopwatch(clock);
     using counted = usage?.startAttempt(request, route.name);
     tried.add(worker.id);
-    if (options.trial) poison.trialWorkers.add(worker.id);
+    const trial = options.trial ? poison.windows.start(worker.id) : undefined;
+    const endTrial = (hasPassed: boolean) => {
+      if (trial !== undefined) poison.windows[hasPassed ? 'pass' : 'end'](worker.id, trial);
+    };
+    const passTimer = clock.schedule(MAX_TRIAL_MS, () => endTrial(true));
     const placement = loadBalancer.begin(worker.id, route);
     let result: WorkerResult | 'abandoned' = 'failed';
     let load: WorkerLoad | undefined;
     let isBroken = false;
+    let sinceBegun: Stopwatch | undefined;
     let attemptResult: AttemptResult;
     try {
       const account = request.account?.name;
       const message = { requestId, method, path, host, headers, body, account, remainingMs };
       const response = await calls.send(worker, { ...message, newConnection, resumeAfter }, signal);
       ({ load } = response);
-      const began = () => counted?.began(response.load?.waiting);
+      const began = () => {
+        sinceBegun ??= new Stopwatch(clock);
+        counted?.began(response.load?.waiting);
+      };
       // A stream counts with its first event.
       if (!response.notRun && !isEventStream(response)) began();
       attemptResult = await read(worker, response, began);
@@ -244,11 +266,16 @@
       else isBroken = !notConnected;
     }
     loadBalancer.release(placement, result, load);
-    if (options.trial) poison.trialWorkers.delete(worker.id);
     if (isBroken) {
       const others = loadBalancer.inFlightOn(worker.id);
-      await poison.recordBroken({ request, worker, pool, trial: options.trial ?? false, others });
+      // A worker that had generated a part of the response for some time did not end because the request had started.
+      const hasSurvived = (sinceBegun?.elapsedMs() ?? 0) > survivalMs(0);
+      const isTrial = !hasSurvived && (trial?.isAlone ?? false);
+      const startedMs = clock.monotonicMs() - started.elapsedMs();
+      await poison.recordBroken({ request, worker, pool, trial: isTrial, startedMs, others });
     }
+    passTimer[Symbol.dispose]();
+    endTrial(attemptResult.response !== undefined);
     logger.info('worker-attempt', {
       request: requestId,
       route: route.name,
--- a/src/node/poison/__tests__/poisonExchange.test.ts
+++ b/src/node/poison/__tests__/poisonExchange.test.ts
@@ -8,7 +8,7 @@
 import { NodeIdentitySchema } from '../../../gen/hyssoppulley/v1/peer_pb.ts';
 import { seededRandom } from '../../../shared/random.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
-import { REQUEST_RETRIAL_MS } from '../../decisions/poisonRequests/poisonRequests.ts';
+import { requestRetrialPauseMs } from '../../decisions/poisonRequests/retrialPause.ts';
 import type { Peer } from '../../membership/membershipView.ts';
 import { silentLogger } from '../../observability/logger.ts';
 import { createMetrics } from '../../observability/metrics.ts';
@@ -71,6 +71,7 @@
           worker: { ...WORKER, id },
           pool: 'p',
           trial,
+          startedMs: clock.monotonicMs(),
           others: 0,
         },
       }),
@@ -137,7 +138,14 @@
         endProbe = resolve;
       }),
   });
-  const broken = { request: REQUEST, worker: WORKER, pool: 'p', trial: false, others: 0 };
+  const broken = {
+    request: REQUEST,
+    worker: WORKER,
+    pool: 'p',
+    trial: false,
+    startedMs: 0,
+    others: 0,
+  };
   const recorded = guard.recordBroken(broken);
   expect(guard.verdictOf({ ...REQUEST })).toEqual('suspected');
   expect(guard.verdictOf({ ...REQUEST, path: '/other' })).toEqual('unsuspected');
@@ -152,7 +160,7 @@
   const guard = guardOf('a');
   await recordEnd('a', 'w1', false);
   await recordEnd('a', 'w2', true);
-  await clock.advanceAsync(REQUEST_RETRIAL_MS);
+  await clock.advanceAsync(requestRetrialPauseMs(1));
   expect(guard?.verdictOf({ ...REQUEST })).toEqual('suspected');
   const startTrial = () => guard?.startTrial({ ...REQUEST }, 'p', 8, new AbortController().signal);
   using first = await startTrial();
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -3,18 +3,34 @@
   type SuspectStatus,
   SuspectStatusSchema,
 } from '../../gen/hyssoppulley/v1/gateway_operator_pb.ts';
-import type { Clock } from '../../shared/clock.ts';
+import { type Clock, sleep } from '../../shared/clock.ts';
+import type { Random } from '../../shared/random.ts';
+import { COMMON_LOSS_MS, CommonLosses } from '../decisions/poisonRequests/commonLosses.ts';
 import { PoisonRequests, type PoisonVerdict } from '../decisions/poisonRequests/poisonRequests.ts';
+import {
+  requestRetrialPauseMs,
+  type RetrialPause,
+} from '../decisions/poisonRequests/retrialPause.ts';
+import { TrialWindows } from '../decisions/poisonRequests/trialWindows.ts';
 import type { CalledWorker } from '../gateway/workerCalls.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
 import { type DigestedRequest, requestDigest } from './requestDigest.ts';
-import { TrialSlots } from './trialSlots.ts';
+import { type TrialSlot, TrialSlots } from './trialSlots.ts';
 import { WorkerEndProbe } from './workerEndProbe.ts';
 
 /** Longest time for which a suspected request keeps others waiting, in ms; streams and long requests go on beside them. */
 export const MAX_TRIAL_MS = 250;
 
+/** Longest time for which a request with a failed trial keeps equal ones from being tried, in ms. */
+const MAX_RETRIAL_MS = 1000;
+
+/** Largest part by which a node's pauses are longer than those of others, so that not all nodes try a request at once. */
+const MAX_PAUSE_SPREAD = 0.5;
+
+/** Number of other workers that are probed when a worker ended during a trial. */
+const MAX_PROBED_WORKERS = 3;
+
 /** Part of a pool's workers on which suspected requests run at the same time, one on each. */
 const MAX_TRIAL_SHARE = 0.5;
 
@@ -22,8 +38,14 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Pick<Metrics, 'workerEnds'>;
+  /** Draws by how much later than others this node tries condemned requests again. @default no later */
+  readonly random?: Random;
   /** @default a connection to the worker's address */
   readonly hasEnded?: (address: string) => Promise<boolean>;
+  /** Whether a worker has said that it leaves, or is no longer registered; its end is then no news. @default never */
+  readonly isLeaving?: (worker: string) => boolean;
+  /** Workers of a pool, of which some are probed to find out whether several are lost. @default none is probed */
+  readonly workersOf?: (pool: string) => readonly CalledWorker[];
 }
 
 /** An attempt that a worker broke off. */
@@ -33,24 +55,36 @@
   readonly pool: string;
   /** Whether the request ran as a trial. */
   readonly trial: boolean;
+  /** Monotonic time at which it was sent to the worker, in ms. */
+  readonly startedMs: number;
   /** Number of this node's other requests on the worker. */
   readonly others: number;
 }
 
+/** Identifies one start of a worker. */
+export const startOf = ({ id, startedAtMs }: CalledWorker): string => `${id}@${startedAtMs}`;
+
 /** Recognises requests under which workers end, and keeps them from further workers. */
 export class PoisonGuard {
   readonly requests = new PoisonRequests();
 
-  /** Workers on which this node runs a suspected request. */
-  readonly trialWorkers = new Set<string>();
+  /** Suspected requests that this node runs at each worker, by worker. */
+  readonly windows = new TrialWindows();
 
   readonly #options: PoisonGuardOptions;
 
   readonly #trials = new TrialSlots();
 
+  readonly #losses = new CommonLosses();
+
+  /** Resolved when it is known whether the last trial of a request has failed, by digest. */
+  readonly #judged = new Map<string, Promise<void>>();
+
   /** Digests of requests with a failed trial that are tried again now. */
   readonly #retried = new Set<string>();
 
+  readonly #requestPauseMs: RetrialPause;
+
   readonly #hasEnded: (address: string) => Promise<boolean>;
 
   #onChange: ((digest: string) => void) | undefined;
@@ -63,6 +97,8 @@
   constructor(options: PoisonGuardOptions) {
     this.#options = options;
     const probe = new WorkerEndProbe(options.clock);
+    const pauseFactor = 1 + MAX_PAUSE_SPREAD * (options.random?.() ?? 0);
+    this.#requestPauseMs = (failedTrials) => pauseFactor * requestRetrialPauseMs(failedTrials);
     this.#hasEnded = options.hasEnded ?? ((address) => probe.hasEnded(address));
   }
 
@@ -74,14 +110,15 @@
   /**
    * What to do with a request.
    *
-   * @param retrialMs - time from the last end of a worker to another trial @default `REQUEST_RETRIAL_MS`
+   * @param pauseMs - time from the last end of a worker to another trial @default that of requests
    */
-  verdictOf(request: DigestedRequest, retrialMs?: number): PoisonVerdict {
+  verdictOf(request: DigestedRequest, pauseMs: RetrialPause = this.#requestPauseMs): PoisonVerdict {
     // Without suspected requests, none is digested.
     if (this.requests.size === 0 && this.#probed.size === 0) return 'unsuspected';
     const digest = this.#digestOf(request);
+    if (this.#judged.has(digest)) return 'condemned';
     const nowMs = this.#options.clock.monotonicMs();
-    const verdict = this.requests.verdictOf(digest, nowMs, retrialMs);
+    const verdict = this.requests.verdictOf(digest, nowMs, pauseMs);
     // Without this, a slow probe lets a hedged attempt take a second worker with it.
     return verdict === 'unsuspected' && this.#probed.has(digest) ? 'suspected' : verdict;
   }
@@ -91,8 +128,14 @@
     return this.requests.endsOf(this.#digestOf(request), this.#options.clock.monotonicMs());
   }
 
+  /** Time since a worker ended under a request, in ms; infinite if none did. */
+  sinceLastEndMs(request: DigestedRequest): number {
+    const nowMs = this.#options.clock.monotonicMs();
+    return nowMs - this.requests.lastEndMs(this.#digestOf(request), nowMs);
+  }
+
   /**
-   * Waits until a suspected request may run. The result ends its trial, which also ends after `MAX_TRIAL_MS`; undefined if
+   * Waits until a suspected request may run. The result ends its trial, which is survived after `MAX_TRIAL_MS`; undefined if
    * `signal` was aborted first, or if an equal request with a failed trial is being tried again.
    *
    * @param workerCount - number of workers of the pool
@@ -102,7 +145,7 @@
     pool: string,
     workerCount: number,
     signal: AbortSignal,
-  ): Promise<Disposable | undefined> {
+  ): Promise<TrialSlot | undefined> {
     const capacity = Math.max(1, Math.floor(workerCount * MAX_TRIAL_SHARE));
     const slot = await this.#trials.acquire(pool, capacity, signal);
     if (slot === undefined) return undefined;
@@ -112,41 +155,68 @@
       return undefined;
     }
     const { clock } = this.#options;
-    if (this.requests.hasFailedTrial(digest, clock.monotonicMs())) this.#retried.add(digest);
+    const isRetrial = this.requests.hasFailedTrial(digest, clock.monotonicMs());
+    if (isRetrial) this.#retried.add(digest);
+    const endRetrial = () => isRetrial && this.#retried.delete(digest);
     let ended = false;
     const end = () => {
       if (ended) return;
       ended = true;
-      this.#retried.delete(digest);
       slot[Symbol.dispose]();
     };
-    const timer = clock.schedule(MAX_TRIAL_MS, end);
+    const pass = () => {
+      if (ended) return;
+      slot.pass();
+      end();
+    };
+    const timers = [clock.schedule(MAX_TRIAL_MS, pass), clock.schedule(MAX_RETRIAL_MS, endRetrial)];
     return {
-      [Symbol.dispose]() {
-        timer[Symbol.dispose]();
+      pass,
+      [Symbol.dispose]: () => {
+        for (const timer of timers) timer[Symbol.dispose]();
+        endRetrial();
         end();
       },
     };
   }
 
-  /** Finds out whether the worker has ended, and holds that against the request. Returns whether it has. */
-  async recordBroken({ request, worker, pool, trial, others }: BrokenAttempt): Promise<boolean> {
+  /**
+   * Finds out whether the worker has ended, and holds that against the request. Returns whether it has. A trial counts as
+   * failed only if no other worker of the pool ended at the same time: several are lost together for another reason.
+   */
+  async recordBroken(attempt: BrokenAttempt): Promise<boolean> {
+    const { request, worker } = attempt;
+    if (this.#options.isLeaving?.(worker.id)) return false;
     // Before the wait, because the body's memory is returned once the caller has its answer.
     const digest = this.#digestOf(request);
     this.#probed.set(digest, (this.#probed.get(digest) ?? 0) + 1);
     const hasEnded = await this.#hasEnded(worker.address).finally(() => this.#endProbe(digest));
-    if (!hasEnded) return false;
-    const { clock, logger, metrics } = this.#options;
+    if (hasEnded) this.#recordEnd(attempt, digest);
+    return hasEnded;
+  }
+
+  /**
+   * Finds out whether other workers of the pool were lost together with one that has just ended during a trial, so that the
+   * trial says nothing.
+   *
+   * @param startedMs - when the trial started
+   */
+  async isCommonLoss(pool: string, worker: CalledWorker, startedMs: number): Promise<boolean> {
+    const { clock, workersOf } = this.#options;
     const atMs = clock.monotonicMs();
-    this.requests.recordEnd(digest, { worker: `${worker.id}@${worker.startedAtMs}`, trial, atMs });
-    metrics.workerEnds.inc({ pool, trial: String(trial) });
-    logger.warn('worker-ended-under-request', {
-      ...{ request: request.id, digest, worker: worker.id, pool, trial, others },
-      ends: this.requests.endsOf(digest, atMs),
-      verdict: this.requests.verdictOf(digest, atMs),
-    });
-    this.#onChange?.(digest);
-    return true;
+    const others = (workersOf?.(pool) ?? [])
+      .filter((other) => other.id !== worker.id && !this.#losses.hasLost(startOf(other)))
+      .slice(0, MAX_PROBED_WORKERS);
+    const [probes] = await Promise.all([
+      Promise.all(others.map(({ address }) => this.#hasEnded(address))),
+      sleep(clock, COMMON_LOSS_MS),
+    ]);
+    return probes.includes(true) || this.#losses.isCommon(pool, startOf(worker), atMs, startedMs);
+  }
+
+  /** Resolves when it is known whether the last trial of a request has failed. */
+  async judged(request: DigestedRequest): Promise<void> {
+    if (this.#judged.size > 0) await this.#judged.get(this.#digestOf(request));
   }
 
   /**
@@ -184,6 +254,41 @@
     this.#onChange?.(digest);
   }
 
+  #recordEnd(attempt: BrokenAttempt, digest: string): void {
+    const { worker, pool, trial, startedMs } = attempt;
+    const { clock } = this.#options;
+    const atMs = clock.monotonicMs();
+    const end = { worker: startOf(worker), atMs };
+    this.windows.reset(worker.id);
+    this.#trials.reset(pool);
+    this.#losses.record(pool, startOf(worker), atMs);
+    this.requests.recordEnd(digest, { ...end, trial: false });
+    if (!trial) {
+      this.#reportEnd(attempt, digest);
+      return;
+    }
+    this.#onChange?.(digest);
+    const judged = this.isCommonLoss(pool, worker, startedMs).then((isCommon) => {
+      if (this.#judged.get(digest) === judged) this.#judged.delete(digest);
+      const hasFailed = !isCommon;
+      if (hasFailed) this.requests.recordEnd(digest, { ...end, trial: true });
+      this.#reportEnd({ ...attempt, trial: hasFailed }, digest);
+    });
+    this.#judged.set(digest, judged);
+  }
+
+  #reportEnd({ request, worker, pool, trial, others }: BrokenAttempt, digest: string): void {
+    const { clock, logger, metrics } = this.#options;
+    const nowMs = clock.monotonicMs();
+    metrics.workerEnds.inc({ pool, trial: String(trial) });
+    logger.warn('worker-ended-under-request', {
+      ...{ request: request.id, digest, worker: worker.id, pool, trial, others },
+      ends: this.requests.endsOf(digest, nowMs),
+      verdict: this.requests.verdictOf(digest, nowMs),
+    });
+    this.#onChange?.(digest);
+  }
+
   #endProbe(digest: string): void {
     const left = (this.#probed.get(digest) ?? 1) - 1;
     if (left === 0) this.#probed.delete(digest);
