fix(data-path): an abort by the last event of a response does not end the process

Cause: a request that is aborted in the turn in which its response ends destroys the connection with an error after Node has removed its own listener. In a dispatcher the weight version of an item's last event does this; the process ended with it. Ruled out: another order of aborts in the callers. Any of them may come in this turn, so the client that owns the connections handles their errors. Change: each connection of the workers' client has a listener for errors; requests still report them.

--- a/src/node/dataPath/workerHttpClient.ts
+++ b/src/node/dataPath/workerHttpClient.ts
@@ -132,6 +132,9 @@
       request.once('socket', (socket) => {
         connected = !socket.connecting;
         if (connected) return;
+        // A request that is aborted as its response ends destroys the connection with an error after Node has removed its own
+        // listener. Without this one, the error would end the process.
+        socket.on('error', () => {});
         // TCP keep-alive ends a connection whose network path was lost after about 15 s, even while the worker still
         // lists the request.
         socket.setKeepAlive(true, 5000);
