test(batches): an item whose first event comes late is taken from each worker

Cause: a run without an event for ten usual gaps (350 ms at least) is stopped, and its item starts at another worker under the same limit. Where the first event takes longer than that everywhere, no run of the item ever ends. Ruled out: the suspension of the workers prevents nothing; with all of them suspended, all are used.

--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -7,6 +7,7 @@
   BatchRecordSchema,
   ItemProgressSchema,
 } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
+import { sleep } from '../../../shared/clock.ts';
 import { seededRandom } from '../../../shared/random.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
 import { WorkerCallError } from '../../dataPath/workerHttpClient.ts';
@@ -20,7 +21,7 @@
 import { WeightLoads } from '../../weights/weightLoads.ts';
 import { PoisonGuard } from '../../poison/poisonGuard.ts';
 import { PartialTextCache } from '../partialTextCache.ts';
-import type { GenerationEnd } from '../generationCalls.ts';
+import type { GenerationEnd, GenerationListener } from '../generationCalls.ts';
 import type { ItemScorer } from '../itemScorer.ts';
 import { PoolDispatcher } from '../poolDispatcher.ts';
 
@@ -42,6 +43,7 @@
  * Starts a dispatcher with one worker.
  *
  * @param ends - ends of the first runs; the others never end
+ * @param generate - takes the place of `ends`
  */
 const startDispatcher = (
   onStart: (state: {
@@ -51,6 +53,12 @@
     register: (startedAtMs: number) => void;
   }) => void = () => {},
   ends: readonly (GenerationEnd | 'broken')[] = [],
+  generate?: (
+    clock: VirtualClock,
+    request: DispatchedRequest,
+    listener: GenerationListener,
+    signal: AbortSignal,
+  ) => Promise<GenerationEnd>,
 ) => {
   const clock = new BusyClock();
   const platform = new InMemoryPlatform();
@@ -87,10 +95,11 @@
     metrics: createMetrics(),
     engine: () => ({ slots: 8, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] }),
     calls: {
-      generate: (_worker, request) => {
+      generate: (_worker, request, listener, signal) => {
         started.push(request.requestId);
         requests.push(request);
         onStart({ clock, view, register });
+        if (generate !== undefined) return generate(clock, request, listener, signal);
         const end = ends[started.length - 1];
         if (end === 'broken') return Promise.reject(new WorkerCallError('connection reset'));
         return end === undefined ? new Promise<GenerationEnd>(() => {}) : Promise.resolve(end);
@@ -228,3 +237,59 @@
   expect(started.length).toEqual(before);
   dispatcher[Symbol.dispose]();
 });
+
+/** Number of events in each text of `generateAfter`. */
+const EVENT_COUNT = 4;
+
+/** Generates texts with a gap of 10 ms between events. */
+const generateAfter =
+  (firstEventMs: (item: string) => number) =>
+  async (
+    clock: VirtualClock,
+    { requestId, resumeAfter = 0 }: DispatchedRequest,
+    listener: GenerationListener,
+    signal: AbortSignal,
+  ): Promise<GenerationEnd> => {
+    listener.onResponseStart(2, undefined);
+    await sleep(clock, firstEventMs(requestId), signal);
+    for (let number = resumeAfter + 1; number <= EVENT_COUNT; number += 1) {
+      if (signal.aborted) throw new WorkerCallError('aborted');
+      listener.onEvent({ number, data: 'x', version: 2 });
+      await sleep(clock, 10, signal);
+    }
+    return { kind: 'complete' };
+  };
+
+// Guards against an item that is taken from one worker after the other for as long as its batch is open, because each of them
+// needs longer for the prompt than ten gaps between events.
+test('an item whose first event takes longer than the usual stall limit is completed', async () => {
+  const firstEventMs = (item: string) => (item === 'slow-item' ? 900 : 10);
+  const { clock, dispatcher, started } = startDispatcher(() => {}, [], generateAfter(firstEventMs));
+  await dispatcher.add(...batchOf('usual'));
+  await clock.advanceAsync(1000);
+  await dispatcher.add(...batchOf('slow'));
+  await clock.advanceAsync(5000);
+  expect((await dispatcher.read('slow', 0, 0))?.results.length).toEqual(1);
+  expect(started.length <= 4).toEqual(true);
+  dispatcher[Symbol.dispose]();
+});
+
+// Guards against an item that stays with a worker that does not respond, and against a longer wait at each further one.
+test('an item leaves silent workers after 350 ms at first and after 3 s at most', async () => {
+  const startedMs: number[] = [];
+  const { clock, dispatcher } = startDispatcher(
+    (state) => startedMs.push(state.clock.monotonicMs()),
+    [],
+    generateAfter((item) => (item === 'silent-item' ? Infinity : 10)),
+  );
+  await dispatcher.add(...batchOf('usual'));
+  await clock.advanceAsync(1000);
+  await dispatcher.add(...batchOf('silent'));
+  await clock.advanceAsync(30_000);
+  const [, ...silentMs] = startedMs;
+  const waitsMs = silentMs.slice(1).map((atMs, index) => atMs - (silentMs[index] ?? 0));
+  const [firstMs = 0] = waitsMs;
+  expect(firstMs >= 350 && firstMs <= 450).toEqual(true);
+  expect(Math.max(...waitsMs) <= 3100).toEqual(true);
+  dispatcher[Symbol.dispose]();
+});
