fix(batches): the time without an event after which a run is stopped grows with each stop in vain

Cause: the limit follows the gaps between events (350 ms with gaps of up to 35 ms), but also ends runs that wait for their first event. Where reading the prompt or waiting for a slot takes longer on every worker, an item goes from one to the next without end; users count none of these runs, because each is ended within a second. Ruled out: a longer limit for every first event, because a silent worker would then hold each new item as long. Change: the limit doubles, up to 3 s, with each run of an item that was stopped without an event, until a run adds one. A first event that takes more than 3 s everywhere still has no run that waits for it.

--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -25,6 +25,8 @@
 
   #restarts = 0;
 
+  #stalledRuns = 0;
+
   readonly #request: DigestedRequest & { readonly id: string };
 
   readonly #uncertainEnd = new UncertainEnd();
@@ -56,6 +58,11 @@
     return this.#failedAttempts;
   }
 
+  /** Number of runs that were stopped because no event came, since the last run with an event. */
+  get stalledRuns(): number {
+    return this.#stalledRuns;
+  }
+
   /** Worker of the item's previous run, which the next placement avoids if possible. */
   get avoidedWorker(): string | undefined {
     return this.#avoidedWorker;
@@ -97,6 +104,16 @@
     this.#failedAttempts += 1;
   }
 
+  /**
+   * Records whether a run made progress.
+   *
+   * @param events - number of events that it added
+   */
+  recordProgress(events: number, wasStalled: boolean): void {
+    if (events > 0) this.#stalledRuns = 0;
+    else if (wasStalled) this.#stalledRuns += 1;
+  }
+
   /** Records that a run may have ended as a broken one. Returns whether the text is complete. */
   confirmEnd(): boolean {
     return this.#uncertainEnd.confirm(this.text.events.length);
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -358,6 +358,7 @@
     }
     state.requeue(worker.id);
     const isStopped = end.kind === 'stopped';
+    state.recordProgress(run.events, isStopped && end.reason === 'stalled');
     if (end.kind === 'complete' || (end.kind === 'uncertain' && state.confirmEnd())) {
       this.#workers.recordResult(worker.id, 'answered');
       void this.#score(state);
--- a/src/node/batches/runSupervision.ts
+++ b/src/node/batches/runSupervision.ts
@@ -1,13 +1,20 @@
 import { selectRunsToRelocate, selectRunsToSave } from '../decisions/runRelocation.ts';
 import type { WorkerRegistry } from '../gateway/workerRegistry.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
+import { MAX_STALL_MS } from './constants.ts';
 import type { EngineWorkers } from './engineWorkers.ts';
 import type { ItemRun } from './itemRun.ts';
 import { remainingTokens } from './waitingItem.ts';
 
-/** Stops runs that have had no event for longer than `stallMs`, so that their items continue on other workers. */
+/**
+ * Stops runs that have had no event for longer than `stallMs`, so that their items continue on other workers. The time doubles
+ * with each run of an item that was stopped without an event: reading a prompt may take longer than `stallMs` on every worker.
+ */
 export const stopStalledRuns = (runs: readonly ItemRun[], stallMs: number, nowMs: number): void => {
-  for (const run of runs) if (run.sinceProgressMs(nowMs) > stallMs) run.stop('stalled');
+  for (const run of runs) {
+    const limitMs = Math.min(MAX_STALL_MS, stallMs * 2 ** run.state.stalledRuns);
+    if (run.sinceProgressMs(nowMs) > limitMs) run.stop('stalled');
+  }
 };
 
 /** Minimum time before a run may be moved, in ms. Moves read the prompt again, which slows down every worker. */
