fix(election): a node reads the record again while its unresolved claim may still be carried out

Cause: after a claim with an unknown outcome a node read the record once. If the claim was carried out after that read, the record named a node that did not know of it. The holder found the record within 2.5 s and gave the subject up; nobody held it until the named node read the record 60 s after its last read. Ruled out: taking a holder without an announced lease for gone. All nodes would read the record at once after each change of the holder, and there are hundreds of them. A conditional write cannot withdraw the claim, because the platform does not raise the revision of an object for a write that changes nothing. A node that finds its own late claim names the holder before it as its predecessor, so that it asks that one to stop and waits for its last orders; before, it took itself for the predecessor and waited for none.

--- a/src/node/election/__tests__/lateClaim.test.ts
+++ b/src/node/election/__tests__/lateClaim.test.ts
@@ -33,6 +33,7 @@
   const platform = new LateWritesPlatform();
   const seen = new Map(['a', 'b'].map((name) => [name, { suspected: false }]));
   const elections = new Map<string, DispatcherElection>();
+  const events: string[] = [];
   const peerOf = (name: string) => {
     const term = elections.get(name)?.heldTerm;
     return {
@@ -50,14 +51,14 @@
         peers: () => [peerOf(name === 'a' ? 'b' : 'a')],
       },
       health: { lost: false },
-      onElected: () => {},
+      onElected: (term, former) => events.push(`${name} elected ${term} after ${former?.node}`),
       onLost: () => {},
       watchHolder: () => ({ [Symbol.dispose]() {} }),
     });
     elections.set(name, election);
   }
   const holders = () => [...elections].flatMap(([name, { heldTerm }]) => (heldTerm ? [name] : []));
-  return { clock, platform, seen, holders, elections: [...elections.values()] };
+  return { clock, platform, seen, holders, events, elections: [...elections.values()] };
 };
 
 // Guards against a pool without a dispatcher for a minute: the claim of a node that has given up is carried out late, so the
@@ -78,3 +79,25 @@
   expect(holders().length).toEqual(1);
   for (const election of elections) election[Symbol.dispose]();
 });
+
+// Guards against orders of two holders in quick succession: a node whose own late claim is the record takes itself for its
+// predecessor, and neither asks the holder before it to stop nor waits for its last orders.
+test('a node that finds its own late claim names the holder before it as its predecessor', async () => {
+  const { clock, platform, seen, holders, events, elections } = startElections();
+  await clock.advanceAsync(3000);
+  const [holder = ''] = holders();
+  const other = holder === 'a' ? 'b' : 'a';
+  seen.set(holder, { suspected: true });
+  platform.withholdWrites = true;
+  await clock.advanceAsync(1500);
+  seen.set(holder, { suspected: false });
+  await clock.advanceAsync(1500);
+  platform.withholdWrites = false;
+  await platform.carryOut();
+  await clock.advanceAsync(6000);
+  expect(events).toEqual([
+    `${holder} elected 1 after undefined`,
+    `${other} elected 3 after ${holder}`,
+  ]);
+  for (const election of elections) election[Symbol.dispose]();
+});
--- a/src/node/election/holderElection.ts
+++ b/src/node/election/holderElection.ts
@@ -11,6 +11,7 @@
 import { writeUntilResolved } from '../platform/writeUntilResolved.ts';
 import { HolderFailureDetector } from './holderFailureDetector.ts';
 import type { ElectionSubject, HolderRecord } from './electionSubject.ts';
+import { UnresolvedClaim } from './unresolvedClaim.ts';
 
 /** Interval between checks of the holder's state, in ms. */
 const CHECK_INTERVAL_MS = 200;
@@ -21,6 +22,12 @@
 /** Interval between reads of the record without a known change, in ms. Heartbeats usually announce changes earlier. */
 const REREAD_INTERVAL_MS = 60_000;
 
+/**
+ * Interval between reads of the record while a claim of this node may still be carried out, in ms. The holder that finds
+ * such a claim gives the subject up, and nobody holds it until this node finds the claim as well.
+ */
+const UNRESOLVED_CLAIM_READ_INTERVAL_MS = 1000;
+
 /**
  * Interval between stale reads by which a holder finds out that it was replaced, in ms. Its peers may not reach it, and
  * each stale read costs a tenth of a call.
@@ -120,6 +127,8 @@
   /** Whether the record must be read before the next decision. */
   #mustReread = false;
 
+  readonly #unresolvedClaim: UnresolvedClaim<R>;
+
   /** Started when the holder was first found unable to continue. */
   #unableSince: Stopwatch | undefined;
 
@@ -137,6 +146,7 @@
   constructor(options: HolderElectionOptions<R>) {
     this.#options = options;
     this.#started = new Stopwatch(options.clock);
+    this.#unresolvedClaim = new UnresolvedClaim(options.clock);
     const { checkIntervalMs = CHECK_INTERVAL_MS } = options.subject;
     this.#timer = repeatEvery(options.clock, checkIntervalMs, () => void this.#check(), 0);
   }
@@ -287,7 +297,10 @@
   }
 
   #isReadDue(): boolean {
-    return this.#mustReread || (this.#readAt ?? this.#started).elapsedMs() > REREAD_INTERVAL_MS;
+    const intervalMs = this.#unresolvedClaim.isOpen
+      ? UNRESOLVED_CLAIM_READ_INTERVAL_MS
+      : REREAD_INTERVAL_MS;
+    return this.#mustReread || (this.#readAt ?? this.#started).elapsedMs() > intervalMs;
   }
 
   /** Learns of new holders from their heartbeats, so that not every node has to read the record after each change. */
@@ -375,6 +388,7 @@
     this.#readAt = sentAt;
     this.#mustReread = false;
     const record = object && subject.decode(object.value);
+    this.#unresolvedClaim.recordVersion(object?.version ?? 0);
     this.#setKnown(record, object?.version ?? 0);
     if (record !== undefined && record.incarnation !== view.self.incarnation) {
       this.resign(`${record.node} holds term ${record.term}`);
@@ -393,16 +407,17 @@
     await this.#readRecord();
     if (this.#holderState() === 'able' || this.#known === undefined) return;
     if (this.#unableSince === undefined) return;
-    const former = this.#known.record;
+    const { record: replaced, version } = this.#known;
     const { name, incarnation, host, peerPort } = view.self;
-    const term = (former?.term ?? 0) + 1;
+    const former = this.#unresolvedClaim.lastActing(replaced, incarnation);
+    const term = (replaced?.term ?? 0) + 1;
     const record = subject.create({ node: name, incarnation, host, peerPort, term });
     const startedAt = new Stopwatch(clock);
     const result = await writeUntilResolved({
       ...{ platform, clock, random },
       key: subject.key,
       value: subject.encode(record),
-      ifVersion: this.#known.version,
+      ifVersion: version,
       operationId: newId(),
       started: startedAt,
       limitMs: CLAIM_WRITE_LIMIT_MS,
@@ -411,7 +426,9 @@
     // If the outcome is not `written`, the next check reads the record to see whether this node or another is
     // the holder.
     this.#mustReread = result.status !== 'written';
+    if (result.status === 'unknown') this.#unresolvedClaim.open({ term, version, former });
     if (result.status !== 'written') return;
+    this.#unresolvedClaim.clear();
     this.#known = { record, version: result.version };
     // Counted from the start of the write: the process may have been paused before it saw the response.
     this.#readAt = startedAt;
