test(batches): random take-overs between nodes that share a platform and workers, in virtual time

Cause: the harness of one node cannot show what happens between dispatchers. Change: a harness of several nodes with heartbeats, calls between nodes, slow, lost, late and stale responses of the platform, killed, paused, isolated, cut off, stopping and restarted processes and broken streams.

--- /dev/null
+++ b/src/node/batches/__tests__/takeOverPlay.ts
@@ -0,0 +1,278 @@
+import { create } from '@bufbuild/protobuf';
+import fc from 'fast-check';
+import {
+  BatchItemSchema,
+  type ItemResult,
+  ItemState,
+} from '../../../gen/hyssoppulley/v1/batch_pb.ts';
+import { sleep } from '../../../shared/clock.ts';
+import type { Logger } from '../../observability/logger.ts';
+import type { BatchSubmission } from '../batchAcceptor.ts';
+import { readLog } from '../resultLog.ts';
+import { BATCH_ROUTE } from './batchNodeHarness.ts';
+import { DeploymentHarness, type ProcessRun } from './deploymentHarness.ts';
+
+const NAMES = ['a', 'b', 'c', 'd'];
+
+/** Interval between two observations of the items after the last fault, in ms. */
+const OBSERVATION_INTERVAL_MS = 200;
+
+/** Shortest and longest time of the observations, in ms. */
+const MIN_OBSERVED_MS = 15_000;
+const MAX_OBSERVED_MS = 120_000;
+
+const ITEMS_PER_BATCH = 16;
+
+/** Length of an item's text, in events of 50 ms. */
+const eventsOf = (itemId: string): number => 20 + ((Number(itemId.split('-')[1] ?? 0) * 37) % 260);
+
+const submissionOf = (id: string): BatchSubmission => ({
+  ...{ id, account: '', host: 'h', path: '/b/', model: 'm', step: 0, minVersion: 0 },
+  wantedGroups: 0,
+  items: Array.from({ length: ITEMS_PER_BATCH }, (_, index) => {
+    const itemId = `${id}-${index}`;
+    const scoring = { id: itemId, host: 'h', path: '/s/' };
+    return create(BatchItemSchema, {
+      ...{ id: itemId, path: '/b/', group: `g${index % 4}` },
+      ...(index % 2 === 0 ? { scoring } : {}),
+    });
+  }),
+});
+
+const FAULTS = [
+  ...['kill', 'kill-vm', 'kill-holder', 'pause', 'pause-holder', 'isolate', 'isolate-holder'],
+  ...['cut', 'cut-holder', 'stop', 'stop-holder', 'kill-all', 'loss', 'slow', 'outage'],
+  ...['break-streams', 'submit', 'end-batch'],
+] as const;
+
+export const step = fc.record({
+  fault: fc.constantFrom(...FAULTS),
+  node: fc.constantFrom(...NAMES),
+  durationMs: fc.integer({ min: 100, max: 6000 }),
+  waitMs: fc.integer({ min: 0, max: 2500 }),
+});
+
+export type Step = typeof step extends fc.Arbitrary<infer T> ? T : never;
+
+/** Runs one step; its effect ends after its duration. Returns when the next step may follow. */
+const apply = async (
+  deployment: DeploymentHarness,
+  { fault, node, durationMs, waitMs }: Step,
+  trainers: { submit(): void; end(node: string): void },
+): Promise<void> => {
+  const { clock, faults, workerFaults, platform } = deployment;
+  const holder = deployment.processes.find(
+    ({ ended, batches }) => !ended && batches.heldLeases().length > 0,
+  );
+  const name = fault.endsWith('-holder') ? (holder?.identity.name ?? node) : node;
+  const run = deployment.process(name);
+  const kind = fault.replace('-holder', '');
+  const restart = (ended: ProcessRun) => {
+    if (deployment.process(ended.identity.name) === ended) deployment.start(ended.identity.name);
+  };
+  const later = (end: () => void) => clock.schedule(durationMs, end);
+  if (kind === 'kill' || kind === 'kill-vm') {
+    deployment.kill(name, kind === 'kill-vm');
+    later(() => restart(run));
+  } else if (kind === 'pause') {
+    deployment.pause(name);
+    later(() => {
+      if (deployment.process(name) === run) deployment.resume(name);
+    });
+  } else if (kind === 'isolate') {
+    run.isolated = true;
+    later(() => {
+      run.isolated = false;
+    });
+  } else if (kind === 'cut') {
+    run.link.reachable = false;
+    later(() => {
+      run.link.reachable = true;
+    });
+  } else if (kind === 'stop') {
+    void deployment.stop(name);
+    clock.schedule(durationMs + 2000, () => restart(run));
+  } else if (kind === 'kill-all') {
+    for (const each of NAMES) {
+      deployment.kill(each, false);
+      const ended = deployment.process(each);
+      clock.schedule(durationMs * 0.5 + 100 * NAMES.indexOf(each), () => restart(ended));
+    }
+  } else if (kind === 'loss') {
+    faults.lossRate = 0.7;
+    later(() => {
+      faults.lossRate = 0;
+    });
+  } else if (kind === 'slow') {
+    faults.maxLatencyMs = durationMs % 2 === 0 ? 300 : 1000;
+    later(() => {
+      faults.maxLatencyMs = 4;
+    });
+  } else if (kind === 'outage') {
+    platform.outage = true;
+    platform.wakePendingCalls();
+    later(() => {
+      platform.outage = false;
+    });
+  } else if (kind === 'break-streams') {
+    workerFaults.brokenRate = 0.3;
+    later(() => {
+      workerFaults.brokenRate = 0;
+    });
+  } else if (kind === 'end-batch') trainers.end(node);
+  else trainers.submit();
+  await clock.advanceAsync(waitMs);
+};
+
+/** Ends all faults. */
+const heal = (deployment: DeploymentHarness): void => {
+  const { faults, platform } = deployment;
+  Object.assign(faults, { lossRate: 0, maxLatencyMs: 4 });
+  Object.assign(deployment.workerFaults, { brokenRate: 0 });
+  platform.outage = false;
+  for (const name of NAMES) {
+    const run = deployment.process(name);
+    run.isolated = false;
+    run.link.reachable = true;
+    if (run.ended || run.leaving) deployment.start(name);
+    else deployment.resume(name);
+  }
+};
+
+/** Submits a batch like a trainer: at another node until one accepts it. */
+const submitBatch = async (
+  deployment: DeploymentHarness,
+  id: string,
+  accepted: Set<string>,
+): Promise<void> => {
+  for (let attempt = 0; attempt < 100; attempt += 1) {
+    const run = deployment.process(NAMES[attempt % NAMES.length] ?? '');
+    const result = run.ended
+      ? undefined
+      : await Promise.race([
+          run.batches.submit(submissionOf(id), BATCH_ROUTE),
+          sleep(deployment.clock, 1500).then(() => undefined),
+        ]);
+    if (result?.kind === 'accepted') {
+      accepted.add(id);
+      return;
+    }
+    await sleep(deployment.clock, 200);
+  }
+};
+
+export interface Outcome {
+  /** Longest time after the last fault for which an open item was at no worker, in ms. */
+  readonly longestIdleMs: number;
+  readonly idleItem: string;
+  /** Number of nodes that hold the pool. */
+  readonly holders: number;
+  /** Items of accepted batches that were not ended, without a stored result. */
+  readonly unstored: readonly string[];
+  /** Items with two results, or whose text is not the whole output. */
+  readonly wrong: readonly string[];
+}
+
+/** Observes a play. */
+export interface PlayOptions {
+  readonly logger?: Logger;
+  readonly onStart?: (deployment: DeploymentHarness) => void;
+  /** Called after the last fault has ended. */
+  readonly onHealed?: (deployment: DeploymentHarness) => void;
+}
+
+const isWhole = ({ itemId, state, events }: ItemResult): boolean =>
+  state === ItemState.COMPLETED &&
+  events.length === eventsOf(itemId) &&
+  events.every((data, index) => data === `${itemId}.${index + 1}`);
+
+/** The batches of a play, which trainers submit and end. */
+class Trainers {
+  readonly #deployment: DeploymentHarness;
+
+  readonly #accepted = new Set<string>();
+
+  readonly #ended = new Set<string>();
+
+  #submitted = 0;
+
+  constructor(deployment: DeploymentHarness) {
+    this.#deployment = deployment;
+  }
+
+  submit(): void {
+    this.#submitted += 1;
+    void submitBatch(this.#deployment, `b${this.#submitted}`, this.#accepted);
+  }
+
+  /** Ends the oldest open batch. */
+  end(node: string): void {
+    const [id] = this.#open();
+    if (id === undefined) return;
+    this.#ended.add(id);
+    void this.#deployment.process(node).batches.end(id, '');
+  }
+
+  async results(): Promise<ItemResult[]> {
+    const { platform } = this.#deployment;
+    const logs = await Promise.all([...this.#accepted].map((id) => readLog(platform, id)));
+    return logs.flat().flatMap(({ results }) => results);
+  }
+
+  /** Items of open batches without a stored result. */
+  async unstored(): Promise<string[]> {
+    const known = new Set((await this.results()).map(({ itemId }) => itemId));
+    const items = this.#open().flatMap((id) => submissionOf(id).items.map((item) => item.id));
+    return items.filter((itemId) => !known.has(itemId));
+  }
+
+  #open(): string[] {
+    return [...this.#accepted].filter((id) => !this.#ended.has(id));
+  }
+}
+
+/** Applies faults to a deployment with open batches, ends them all, and observes the items until all results are stored. */
+export const play = async (
+  seed: number,
+  steps: readonly Step[],
+  { logger, onStart, onHealed }: PlayOptions = {},
+): Promise<Outcome> => {
+  await using deployment = new DeploymentHarness({ seed, names: NAMES, eventsOf, logger });
+  const { clock } = deployment;
+  onStart?.(deployment);
+  const trainers = new Trainers(deployment);
+  await clock.advanceAsync(2500);
+  trainers.submit();
+  await clock.advanceAsync(1000);
+  for (const each of steps) await apply(deployment, each, trainers);
+  heal(deployment);
+  onHealed?.(deployment);
+  const healedMs = clock.monotonicMs();
+  const lastServedMs = new Map<string, number>();
+  let longestIdleMs = 0;
+  let idleItem = '';
+  let unstored: string[] = [];
+  for (let elapsedMs = 0; elapsedMs < MAX_OBSERVED_MS; elapsedMs += OBSERVATION_INTERVAL_MS) {
+    await clock.advanceAsync(OBSERVATION_INTERVAL_MS);
+    unstored = await trainers.unstored();
+    const nowMs = clock.monotonicMs();
+    for (const itemId of unstored) {
+      if (deployment.isServed(itemId)) lastServedMs.set(itemId, nowMs);
+      const idleMs = nowMs - (lastServedMs.get(itemId) ?? healedMs);
+      if (idleMs > longestIdleMs) [longestIdleMs, idleItem] = [idleMs, itemId];
+    }
+    if (unstored.length === 0 && elapsedMs > MIN_OBSERVED_MS) break;
+  }
+  const results = await trainers.results();
+  const ids = results.map(({ itemId }) => itemId);
+  const wrong = results.filter(
+    (result, index) => !isWhole(result) || ids.indexOf(result.itemId) !== index,
+  );
+  const holders = deployment.processes.filter(
+    ({ ended, batches }) => !ended && batches.heldLeases().length > 0,
+  );
+  return {
+    ...{ longestIdleMs, idleItem, holders: holders.length, unstored },
+    wrong: wrong.map(({ itemId }) => itemId),
+  };
+};
