test(election): a late read makes a holder give up a pool that it has claimed since

Cause: a holder verifies before its orders that it holds the pool. Such a read may respond late, after the node has lost the pool and claimed it again; the record in it names the holder in between, and the node gives the pool up. Its peers have seen its claim and take it for the holder, and it takes the holder in between for the one. Nobody dispatches until a record is read again after 60 s. Runs of the plays that break off add an event at least, since two ends at the same event are the end of a text.

--- a/src/node/batches/__tests__/deploymentHarness.ts
+++ b/src/node/batches/__tests__/deploymentHarness.ts
@@ -31,6 +31,7 @@
 const HEARTBEAT_INTERVAL_MS = 250;
 const SUSPECT_AFTER_MS = 1200;
 const REFUSED_CHECK_INTERVAL_MS = 100;
+const VERIFICATION_INTERVAL_MS = 150;
 
 /** Route of the scoring calls. */
 const SCORING_ROUTE: GatewayRoute = {
@@ -71,6 +72,8 @@
   leaving: boolean;
   /** Whether no other node is within its reach. */
   isolated: boolean;
+  /** Whether it hears nothing of other nodes, while they hear of it. */
+  deaf: boolean;
 }
 
 const count = (counts: Map<string, number>, key: string, by: 1 | -1): void => {
@@ -82,6 +85,12 @@
   readonly names: readonly string[];
   /** Number of events of an item's text. */
   readonly eventsOf: (itemId: string) => number;
+  /**
+   * Whether holders verify that they hold the pool, as they do before each order to a worker.
+   *
+   * @default false
+   */
+  readonly verifies?: boolean;
   /** @default no lines are written */
   readonly logger?: Logger | undefined;
 }
@@ -140,6 +149,14 @@
     this.#byPort.set(port, started);
     started.batches.tablesChanged();
     const beat = () => this.#sendHeartbeats(started);
+    if (this.#options.verifies === true) {
+      const verify = () => {
+        for (const { dispatcher, election } of started.batches.coordinators()) {
+          if (dispatcher !== undefined) void election.verify();
+        }
+      };
+      this.#disposables.push(repeatEvery(started.clock, VERIFICATION_INTERVAL_MS, verify));
+    }
     this.#disposables.push(
       repeatEvery(started.clock, HEARTBEAT_INTERVAL_MS, beat, this.#random() * 100),
       repeatEvery(started.clock, 1000, async () => {
@@ -233,7 +250,7 @@
     }
     const engine = { slots: SLOTS, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] };
     const routes = [BATCH_ROUTE, SCORING_ROUTE];
-    const run = { ended: false, vmGone: false, leaving: false, isolated: false };
+    const run = { ended: false, vmGone: false, leaving: false, isolated: false, deaf: false };
     const process: ProcessRun = Object.assign(run, {
       ...{ identity, clock, link, health, heard: new Map<string, Heard>() },
       ...{ running: new Map<string, number>(), scoring: new Map<string, number>() },
@@ -296,7 +313,9 @@
       generate: async (_worker, { requestId, resumeAfter = 0 }, listener, signal) => {
         const total = this.#options.eventsOf(requestId);
         const isBroken = this.#random() < this.workerFaults.brokenRate;
-        const breaksAfter = isBroken ? Math.floor(this.#random() * total) : total;
+        // A second end at the same event would count as the end of the text.
+        const left = Math.max(0, total - resumeAfter - 1);
+        const breaksAfter = isBroken ? resumeAfter + 1 + Math.floor(this.#random() * left) : total;
         count(running, requestId, 1);
         try {
           await sleep(clock, 20, signal);
@@ -319,7 +338,8 @@
   #sendHeartbeats(sender: ProcessRun): void {
     if (sender.ended) return;
     for (const receiver of this.processes) {
-      if (receiver === sender || receiver.isolated || sender.isolated) continue;
+      const isUnheard = receiver.isolated || receiver.deaf || sender.isolated;
+      if (receiver === sender || isUnheard) continue;
       const heard = {
         ...{ identity: sender.identity, leaving: sender.leaving },
         ...{ platformLost: sender.health.lost, leases: sender.batches.heldLeases() },
--- a/src/node/batches/__tests__/takeOverPlay.ts
+++ b/src/node/batches/__tests__/takeOverPlay.ts
@@ -10,7 +10,7 @@
 import type { BatchSubmission } from '../batchAcceptor.ts';
 import { readLog } from '../resultLog.ts';
 import { BATCH_ROUTE } from './batchNodeHarness.ts';
-import { DeploymentHarness, type ProcessRun } from './deploymentHarness.ts';
+import { DeploymentHarness, type DeploymentOptions, type ProcessRun } from './deploymentHarness.ts';
 
 const NAMES = ['a', 'b', 'c', 'd'];
 
@@ -26,11 +26,13 @@
 /** Length of an item's text, in events of 50 ms. */
 const eventsOf = (itemId: string): number => 20 + ((Number(itemId.split('-')[1] ?? 0) * 37) % 260);
 
-const submissionOf = (id: string): BatchSubmission => ({
+const itemIdsOf = (id: string): string[] =>
+  Array.from({ length: ITEMS_PER_BATCH }, (_, index) => `${id}-${index}`);
+
+const submissionOf = (id: string, itemIds: readonly string[]): BatchSubmission => ({
   ...{ id, account: '', host: 'h', path: '/b/', model: 'm', step: 0, minVersion: 0 },
   wantedGroups: 0,
-  items: Array.from({ length: ITEMS_PER_BATCH }, (_, index) => {
-    const itemId = `${id}-${index}`;
+  items: itemIds.map((itemId, index) => {
     const scoring = { id: itemId, host: 'h', path: '/s/' };
     return create(BatchItemSchema, {
       ...{ id: itemId, path: '/b/', group: `g${index % 4}` },
@@ -43,6 +45,7 @@
   ...['kill', 'kill-vm', 'kill-holder', 'pause', 'pause-holder', 'isolate', 'isolate-holder'],
   ...['cut', 'cut-holder', 'stop', 'stop-holder', 'kill-all', 'loss', 'slow', 'outage'],
   ...['break-streams', 'submit', 'end-batch'],
+  ...['resubmit', 'deaf-holder', 'deaf', 'clock-step', 'clock-step-holder'],
 ] as const;
 
 export const step = fc.record({
@@ -54,11 +57,99 @@
 
 export type Step = typeof step extends fc.Arbitrary<infer T> ? T : never;
 
+/** Submits a batch like a trainer: at another node until one accepts it. */
+const submitBatch = async (
+  deployment: DeploymentHarness,
+  submission: BatchSubmission,
+  accepted: Set<string>,
+): Promise<void> => {
+  for (let attempt = 0; attempt < 100; attempt += 1) {
+    const run = deployment.process(NAMES[attempt % NAMES.length] ?? '');
+    const result = run.ended
+      ? undefined
+      : await Promise.race([
+          run.batches.submit(submission, BATCH_ROUTE),
+          sleep(deployment.clock, 1500).then(() => undefined),
+        ]);
+    if (result?.kind === 'accepted') {
+      accepted.add(submission.id);
+      return;
+    }
+    await sleep(deployment.clock, 200);
+  }
+};
+
+/** The batches of a play, which trainers submit and end. */
+class Trainers {
+  readonly #deployment: DeploymentHarness;
+
+  /** Ids of the items of each submitted batch. */
+  readonly #items = new Map<string, readonly string[]>();
+
+  readonly #accepted = new Set<string>();
+
+  readonly #ended = new Set<string>();
+
+  constructor(deployment: DeploymentHarness) {
+    this.#deployment = deployment;
+  }
+
+  /** @param reused - items that were not complete in an earlier batch, and which take the place of new ones */
+  submit(reused: readonly string[] = []): void {
+    const id = `b${this.#items.size + 1}`;
+    const itemIds = [...reused, ...itemIdsOf(id).slice(reused.length)];
+    this.#items.set(id, itemIds);
+    void submitBatch(this.#deployment, submissionOf(id, itemIds), this.#accepted);
+  }
+
+  /** Ends the oldest open batch. */
+  end(node: string): void {
+    const [id] = this.#open();
+    if (id === undefined) return;
+    this.#ended.add(id);
+    void this.#deployment.process(node).batches.end(id, '');
+  }
+
+  /** Ends the oldest open batch and submits some of its items again. */
+  resubmit(node: string): void {
+    const [id] = this.#open();
+    if (id === undefined) return;
+    this.end(node);
+    this.submit((this.#items.get(id) ?? []).slice(-ITEMS_PER_BATCH / 2));
+  }
+
+  async results(): Promise<Map<string, ItemResult[]>> {
+    const { platform } = this.#deployment;
+    const results = new Map<string, ItemResult[]>();
+    for (const id of this.#accepted) {
+      const log = await readLog(platform, id);
+      results.set(
+        id,
+        log.flatMap((entry) => entry.results),
+      );
+    }
+    return results;
+  }
+
+  /** Items of open batches without a stored result. */
+  async unstored(): Promise<string[]> {
+    const results = await this.results();
+    return this.#open().flatMap((id) => {
+      const known = new Set(results.get(id)?.map(({ itemId }) => itemId));
+      return (this.#items.get(id) ?? []).filter((itemId) => !known.has(itemId));
+    });
+  }
+
+  #open(): string[] {
+    return [...this.#accepted].filter((id) => !this.#ended.has(id));
+  }
+}
+
 /** Runs one step; its effect ends after its duration. Returns when the next step may follow. */
 const apply = async (
   deployment: DeploymentHarness,
   { fault, node, durationMs, waitMs }: Step,
-  trainers: { submit(): void; end(node: string): void },
+  trainers: Pick<Trainers, 'submit' | 'resubmit' | 'end'>,
 ): Promise<void> => {
   const { clock, faults, workerFaults, platform } = deployment;
   const holder = deployment.processes.find(
@@ -84,6 +175,13 @@
     later(() => {
       run.isolated = false;
     });
+  } else if (kind === 'deaf') {
+    run.deaf = true;
+    later(() => {
+      run.deaf = false;
+    });
+  } else if (kind === 'clock-step') {
+    run.clock.wallOffsetMs += durationMs * (durationMs % 2 === 0 ? 10 : -10);
   } else if (kind === 'cut') {
     run.link.reachable = false;
     later(() => {
@@ -120,6 +218,7 @@
       workerFaults.brokenRate = 0;
     });
   } else if (kind === 'end-batch') trainers.end(node);
+  else if (kind === 'resubmit') trainers.resubmit(node);
   else trainers.submit();
   await clock.advanceAsync(waitMs);
 };
@@ -133,34 +232,13 @@
   for (const name of NAMES) {
     const run = deployment.process(name);
     run.isolated = false;
+    run.deaf = false;
     run.link.reachable = true;
     if (run.ended || run.leaving) deployment.start(name);
     else deployment.resume(name);
   }
 };
 
-/** Submits a batch like a trainer: at another node until one accepts it. */
-const submitBatch = async (
-  deployment: DeploymentHarness,
-  id: string,
-  accepted: Set<string>,
-): Promise<void> => {
-  for (let attempt = 0; attempt < 100; attempt += 1) {
-    const run = deployment.process(NAMES[attempt % NAMES.length] ?? '');
-    const result = run.ended
-      ? undefined
-      : await Promise.race([
-          run.batches.submit(submissionOf(id), BATCH_ROUTE),
-          sleep(deployment.clock, 1500).then(() => undefined),
-        ]);
-    if (result?.kind === 'accepted') {
-      accepted.add(id);
-      return;
-    }
-    await sleep(deployment.clock, 200);
-  }
-};
-
 export interface Outcome {
   /** Longest time after the last fault for which an open item was at no worker, in ms. */
   readonly longestIdleMs: number;
@@ -174,7 +252,7 @@
 }
 
 /** Observes a play. */
-export interface PlayOptions {
+export interface PlayOptions extends Pick<DeploymentOptions, 'verifies'> {
   readonly logger?: Logger;
   readonly onStart?: (deployment: DeploymentHarness) => void;
   /** Called after the last fault has ended. */
@@ -186,58 +264,15 @@
   events.length === eventsOf(itemId) &&
   events.every((data, index) => data === `${itemId}.${index + 1}`);
 
-/** The batches of a play, which trainers submit and end. */
-class Trainers {
-  readonly #deployment: DeploymentHarness;
-
-  readonly #accepted = new Set<string>();
-
-  readonly #ended = new Set<string>();
-
-  #submitted = 0;
-
-  constructor(deployment: DeploymentHarness) {
-    this.#deployment = deployment;
-  }
-
-  submit(): void {
-    this.#submitted += 1;
-    void submitBatch(this.#deployment, `b${this.#submitted}`, this.#accepted);
-  }
-
-  /** Ends the oldest open batch. */
-  end(node: string): void {
-    const [id] = this.#open();
-    if (id === undefined) return;
-    this.#ended.add(id);
-    void this.#deployment.process(node).batches.end(id, '');
-  }
-
-  async results(): Promise<ItemResult[]> {
-    const { platform } = this.#deployment;
-    const logs = await Promise.all([...this.#accepted].map((id) => readLog(platform, id)));
-    return logs.flat().flatMap(({ results }) => results);
-  }
-
-  /** Items of open batches without a stored result. */
-  async unstored(): Promise<string[]> {
-    const known = new Set((await this.results()).map(({ itemId }) => itemId));
-    const items = this.#open().flatMap((id) => submissionOf(id).items.map((item) => item.id));
-    return items.filter((itemId) => !known.has(itemId));
-  }
-
-  #open(): string[] {
-    return [...this.#accepted].filter((id) => !this.#ended.has(id));
-  }
-}
-
 /** Applies faults to a deployment with open batches, ends them all, and observes the items until all results are stored. */
 export const play = async (
   seed: number,
   steps: readonly Step[],
-  { logger, onStart, onHealed }: PlayOptions = {},
+  { logger, verifies = false, onStart, onHealed }: PlayOptions = {},
 ): Promise<Outcome> => {
-  await using deployment = new DeploymentHarness({ seed, names: NAMES, eventsOf, logger });
+  await using deployment = new DeploymentHarness({
+    ...{ seed, names: NAMES, eventsOf, logger, verifies },
+  });
   const { clock } = deployment;
   onStart?.(deployment);
   const trainers = new Trainers(deployment);
@@ -263,11 +298,12 @@
     }
     if (unstored.length === 0 && elapsedMs > MIN_OBSERVED_MS) break;
   }
-  const results = await trainers.results();
-  const ids = results.map(({ itemId }) => itemId);
-  const wrong = results.filter(
-    (result, index) => !isWhole(result) || ids.indexOf(result.itemId) !== index,
-  );
+  const wrong = [...(await trainers.results()).values()].flatMap((results) => {
+    const ids = results.map(({ itemId }) => itemId);
+    return results.filter(
+      (result, index) => !isWhole(result) || ids.indexOf(result.itemId) !== index,
+    );
+  });
   const holders = deployment.processes.filter(
     ({ ended, batches }) => !ended && batches.heldLeases().length > 0,
   );
