fix(election): a read that responds after a later claim does not change who holds the subject

Cause: the reads of a verification and of the election itself overtake each other. One that was sent before this node claimed the subject again could respond after the claim, and its record, which names the holder in between, was taken for the latest. Ruled out: comparing terms; a record that was removed and created again starts at term 1 and would never be used. Change: a response is not used if its version is below the highest one that this node has read or written, and it confirms nothing.

--- a/src/node/election/holderElection.ts
+++ b/src/node/election/holderElection.ts
@@ -118,6 +118,9 @@
   /** The record as last read or as announced by its holder; undefined before the first of these. */
   #known: { readonly record: R | undefined; readonly version: number } | undefined;
 
+  /** Highest version of the record that this node has read or written. */
+  #latestVersion = 0;
+
   /** Started when the last successful read of the record was sent, or when this node sent its last successful claim. */
   #readAt: Stopwatch | undefined;
 
@@ -184,12 +187,11 @@
    */
   async confirm(): Promise<boolean> {
     try {
-      await this.#readRecord();
+      return (await this.#readRecord()) && this.#heldTerm !== undefined;
     } catch (error) {
       this.#log('warn', 'verification-failed', { message: messageOf(error) });
       return false;
     }
-    return this.#heldTerm !== undefined;
   }
 
   /**
@@ -381,10 +383,17 @@
     return claimDelayMs(subject.name, selfCandidate, peers);
   }
 
-  async #readRecord(): Promise<void> {
+  /**
+   * Reads the record, unless the response is older than what this node knows: reads may overtake each other, and one that
+   * was sent before this node claimed the subject may respond after it.
+   *
+   * @returns whether the response was used
+   */
+  async #readRecord(): Promise<boolean> {
     const { platform, subject, view } = this.#options;
     const sentAt = new Stopwatch(this.#options.clock);
     const object = await platform.read(subject.key);
+    if (object !== undefined && object.version < this.#latestVersion) return false;
     this.#readAt = sentAt;
     this.#mustReread = false;
     const record = object && subject.decode(object.value);
@@ -393,6 +402,7 @@
     if (record !== undefined && record.incarnation !== view.self.incarnation) {
       this.resign(`${record.node} holds term ${record.term}`);
     }
+    return true;
   }
 
   #setKnown(record: R | undefined, version: number): void {
@@ -400,12 +410,13 @@
     // may arrive after its record.
     if (record?.incarnation !== this.#known?.record?.incarnation) this.#unableSince = undefined;
     this.#known = { record, version };
+    this.#latestVersion = Math.max(this.#latestVersion, version);
   }
 
   async #claim(): Promise<void> {
     const { platform, clock, random, subject, view, onElected } = this.#options;
-    await this.#readRecord();
-    if (this.#holderState() === 'able' || this.#known === undefined) return;
+    const isRead = await this.#readRecord();
+    if (!isRead || this.#holderState() === 'able' || this.#known === undefined) return;
     if (this.#unableSince === undefined) return;
     const { record: replaced, version } = this.#known;
     const { name, incarnation, host, peerPort } = view.self;
@@ -429,7 +440,7 @@
     if (result.status === 'unknown') this.#unresolvedClaim.open({ term, version, former });
     if (result.status !== 'written') return;
     this.#unresolvedClaim.clear();
-    this.#known = { record, version: result.version };
+    this.#setKnown(record, result.version);
     // Counted from the start of the write: the process may have been paused before it saw the response.
     this.#readAt = startedAt;
     this.#unableSince = undefined;
