test(batches): show items that wait while workers are idle

A dispatcher with engines on a virtual clock, and two tests that fail on: `npx tsx scripts/runTests.ts src/node/batches/__tests__/idleWorkers.test.ts`

- Prompts that take 450 ms to read, with a silent limit of 350 ms: 0 of 4 items are completed within 5 s (nor within 20 s).
- Two workers with a request limit of 20/s, one with outdated weights whose orders are unanswered: four items that only the other worker can run are at no worker for the whole 10 s.

Requests that end their workers are ruled out: the stand-in of the poison guard suspects none.

--- /dev/null
+++ b/src/node/batches/__tests__/idleWorkers.test.ts
@@ -0,0 +1,50 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { FakeEngine, startFakeEnginePool } from './fakeEnginePool.ts';
+
+const STEP_MS = 50;
+
+/** Longest time for which one of the items is at no worker before its first run or between runs, in ms. */
+const longestWaitMs = async (
+  pool: ReturnType<typeof startFakeEnginePool>,
+  items: readonly string[],
+  withinMs: number,
+): Promise<number> => {
+  const waits = new Map(items.map((item) => [item, 0]));
+  let longest = 0;
+  for (let elapsedMs = 0; elapsedMs < withinMs; elapsedMs += STEP_MS) {
+    await pool.clock.advanceAsync(STEP_MS);
+    for (const [item, waitMs] of waits) {
+      waits.set(item, pool.engineRunning(item) === undefined ? waitMs + STEP_MS : 0);
+    }
+    longest = Math.max(longest, ...waits.values());
+  }
+  return longest;
+};
+
+// Guards against items that move from worker to worker without an event, because each reads the prompt for longer than a
+// silent run may last: a run that its sender ends within a second does not count as one.
+test('an item whose prompt takes longer to read than a silent run may last is completed', async () => {
+  const engines = ['w1', 'w2', 'w3'].map((id) => new FakeEngine(id, { m: 2 }));
+  const pool = startFakeEnginePool({ engines });
+  await pool.addBatch('short', 6, 100);
+  await pool.clock.advanceAsync(3000);
+  for (const engine of engines) engine.prefillMs = 450;
+  await pool.addBatch('long', 4, 10);
+  await pool.clock.advanceAsync(5000);
+  expect(await pool.resultsOf('long')).toEqual(4);
+  pool.dispatcher[Symbol.dispose]();
+});
+
+// Guards against permits that all go to workers whose weights the items do not allow, while the other workers are idle.
+test('an item gets a permit for the worker that has its weights', async () => {
+  const outdated = new FakeEngine('w1', { m: 1 });
+  outdated.ordersUnanswered = true;
+  const pool = startFakeEnginePool({ engines: [outdated, new FakeEngine('w2', { m: 2 })] });
+  for (const id of ['w1', 'w2']) pool.limits.observe(id, 20, pool.clock.monotonicMs());
+  pool.published.set('m', 2);
+  await pool.clock.advanceAsync(1000);
+  const items = await pool.addBatch('b', 4, 1000, { minVersion: 2 });
+  expect(await longestWaitMs(pool, items, 10_000)).toBeLessThanOrEqual(1000);
+  pool.dispatcher[Symbol.dispose]();
+});
