fix(batches): ask for permits only for workers that can run the waiting items

Cause: a dispatcher asked for permits for all workers with a request limit and free slots. The issuer grants the ones that are free earliest, the first listed of them, and does not know weights: a worker with outdated weights, another model's weights or a load in progress got all permits, which expired unused after 1 s, time and again, without a bound. Permits held for workers that were gone counted as if they served, for up to 1.25 s, and a refusal held up the permits of all other workers for up to 3 s. Ruled out: an ask that never returns. The call to the issuer ends after 200 ms, there are at most two, and none of them throws. Change: one demand per batch, in the order of placement, that names only workers whose weights one of its items allows; only permits held for these count; a refusal holds up only the workers that were asked for.

--- a/src/node/batches/__tests__/enginePermits.test.ts
+++ b/src/node/batches/__tests__/enginePermits.test.ts
@@ -27,7 +27,7 @@
 
 test('permits that were not used in time do not let a worker get a burst later', async () => {
   const { clock, permits } = startPermits();
-  await permits.ask(WORKERS, 3, () => {});
+  await permits.ask([{ workers: WORKERS, count: 3 }], () => {});
   clock.advance(250);
   expect(permits.available('w1')).toEqual(3);
   clock.advance(5000);
@@ -36,7 +36,7 @@
 
 test('a permit starts one item, once its delay is over, on its own worker', async () => {
   const { clock, permits } = startPermits();
-  await permits.ask(WORKERS, 2, () => {});
+  await permits.ask([{ workers: WORKERS, count: 2 }], () => {});
   expect([permits.available('w1'), permits.available('w2')]).toEqual([1, 0]);
   permits.use('w1');
   expect(permits.available('w1')).toEqual(0);
@@ -46,9 +46,29 @@
 
 test('no permits are asked for while enough are held', async () => {
   const { clock, asked, permits } = startPermits();
-  await permits.ask(WORKERS, 2, () => {});
+  await permits.ask([{ workers: WORKERS, count: 2 }], () => {});
   clock.advance(10);
-  await permits.ask(WORKERS, 2, () => {});
-  await permits.ask(WORKERS, 3, () => {});
+  await permits.ask([{ workers: WORKERS, count: 2 }], () => {});
+  await permits.ask([{ workers: WORKERS, count: 3 }], () => {});
   expect(asked).toEqual([2, 1]);
 });
+
+// Guards against items that wait for as long as the permits of workers that cannot run them are used up.
+test('a demand that was denied does not hold up one for other workers', async () => {
+  const clock = new VirtualClock();
+  const asked: string[][] = [];
+  const permits = new EnginePermits({
+    ...{ pool: 'p', clock, limits: { of: () => 5 } },
+    permits: {
+      obtain: ({ workers }) => {
+        asked.push(workers.map(({ id }) => id));
+        return Promise.resolve({ permits: [], retryAfterMs: 3000, issuer: 'n' });
+      },
+    },
+  });
+  const demands = WORKERS.map((worker) => ({ workers: [worker], count: 1 }));
+  for (let times = 0; times < 3; times += 1) await permits.ask(demands, () => {});
+  clock.advance(3000);
+  await permits.ask(demands, () => {});
+  expect(asked).toEqual([['w1'], ['w2'], ['w1']]);
+});
--- a/src/node/batches/__tests__/itemPlacer.test.ts
+++ b/src/node/batches/__tests__/itemPlacer.test.ts
@@ -45,7 +45,7 @@
           ...{ versionOf: () => 1, hasProcessedPrompt: () => true },
         },
       ],
-      withFreeSlots: () => [],
+      limitedWithFreeSlots: () => [],
     },
     permits: { ask: () => Promise.resolve() },
     suspected: { verdictOf: () => 'unsuspected', recentWorkers: () => new Set() },
--- a/src/node/batches/__tests__/runSupervision.test.ts
+++ b/src/node/batches/__tests__/runSupervision.test.ts
@@ -16,6 +16,7 @@
   const workerState = new EngineWorkers({
     newestVersion: () => 0,
     permitsOf: () => Infinity,
+    limits: { of: () => undefined },
     ...{ clock, pool: 'p', weights, engine: () => undefined },
     registry: { usable: () => workers } as unknown as WorkerRegistry,
   });
--- a/src/node/batches/enginePermits.ts
+++ b/src/node/batches/enginePermits.ts
@@ -25,6 +25,13 @@
   readonly permits: Pick<RequestPermits, 'obtain'>;
 }
 
+/** Items that wait for permits, and the workers that could run them. */
+export interface PermitDemand {
+  readonly workers: readonly RegisteredWorker[];
+  /** Number of items that the workers could start now. */
+  readonly count: number;
+}
+
 /** Permits that a dispatcher holds to start items on engines with a request limit. */
 export class EnginePermits {
   readonly #options: EnginePermitsOptions;
@@ -33,6 +40,9 @@
 
   #asking = false;
 
+  /** Monotonic time from which a worker whose permits were denied is asked for again, in ms, by worker. */
+  readonly #deniedUntilMs = new Map<string, number>();
+
   constructor(options: EnginePermitsOptions) {
     this.#options = options;
   }
@@ -53,40 +63,55 @@
   }
 
   /**
-   * Asks for permits, unless a request for some is in progress.
+   * Asks for the permits of the first demand that lacks some, unless a request for some is in progress. A permit is for one
+   * worker, and the issuer does not know which items it can run, so each demand names only workers that could run its items.
    *
-   * @param workers - workers with free slots
-   * @param count - number of items that wait
+   * @param demands - the most urgent one first
    * @param onReady - called when a permit has become usable, or when it is time to ask again
    */
-  async ask(
-    workers: readonly RegisteredWorker[],
-    count: number,
-    onReady: () => void,
-  ): Promise<void> {
-    const { pool, clock, limits, permits } = this.#options;
+  async ask(demands: Iterable<PermitDemand>, onReady: () => void): Promise<void> {
+    const { pool, clock, permits } = this.#options;
+    if (this.#asking) return;
     this.#dropExpired();
-    const limited = workers.filter(({ id }) => limits.of(id) !== undefined);
-    const missing = Math.min(MAX_PERMITS_ASKED, count - this.#held.length);
-    if (this.#asking || limited.length === 0 || missing <= 0) return;
+    const due = this.#firstLacking(demands);
+    if (due === undefined) return;
     this.#asking = true;
-    const grant = await permits.obtain({
-      ...{ pool, workers: limited, count: missing },
-      maxDelayMs: MAX_PERMIT_DELAY_MS,
-    });
+    const grant = await permits
+      .obtain({ ...{ pool, ...due }, maxDelayMs: MAX_PERMIT_DELAY_MS })
+      .finally(() => {
+        this.#asking = false;
+      });
     const receivedMs = clock.monotonicMs();
     for (const { worker, delayMs } of grant.permits) {
       this.#held.push({ worker, fromMs: receivedMs + delayMs });
       clock.schedule(delayMs, onReady);
     }
-    clock.schedule(grant.retryAfterMs, () => {
-      this.#asking = false;
-      onReady();
-    });
+    if (grant.retryAfterMs > 0) {
+      const untilMs = receivedMs + grant.retryAfterMs;
+      for (const { id } of due.workers) this.#deniedUntilMs.set(id, untilMs);
+    }
+    clock.schedule(grant.retryAfterMs, onReady);
+  }
+
+  #firstLacking(demands: Iterable<PermitDemand>): PermitDemand | undefined {
+    const { limits, clock } = this.#options;
+    const nowMs = clock.monotonicMs();
+    for (const { workers, count } of demands) {
+      const limited = workers.filter(({ id }) => limits.of(id) !== undefined);
+      const askable = limited.filter(({ id }) => (this.#deniedUntilMs.get(id) ?? 0) <= nowMs);
+      const ids = new Set(limited.map(({ id }) => id));
+      const held = this.#held.filter(({ worker }) => ids.has(worker)).length;
+      const missing = Math.min(MAX_PERMITS_ASKED, count - held);
+      if (askable.length > 0 && missing > 0) return { workers: askable, count: missing };
+    }
+    return undefined;
   }
 
   #dropExpired(): void {
     const nowMs = this.#options.clock.monotonicMs();
     this.#held = this.#held.filter(({ fromMs }) => nowMs - fromMs < PERMIT_TTL_MS);
+    for (const [worker, untilMs] of this.#deniedUntilMs) {
+      if (untilMs <= nowMs) this.#deniedUntilMs.delete(worker);
+    }
   }
 }
--- a/src/node/batches/engineWorkers.ts
+++ b/src/node/batches/engineWorkers.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../../shared/clock.ts';
 import type { PlacementWorker } from '../decisions/items/itemPlacement.ts';
 import type { AssignableWorker } from '../decisions/workerAssignment.ts';
+import type { RequestLimits } from '../decisions/requestLimits.ts';
 import type { FreeSlots } from '../decisions/runRelocation.ts';
 import { EventGapTracker } from '../decisions/eventGapTracker.ts';
 import { type WorkerResult, PassiveHealthCheck } from '../decisions/passiveHealthCheck.ts';
@@ -14,6 +15,7 @@
   readonly pool: string;
   readonly registry: WorkerRegistry;
   readonly weights: WeightLoads;
+  readonly limits: Pick<RequestLimits, 'of'>;
   readonly engine: () => EnginePool | undefined;
   /** Newest published weight version of a model. */
   readonly newestVersion: (model: string) => number;
@@ -21,6 +23,11 @@
   readonly permitsOf: (worker: string) => number;
 }
 
+/** A worker with a request limit and free slots. */
+export interface LimitedWorker extends Pick<PlacementWorker, 'freeSlots' | 'versionOf'> {
+  readonly worker: RegisteredWorker;
+}
+
 /** Tracks the workers of a dispatcher's pool: their speed, their failures, and the prompts they have processed. */
 export class EngineWorkers {
   readonly #options: EngineWorkersOptions;
@@ -151,12 +158,17 @@
   }
 
   /** Workers with slots that only their request limits may keep free. */
-  withFreeSlots(running: ReadonlyMap<string, number>) {
-    const nowMs = this.#options.clock.monotonicMs();
+  limitedWithFreeSlots(running: ReadonlyMap<string, number>): LimitedWorker[] {
+    const { clock, limits, weights } = this.#options;
+    const nowMs = clock.monotonicMs();
     return this.#health
       .selectUsable(this.usable(), nowMs)
-      .filter(({ id }) => !this.#isPaused(id, nowMs))
-      .map((worker) => ({ worker, freeSlots: this.#slotsLeft(worker, running) }))
+      .filter(({ id }) => limits.of(id) !== undefined && !this.#isPaused(id, nowMs))
+      .map((worker) => ({
+        worker,
+        freeSlots: this.#slotsLeft(worker, running),
+        versionOf: (model: string) => weights.versionOf(worker.id, model),
+      }))
       .filter(({ freeSlots }) => freeSlots > 0);
   }
 
--- a/src/node/batches/itemPlacer.ts
+++ b/src/node/batches/itemPlacer.ts
@@ -1,5 +1,5 @@
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
-import { placeItems } from '../decisions/items/itemPlacement.ts';
+import { longestFirst, placeItems, type WaitingItem } from '../decisions/items/itemPlacement.ts';
 import {
   bySubmission,
   contend,
@@ -13,8 +13,8 @@
 import type { Metrics } from '../observability/metrics.ts';
 import type { BatchState } from './batchState.ts';
 import { MAX_PLACEMENT_TURN_MS } from './constants.ts';
-import type { EnginePermits } from './enginePermits.ts';
-import type { EngineWorkers } from './engineWorkers.ts';
+import type { EnginePermits, PermitDemand } from './enginePermits.ts';
+import type { EngineWorkers, LimitedWorker } from './engineWorkers.ts';
 import type { ItemRun } from './itemRun.ts';
 import type { ItemState } from './itemState.ts';
 import type { StaleViewGuard } from './staleViewGuard.ts';
@@ -36,7 +36,7 @@
   readonly order?: StepOrder;
   readonly clock: Clock;
   readonly engine: () => EnginePool | undefined;
-  readonly workers: Pick<EngineWorkers, 'eventGapMs' | 'forPlacement' | 'withFreeSlots'>;
+  readonly workers: Pick<EngineWorkers, 'eventGapMs' | 'forPlacement' | 'limitedWithFreeSlots'>;
   readonly permits: Pick<EnginePermits, 'ask'>;
   readonly suspected: Pick<SuspectedItems, 'verdictOf' | 'recentWorkers'>;
   readonly textRestarts: Pick<TextRestarts, 'restartHeldTexts'>;
@@ -46,6 +46,24 @@
   readonly startRun: (state: ItemState, worker: RegisteredWorker) => void;
 }
 
+/** The permits that items of one model need, on the workers whose weights at least one of them allows. */
+const permitDemandOf = (
+  items: readonly WaitingItem[],
+  limited: readonly LimitedWorker[],
+): PermitDemand => {
+  const model = items[0]?.model ?? '';
+  const versions = new Set(limited.flatMap(({ versionOf }) => versionOf(model) ?? []));
+  const allowed = new Set(
+    [...versions].filter((version) => items.some(({ allows }) => allows(version))),
+  );
+  const suitable = limited.filter(({ versionOf }) => allowed.has(versionOf(model) ?? Number.NaN));
+  const freeSlots = suitable.reduce((sum, worker) => sum + worker.freeSlots, 0);
+  return {
+    workers: suitable.map(({ worker }) => worker),
+    count: Math.min(items.length, freeSlots),
+  };
+};
+
 /** Starts a dispatcher's waiting items on workers with free slots. */
 export class ItemPlacer {
   readonly #options: ItemPlacerOptions;
@@ -102,8 +120,9 @@
         started.set(workerId, (started.get(workerId) ?? 0) + 1);
       }
     }
-    const unplaced = waiting.size - placements.length;
-    if (unplaced > 0) this.#askForPermits(unplaced, started);
+    const placed = new Set(placements.map(({ item }) => item));
+    const unplaced = candidates.filter(({ key }) => !placed.has(key));
+    if (unplaced.length > 0) this.#askForPermits(unplaced, waiting, started);
   }
 
   /** Ranks of the groups that may start items, where not all waiting items can start. */
@@ -134,11 +153,19 @@
   }
 
   /** Asks for permits to start waiting items on workers that have free slots but a request limit. */
-  #askForPermits(waitingCount: number, running: ReadonlyMap<string, number>): void {
-    const open = this.#options.workers.withFreeSlots(running);
-    const freeSlots = open.reduce((sum, { freeSlots: free }) => sum + free, 0);
-    const workers = open.map(({ worker }) => worker);
-    const count = Math.min(waitingCount, freeSlots);
-    void this.#options.permits.ask(workers, count, () => this.#options.schedule());
+  #askForPermits(
+    unplaced: readonly WaitingItem[],
+    waiting: ReadonlyMap<string, ItemState>,
+    running: ReadonlyMap<string, number>,
+  ): void {
+    const { permits, workers, schedule } = this.#options;
+    const limited = workers.limitedWithFreeSlots(running);
+    if (limited.length === 0) return;
+    const byBatch = Map.groupBy(
+      [...unplaced].sort(longestFirst),
+      ({ key }) => waiting.get(key)?.batch,
+    );
+    const demands = [...byBatch.values()].map((items) => permitDemandOf(items, limited));
+    void permits.ask(demands, schedule);
   }
 }
