test(weights): show workers that take no items long after an order failed

Both new tests of weightLoads.test.ts fail on the code so far (`npx tsx scripts/runTests.ts src/node/weights/__tests__/weightLoads.test.ts`):

- A failed load excludes its worker from items also during the back-off before the next order: 0.4 to 1.6 s, after up to 1.7 s of unanswered copies, and with an order that the worker refuses at once as well.
- A worker that answers one order with a conflict and no report after it is excluded for 18.4 s (measured in a trial of this test), although its registration shows the version after 1.5 s.

--- a/src/node/weights/__tests__/weightLoads.test.ts
+++ b/src/node/weights/__tests__/weightLoads.test.ts
@@ -16,8 +16,17 @@
 
 const NEEDS = { newestVersion: 2, neededVersion: 2, hasWaiting: true, maxLoading: 1 };
 
-/** Starts a load on one worker that returns the given responses in turn and then repeats the last one. */
-const startLoad = (responses: readonly OrderResponse[], isReachable = true) => {
+/**
+ * Starts a load on one worker that returns the given responses in turn and then repeats the last one.
+ *
+ * @param answeredReports - number of reports after which it answers none
+ */
+const startLoad = (
+  responses: readonly OrderResponse[],
+  isReachable = true,
+  answeredReports = Infinity,
+) => {
+  let reports = 0;
   const clock = new VirtualClock();
   const orders: LoadOrder[] = [];
   const outcomes: LoadOutcome[] = [];
@@ -29,7 +38,10 @@
         return Promise.resolve(responses[orders.length - 1] ?? (responses.at(-1) as OrderResponse));
       },
       report: async () => {
-        if (isReachable) return { busy: false, orders: 3, startedAtMs: 1, versions: new Map() };
+        reports += 1;
+        if (isReachable && reports <= answeredReports) {
+          return { busy: false, orders: 3, startedAtMs: 1, versions: new Map() };
+        }
         await sleep(clock, REPORT_MS);
         return undefined;
       },
@@ -78,6 +90,33 @@
   expect(outcomes.length).toBeLessThanOrEqual(4);
 });
 
+// Guards against items that wait for up to 3.3 s at a time while the only workers with their weights are idle, because their
+// orders stay unanswered.
+test('a worker takes runs under its version between two loads that fail', async () => {
+  const { clock, loads, orders, outcomes } = startLoad(['refused']);
+  await clock.advanceAsync(50);
+  expect(outcomes).toEqual(['failed']);
+  expect(loads.versionOf('w', 'm')).toEqual(1);
+  for (let elapsedMs = 50; elapsedMs < 400; elapsedMs += 50) {
+    loads.refresh([WORKER], 'm', { ...NEEDS, singleVersion: false }, () => 0);
+    await clock.advanceAsync(50);
+  }
+  expect(orders.length).toEqual(1);
+  loads.refresh([WORKER], 'm', { ...NEEDS, singleVersion: false }, () => 0);
+  await clock.advanceAsync(50);
+  expect(orders.length).toEqual(2);
+});
+
+// Guards against a worker that gets no items for 18 s: it has carried out an order whose response was lost, and answers none
+// of the reports by which that would be found out.
+test('a worker with a conflict and no further report takes runs again within 3 s', async () => {
+  const { clock, loads } = startLoad(['conflict'], true, 1);
+  await clock.advanceAsync(1000);
+  loads.register({ ...WORKER, heartbeatCount: 2, models: [{ name: 'm', version: 2 }] });
+  await clock.advanceAsync(2000);
+  expect(loads.versionOf('w', 'm')).toEqual(2);
+});
+
 // Guards against exceeding the limit of concurrent loads because a worker whose report is being read is not counted
 // yet (seen on czujka-ops, day scale-2, seed 235944137881: three concurrent loads instead of two).
 test('a worker counts as loading as soon as the load is decided, before its first order', () => {
