fix(weights): give a worker runs again as soon as its load has failed

Cause: the state that says that a worker loads also held it back from other orders after a failed load, so that it got no runs of the model in that time either: up to 1.7 s of unanswered copies and 1.6 s of back-off. An order with a conflict was repeated up to 24 times, each with a report of up to 0.5 s that might not be answered. Ruled out: a verification that throws (it returns false when the platform does not respond), and a load that outlives a restart under the same id, which has a state of its own. Change: the back-off holds back orders only. After three reports without a response an order with a conflict counts as failed. A worker that does not answer orders may now start runs under its old version before a late copy arrives; in the mode that waits for runs they delay that load. All tests of src/node/weights, batches and decisions pass.

--- a/src/node/weights/weightLoads.ts
+++ b/src/node/weights/weightLoads.ts
@@ -24,7 +24,13 @@
 /** Time to wait for a response after the last copy, in ms. */
 const LAST_COPY_TIMEOUT_MS = 300;
 
-/** First and maximum time after a failed load during which the worker gets no other order, in ms. */
+/**
+ * Number of reports without a response after which an order with a conflict counts as failed. Each takes up to 0.8 s, in
+ * which the worker gets no runs, although it may have carried out the order.
+ */
+const MAX_UNANSWERED_REPORTS = 3;
+
+/** First and maximum time after a failed load during which the worker gets no other order, in ms. It may get runs. */
 const FIRST_BACKOFF_MS = 400;
 const MAX_BACKOFF_MS = 1600;
 
@@ -70,6 +76,9 @@
   /** Time since the load in progress was decided and, once orders are sent, since the first order, by worker. */
   readonly #sinceOrdered = new Map<string, Stopwatch>();
 
+  /** Worker processes that get no order for a while, because a load failed. */
+  readonly #backingOff = new WeakSet<WorkerWeights>();
+
   /** Number of consecutive failed loads, by worker. */
   readonly #failureCounts = new Map<string, number>();
 
@@ -133,7 +142,7 @@
       workers.map(({ id }) => ({
         id,
         version: this.#workers.get(id)?.versionOf(model),
-        busy: this.isLoading(id),
+        busy: this.#isBusy(id),
         loading: this.usesLoadSlot(id),
         running: runningOf(id),
       })),
@@ -182,8 +191,27 @@
     this.#options.onLoad(outcome);
     this.#sinceOrdered.delete(worker.id);
     if (outcome === 'loaded') weights.observe(model, version);
-    await sleep(this.#options.clock, this.#backoffMs(worker.id, outcome));
     weights.endLoad();
+    const backOff = this.#backOff(worker.id, weights, outcome);
+    if (!this.#closed) this.#options.onChange();
+    await backOff;
+  }
+
+  /** Whether a worker may not be sent an order now. */
+  #isBusy(worker: string): boolean {
+    const weights = this.#workers.get(worker);
+    return (
+      weights !== undefined && (weights.loadingModel !== undefined || this.#backingOff.has(weights))
+    );
+  }
+
+  /** Gives a worker no order for a while if a load failed. */
+  async #backOff(worker: string, weights: WorkerWeights, outcome: LoadOutcome): Promise<void> {
+    const backoffMs = this.#backoffMs(worker, outcome);
+    if (backoffMs === 0) return;
+    this.#backingOff.add(weights);
+    await sleep(this.#options.clock, backoffMs);
+    this.#backingOff.delete(weights);
     if (!this.#closed) this.#options.onChange();
   }
 
@@ -211,6 +239,7 @@
       notifier.notify();
     };
     this.#sinceOrdered.set(worker.id, new Stopwatch(clock));
+    let unansweredReports = 0;
     for (let copy = 1; copy <= MAX_ORDER_COPIES && !this.#closed; copy += 1) {
       if (!(await verifyHolder()) || this.#closed) return 'not-holder';
       const expectedOrders = weights.orders ?? 0;
@@ -229,21 +258,34 @@
         return 'not-holder';
       }
       if (response === 'refused') return 'failed';
-      if (response === 'conflict' && (await this.#tookEffect(load, weights))) return 'loaded';
+      if (response === 'conflict') {
+        const tookEffect = await this.#tookEffect(load, weights);
+        if (tookEffect) return 'loaded';
+        if (tookEffect === undefined) unansweredReports += 1;
+        if (unansweredReports >= MAX_UNANSWERED_REPORTS) return 'failed';
+      }
       response = undefined;
     }
     return 'failed';
   }
 
-  /** Determines from the worker's reports whether an order took effect although the worker returned `conflict`. */
-  async #tookEffect({ worker, model, version }: Load, weights: WorkerWeights): Promise<boolean> {
+  /**
+   * Determines from the worker's reports whether an order took effect although the worker returned `conflict`.
+   *
+   * @returns undefined if a report got no response
+   */
+  async #tookEffect(
+    { worker, model, version }: Load,
+    weights: WorkerWeights,
+  ): Promise<boolean | undefined> {
     const { clock } = this.#options;
     const started = new Stopwatch(clock);
     do {
       await sleep(clock, REPORT_INTERVAL_MS);
       const report = await this.#readReport(worker, weights);
-      if ((report?.versions.get(model) ?? 0) >= version) return true;
-      if (report === undefined || !report.busy) return false;
+      if (report === undefined) return undefined;
+      if ((report.versions.get(model) ?? 0) >= version) return true;
+      if (!report.busy) return false;
     } while (!this.#closed && started.elapsedMs() < MAX_LOAD_WAIT_MS);
     return false;
   }
