--- a/src/node/batches/__tests__/idleWorkers.test.ts
+++ b/src/node/batches/__tests__/idleWorkers.test.ts
@@ -48,3 +48,18 @@
   expect(await longestWaitMs(pool, items, 10_000)).toBeLessThanOrEqual(1000);
   pool.dispatcher[Symbol.dispose]();
 });
+
+// Guards against a suspension of up to 3 s of a worker that has started anew under its former id.
+test('a worker that has started again under the same id is not suspended for its former start', async () => {
+  const engines = ['w1', 'w2'].map((id) => new FakeEngine(id, { m: 2 }));
+  const pool = startFakeEnginePool({ engines });
+  const items = await pool.addBatch('b', 16, 1000);
+  await pool.clock.advanceAsync(2000);
+  const [restarted] = engines;
+  restarted?.crash();
+  await pool.clock.advanceAsync(300);
+  restarted?.restart(pool.clock.nowMs());
+  if (restarted !== undefined) pool.register(restarted);
+  expect(await longestWaitMs(pool, items, 5000)).toBeLessThanOrEqual(500);
+  pool.dispatcher[Symbol.dispose]();
+});
