fix(batches): forget the failures of a worker's former start

Cause: suspensions, pauses, speeds and processed prompts were kept by the worker's id. A worker that starts again under its id stayed suspended for its former start, up to 3 s after eight runs had broken there, while others were full. Change: they are dropped when a registration shows another start, and a run that began under a former start no longer counts for or against the present one.

--- a/src/node/batches/engineWorkers.ts
+++ b/src/node/batches/engineWorkers.ts
@@ -39,6 +39,9 @@
   /** Monotonic time in ms until which a worker gets no items, by worker. */
   readonly #pausedUntilMs = new Map<string, number>();
 
+  /** When each registered worker started, by worker. */
+  readonly #startedAtMs = new Map<string, number>();
+
   /** Prompts that each worker has processed, by worker. */
   readonly #prompts = new Map<string, Set<string>>();
 
@@ -52,16 +55,31 @@
     return registry.usable(pool);
   }
 
-  /** Applies new registrations of the pool's workers and drops the state of workers that are no longer registered. */
+  /**
+   * Applies new registrations of the pool's workers and drops the state of workers that are no longer registered, or that
+   * have started again under their id: what is known of a former start says nothing of the present one.
+   */
   registrationsChanged(): void {
     const { registry, pool, weights } = this.#options;
     for (const worker of registry.all()) if (worker.pool === pool) weights.register(worker);
     const isKnown = (id: string) => registry.find(id) !== undefined;
     weights.retain(isKnown);
-    this.#health.retain(isKnown);
-    this.#eventGaps.retain(isKnown);
-    for (const id of this.#prompts.keys()) if (!isKnown(id)) this.#prompts.delete(id);
-    for (const id of this.#pausedUntilMs.keys()) if (!isKnown(id)) this.#pausedUntilMs.delete(id);
+    const isSameStart = (id: string) => {
+      const startedAtMs = registry.find(id)?.startedAtMs;
+      return (
+        startedAtMs !== undefined && (this.#startedAtMs.get(id) ?? startedAtMs) === startedAtMs
+      );
+    };
+    this.#health.retain(isSameStart);
+    this.#eventGaps.retain(isSameStart);
+    for (const id of this.#prompts.keys()) if (!isSameStart(id)) this.#prompts.delete(id);
+    for (const id of this.#pausedUntilMs.keys()) {
+      if (!isSameStart(id)) this.#pausedUntilMs.delete(id);
+    }
+    for (const id of this.#startedAtMs.keys()) if (!isKnown(id)) this.#startedAtMs.delete(id);
+    for (const { id, pool: other, startedAtMs } of registry.all()) {
+      if (other === pool) this.#startedAtMs.set(id, startedAtMs);
+    }
   }
 
   /** The workers that may get items, in the form that the item placement needs. */
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -11,6 +11,7 @@
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import { accountOfItems } from '../decisions/accounts/batchOwnership.ts';
+import type { WorkerResult } from '../decisions/passiveHealthCheck.ts';
 import type { RequestLimits } from '../decisions/requestLimits.ts';
 import { REQUEST_FAILED_STATUS } from '../gateway/constants.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
@@ -359,21 +360,21 @@
     state.requeue(worker.id);
     const isStopped = end.kind === 'stopped';
     if (end.kind === 'complete' || (end.kind === 'uncertain' && state.confirmEnd())) {
-      this.#workers.recordResult(worker.id, 'answered');
+      this.#recordResult(worker, 'answered');
       void this.#score(state);
     } else if (end.kind === 'uncertain') {
-      if (run.events === 0) this.#pauseWorker(worker.id, BROKEN_STREAM_BACKOFF_MS);
+      if (run.events === 0) this.#pauseWorker(worker, BROKEN_STREAM_BACKOFF_MS);
     } else if (end.kind === 'failed') {
       this.#handleItemFailure(run, end.statusCode);
     } else if (end.kind === 'not-run') {
       if (!end.misdirected) state.requeue(undefined);
-      this.#pauseWorker(worker.id, REJECTION_BACKOFF_MS);
+      this.#pauseWorker(worker, REJECTION_BACKOFF_MS);
     } else if (end.kind === 'broken') {
-      this.#workers.recordResult(worker.id, 'failed');
-      if (run.events === 0) this.#pauseWorker(worker.id, BROKEN_STREAM_BACKOFF_MS);
+      this.#recordResult(worker, 'failed');
+      if (run.events === 0) this.#pauseWorker(worker, BROKEN_STREAM_BACKOFF_MS);
     } else if (isStopped && end.reason === 'stalled') {
       if (run.events === 0) state.recordSilentRun();
-      this.#workers.recordResult(worker.id, 'silent');
+      this.#recordResult(worker, 'silent');
     } else if (isStopped && end.reason === 'wrong-version') {
       if (state.batch.record.singleVersion) state.restartText(this.#options.term);
     }
@@ -384,7 +385,7 @@
     if (statusCode === REQUEST_FAILED_STATUS) state.recordFailure();
     const exhausted = state.failedAttempts >= state.batch.record.maxAttempts;
     if (statusCode === ITEM_UNPROCESSABLE_STATUS || exhausted) this.#finish(state, undefined);
-    else this.#pauseWorker(worker.id, REJECTION_BACKOFF_MS);
+    else this.#pauseWorker(worker, REJECTION_BACKOFF_MS);
   }
 
   async #score(state: ItemState): Promise<void> {
@@ -426,8 +427,18 @@
     this.schedule();
   }
 
-  #pauseWorker(worker: string, forMs: number): void {
-    this.#workers.pause(worker, forMs);
+  /** Whether a worker has started again since a run began there, so that the run says nothing of it. */
+  #hasRestarted({ id, startedAtMs }: RegisteredWorker): boolean {
+    return (this.#options.registry.find(id)?.startedAtMs ?? startedAtMs) !== startedAtMs;
+  }
+
+  #recordResult(worker: RegisteredWorker, result: WorkerResult): void {
+    if (!this.#hasRestarted(worker)) this.#workers.recordResult(worker.id, result);
+  }
+
+  #pauseWorker(worker: RegisteredWorker, forMs: number): void {
+    if (this.#hasRestarted(worker)) return;
+    this.#workers.pause(worker.id, forMs);
     void sleep(this.#options.clock, forMs).then(() => this.schedule());
   }
 
