--- a/src/node/batches/__tests__/fakeEnginePool.ts
+++ b/src/node/batches/__tests__/fakeEnginePool.ts
@@ -265,7 +265,8 @@
     ...{ register, unregister, addBatch, random },
     /** Engine that runs an item. */
     engineRunning: (item: string) => engines.find(({ running }) => running.has(item)),
-    /** Number of results of a batch. */
-    resultsOf: async (batch: string) => (await dispatcher.read(batch, 0, 0))?.results.length ?? 0,
+    /** Items of a batch that have a result. */
+    listedItems: async (batch: string): Promise<string[]> =>
+      ((await dispatcher.read(batch, 0, 0))?.results ?? []).map(({ itemId }) => itemId),
   };
 };
--- a/src/node/batches/__tests__/idleWorkers.test.ts
+++ b/src/node/batches/__tests__/idleWorkers.test.ts
@@ -32,7 +32,7 @@
   for (const engine of engines) engine.prefillMs = 450;
   await pool.addBatch('long', 4, 10);
   await pool.clock.advanceAsync(5000);
-  expect(await pool.resultsOf('long')).toEqual(4);
+  expect((await pool.listedItems('long')).length).toEqual(4);
   pool.dispatcher[Symbol.dispose]();
 });
 
@@ -63,3 +63,19 @@
   expect(await longestWaitMs(pool, items, 5000)).toBeLessThanOrEqual(500);
   pool.dispatcher[Symbol.dispose]();
 });
+
+// Guards against items that wait for the runs of their own model to end while the workers of other models are idle.
+test('items whose workers are full get idle workers of another model', async () => {
+  const models = ['m', 'n', 'o'];
+  const versions = Object.fromEntries(models.map((model) => [model, 1]));
+  const engines = Array.from(
+    { length: 6 },
+    (_each, index) => new FakeEngine(`w${index}`, versions),
+  );
+  const pool = startFakeEnginePool({ engines, models });
+  for (const model of models) pool.published.set(model, 2);
+  await pool.clock.advanceAsync(5000);
+  const items = await pool.addBatch('b', 20, 500, { minVersion: 2 });
+  expect(await longestWaitMs(pool, items, 9000)).toBeLessThanOrEqual(3500);
+  pool.dispatcher[Symbol.dispose]();
+});
