--- a/src/node/batches/engineWorkers.ts
+++ b/src/node/batches/engineWorkers.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../../shared/clock.ts';
 import type { PlacementWorker } from '../decisions/items/itemPlacement.ts';
 import type { AssignableWorker } from '../decisions/workerAssignment.ts';
+import type { RequestLimits } from '../decisions/requestLimits.ts';
 import type { FreeSlots } from '../decisions/runRelocation.ts';
 import { EventGapTracker } from '../decisions/eventGapTracker.ts';
 import { type WorkerResult, PassiveHealthCheck } from '../decisions/passiveHealthCheck.ts';
@@ -14,6 +15,7 @@
   readonly pool: string;
   readonly registry: WorkerRegistry;
   readonly weights: WeightLoads;
+  readonly limits: Pick<RequestLimits, 'of'>;
   readonly engine: () => EnginePool | undefined;
   /** Newest published weight version of a model. */
   readonly newestVersion: (model: string) => number;
@@ -21,6 +23,11 @@
   readonly permitsOf: (worker: string) => number;
 }
 
+/** A worker with a request limit and free slots. */
+export interface LimitedWorker extends Pick<PlacementWorker, 'freeSlots' | 'versionOf'> {
+  readonly worker: RegisteredWorker;
+}
+
 /** Tracks the workers of a dispatcher's pool: their speed, their failures, and the prompts they have processed. */
 export class EngineWorkers {
   readonly #options: EngineWorkersOptions;
@@ -32,6 +39,9 @@
   /** Monotonic time in ms until which a worker gets no items, by worker. */
   readonly #pausedUntilMs = new Map<string, number>();
 
+  /** When each registered worker started, by worker. */
+  readonly #startedAtMs = new Map<string, number>();
+
   /** Prompts that each worker has processed, by worker. */
   readonly #prompts = new Map<string, Set<string>>();
 
@@ -45,16 +55,31 @@
     return registry.usable(pool);
   }
 
-  /** Applies new registrations of the pool's workers and drops the state of workers that are no longer registered. */
+  /**
+   * Applies new registrations of the pool's workers and drops the state of workers that are no longer registered, or that
+   * have started again under their id: what is known of a former start says nothing of the present one.
+   */
   registrationsChanged(): void {
     const { registry, pool, weights } = this.#options;
     for (const worker of registry.all()) if (worker.pool === pool) weights.register(worker);
     const isKnown = (id: string) => registry.find(id) !== undefined;
     weights.retain(isKnown);
-    this.#health.retain(isKnown);
-    this.#eventGaps.retain(isKnown);
-    for (const id of this.#prompts.keys()) if (!isKnown(id)) this.#prompts.delete(id);
-    for (const id of this.#pausedUntilMs.keys()) if (!isKnown(id)) this.#pausedUntilMs.delete(id);
+    const isSameStart = (id: string) => {
+      const startedAtMs = registry.find(id)?.startedAtMs;
+      return (
+        startedAtMs !== undefined && (this.#startedAtMs.get(id) ?? startedAtMs) === startedAtMs
+      );
+    };
+    this.#health.retain(isSameStart);
+    this.#eventGaps.retain(isSameStart);
+    for (const id of this.#prompts.keys()) if (!isSameStart(id)) this.#prompts.delete(id);
+    for (const id of this.#pausedUntilMs.keys()) {
+      if (!isSameStart(id)) this.#pausedUntilMs.delete(id);
+    }
+    for (const id of this.#startedAtMs.keys()) if (!isKnown(id)) this.#startedAtMs.delete(id);
+    for (const { id, pool: other, startedAtMs } of registry.all()) {
+      if (other === pool) this.#startedAtMs.set(id, startedAtMs);
+    }
   }
 
   /** The workers that may get items, in the form that the item placement needs. */
@@ -160,7 +185,7 @@
     return (this.#pausedUntilMs.get(worker) ?? -Infinity) > nowMs;
   }
 
-  /** Workers with slots that only their request limits may keep free. */
+  /** Sound workers with free slots, whatever their request limits. */
   withFreeSlots(running: ReadonlyMap<string, number>) {
     const nowMs = this.#options.clock.monotonicMs();
     return this.#health
@@ -170,6 +195,14 @@
       .filter(({ freeSlots }) => freeSlots > 0);
   }
 
+  /** Workers with slots that only their request limits may keep free. */
+  limitedWithFreeSlots(running: ReadonlyMap<string, number>): LimitedWorker[] {
+    const { limits } = this.#options;
+    return this.withFreeSlots(running)
+      .filter(({ worker }) => limits.of(worker.id) !== undefined)
+      .map((free) => ({ ...free, versionOf: (model) => this.versionOf(free.worker.id, model) }));
+  }
+
   #freeSlotsOf(worker: RegisteredWorker, running: ReadonlyMap<string, number>): number {
     return Math.min(this.#slotsLeft(worker, running), this.#options.permitsOf(worker.id));
   }
--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -25,7 +25,8 @@
 
   #restarts = 0;
 
-  #stalledRuns = 0;
+  /** Number of silent runs, and the number of events of the text at that time. */
+  #silent = { runs: 0, events: 0 };
 
   readonly #request: DigestedRequest & { readonly id: string };
 
@@ -58,9 +59,9 @@
     return this.#failedAttempts;
   }
 
-  /** Number of runs that were stopped because no event came, since the last run with an event. */
-  get stalledRuns(): number {
-    return this.#stalledRuns;
+  /** Number of runs since the latest event that were stopped because nothing came from their workers. */
+  get silentRuns(): number {
+    return this.#silent.events === this.text.events.length ? this.#silent.runs : 0;
   }
 
   /** Worker of the item's previous run, which the next placement avoids if possible. */
@@ -104,14 +105,9 @@
     this.#failedAttempts += 1;
   }
 
-  /**
-   * Records whether a run made progress.
-   *
-   * @param events - number of events that it added
-   */
-  recordProgress(events: number, wasStalled: boolean): void {
-    if (events > 0) this.#stalledRuns = 0;
-    else if (wasStalled) this.#stalledRuns += 1;
+  /** Records that a run was stopped before its first event because nothing came from its worker. */
+  recordSilentRun(): void {
+    this.#silent = { runs: this.silentRuns + 1, events: this.text.events.length };
   }
 
   /** Records that a run may have ended as a broken one. Returns whether the text is complete. */
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -6,20 +6,13 @@
   ItemResultSchema,
   ItemState as ResultState,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
-import { type Clock, sleep } from '../../shared/clock.ts';
-import type { Random } from '../../shared/random.ts';
+import { sleep } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import { accountOfItems } from '../decisions/accounts/batchOwnership.ts';
-import type { RequestLimits } from '../decisions/requestLimits.ts';
+import type { WorkerResult } from '../decisions/passiveHealthCheck.ts';
 import { REQUEST_FAILED_STATUS } from '../gateway/constants.ts';
-import type { EnginePool } from '../gateway/gatewayTables.ts';
-import type { RegisteredWorker, WorkerRegistry } from '../gateway/workerRegistry.ts';
-import type { RequestPermits } from '../limits/requestPermits.ts';
-import type { Logger } from '../observability/logger.ts';
-import type { Metrics } from '../observability/metrics.ts';
-import type { PlatformClient } from '../platform/platformClient.ts';
-import type { WeightLoads } from '../weights/weightLoads.ts';
+import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
 import { batchDemands, type DispatcherDemand } from './batchDemand.ts';
 import { BatchState, type DispatcherRead } from './batchState.ts';
 import {
@@ -32,68 +25,20 @@
 } from './constants.ts';
 import { EnginePermits } from './enginePermits.ts';
 import { EngineWorkers } from './engineWorkers.ts';
-import type { PartialTextCache } from './partialTextCache.ts';
-import type { GenerationCalls } from './generationCalls.ts';
 import { HeldItems } from './heldItems.ts';
 import { runLogFields, ItemRun, type RunEnd } from './itemRun.ts';
 import { ItemPlacer } from './itemPlacer.ts';
-import type { ItemScorer } from './itemScorer.ts';
 import type { ItemState } from './itemState.ts';
-import { StaleViewGuard, type StaleViewGuardOptions } from './staleViewGuard.ts';
+import type { AddOptions, PoolDispatcherOptions } from './poolDispatcherOptions.ts';
+import { StaleViewGuard } from './staleViewGuard.ts';
 import { unstoredProgress, CheckpointStore } from './checkpointStore.ts';
 import { stopRunsOnLeavingWorkers, stopSlowRuns, stopStalledRuns } from './runSupervision.ts';
 import { sharedPromptOf } from './waitingItem.ts';
-import { countByWorker, SuspectedItems, type SuspectedItemsOptions } from './suspectedItems.ts';
+import { countByWorker, SuspectedItems } from './suspectedItems.ts';
 import { TextRestarts } from './textRestarts.ts';
 import { WeightRefresher } from './weightRefresher.ts';
 import { limitReadSize, ResultLog } from './resultLog.ts';
 
-export interface PoolDispatcherOptions {
-  readonly pool: string;
-  readonly term: number;
-  /** Incarnation of this node. */
-  readonly writer: string;
-  readonly platform: PlatformClient;
-  /** Maximum size of a stored object's value, in bytes. */
-  readonly maxValueBytes: number;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly logger: Logger;
-  readonly metrics: Pick<Metrics, 'itemRuns' | 'itemRunSeconds' | 'itemsHeld' | 'stepsContend'>;
-  readonly registry: WorkerRegistry;
-  readonly limits: RequestLimits;
-  readonly permits: Pick<RequestPermits, 'obtain'>;
-  readonly poison: SuspectedItemsOptions['poison'];
-  readonly engine: () => EnginePool | undefined;
-  /** Whether the tables hold client accounts. @default never */
-  readonly hasAccounts?: () => boolean;
-  readonly calls: GenerationCalls;
-  readonly scorer: ItemScorer;
-  readonly weights: WeightLoads;
-  /** Newest published weight version of a model. */
-  readonly newestVersion: (model: string) => number;
-  /** Maximum number of workers that load weights at the same time. @default `MAX_LOADING_SHARE` of the pool */
-  readonly maxLoading?: number;
-  readonly partialTexts: PartialTextCache;
-  readonly batchView: StaleViewGuardOptions['batchView'];
-  /** Called when another node has taken over the pool. */
-  readonly onSuperseded: () => void;
-}
-
-/** How a batch is added to a dispatcher. */
-export interface AddOptions {
-  /**
-   * Whether a former dispatcher may have run items of the batch.
-   *
-   * @default false
-   */
-  readonly takeOver?: boolean;
-  /** Progress that the former dispatcher handed over. @default none */
-  readonly progress?: readonly ItemProgress[] | undefined;
-  /** Aborted when the batch must not be added any more. */
-  readonly signal?: AbortSignal;
-}
-
 /** Runs the items of a pool's batches on the pool's workers. Only the elected node has a dispatcher for the pool. */
 export class PoolDispatcher implements Disposable {
   readonly #options: PoolDispatcherOptions;
@@ -376,22 +321,22 @@
     state.requeue(worker.id);
     const isStopped = end.kind === 'stopped';
     this.#updateSuspicion(run, end);
-    state.recordProgress(run.events, isStopped && end.reason === 'stalled');
     if (end.kind === 'complete' || (end.kind === 'uncertain' && state.confirmEnd())) {
-      this.#workers.recordResult(worker.id, 'answered');
+      this.#recordResult(worker, 'answered');
       void this.#score(state);
     } else if (end.kind === 'uncertain') {
-      if (run.events === 0) this.#pauseWorker(worker.id, BROKEN_STREAM_BACKOFF_MS);
+      if (run.events === 0) this.#pauseWorker(worker, BROKEN_STREAM_BACKOFF_MS);
     } else if (end.kind === 'failed') {
       this.#handleItemFailure(run, end.statusCode);
     } else if (end.kind === 'not-run') {
       if (!end.misdirected) state.requeue(undefined);
-      this.#pauseWorker(worker.id, REJECTION_BACKOFF_MS);
+      this.#pauseWorker(worker, REJECTION_BACKOFF_MS);
     } else if (end.kind === 'broken') {
-      this.#workers.recordResult(worker.id, 'failed');
-      if (run.events === 0) this.#pauseWorker(worker.id, BROKEN_STREAM_BACKOFF_MS);
+      this.#recordResult(worker, 'failed');
+      if (run.events === 0) this.#pauseWorker(worker, BROKEN_STREAM_BACKOFF_MS);
     } else if (isStopped && end.reason === 'stalled') {
-      this.#workers.recordResult(worker.id, 'silent');
+      if (run.events === 0) state.recordSilentRun();
+      this.#recordResult(worker, 'silent');
     } else if (isStopped && end.reason === 'wrong-version') {
       if (state.batch.record.singleVersion) state.restartText(this.#options.term);
     }
@@ -410,7 +355,7 @@
     if (statusCode === REQUEST_FAILED_STATUS) state.recordFailure();
     const exhausted = state.failedAttempts >= state.batch.record.maxAttempts;
     if (statusCode === ITEM_UNPROCESSABLE_STATUS || exhausted) this.#finish(state, undefined);
-    else this.#pauseWorker(worker.id, REJECTION_BACKOFF_MS);
+    else this.#pauseWorker(worker, REJECTION_BACKOFF_MS);
   }
 
   async #score(state: ItemState): Promise<void> {
@@ -452,8 +397,18 @@
     this.schedule();
   }
 
-  #pauseWorker(worker: string, forMs: number): void {
-    this.#workers.pause(worker, forMs);
+  /** Whether a worker has started again since a run began there, so that the run says nothing of it. */
+  #hasRestarted({ id, startedAtMs }: RegisteredWorker): boolean {
+    return (this.#options.registry.find(id)?.startedAtMs ?? startedAtMs) !== startedAtMs;
+  }
+
+  #recordResult(worker: RegisteredWorker, result: WorkerResult): void {
+    if (!this.#hasRestarted(worker)) this.#workers.recordResult(worker.id, result);
+  }
+
+  #pauseWorker(worker: RegisteredWorker, forMs: number): void {
+    if (this.#hasRestarted(worker)) return;
+    this.#workers.pause(worker.id, forMs);
     void sleep(this.#options.clock, forMs).then(() => this.schedule());
   }
 
