test(playground): ends of workers and items at no worker in the fault soak

Change: workers end as processes do (connections reset, address refused, registration follows; one, several, all, in series; as a new start, a new ID or the same start). The soak reports items of open batches that are at no worker for 5 s, the bound of rule LOST, once 3 s have passed since the last fault and under half of the slots are taken. Some items take seconds, some batches are ended early, and their incomplete groups come again under the same item IDs. Batches move into a file of their own. The logs of nodes were printed twice.

--- a/playground/faultSoak/faultProxy.ts
+++ b/playground/faultSoak/faultProxy.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import net from 'node:net';
 
 /** Fault that a proxy applies to the connections through it. `one-way` drops what the target sends. */
@@ -23,13 +24,19 @@
     });
   }
 
-  async listen(): Promise<number> {
-    await new Promise<void>((resolve) => {
-      this.#server.listen(0, '127.0.0.1', resolve);
-    });
+  /** @param port - default: any free one */
+  async listen(port = 0): Promise<number> {
+    this.#server.listen(port, '127.0.0.1');
+    await once(this.#server, 'listening');
     return (this.#server.address() as net.AddressInfo).port;
   }
 
+  /** Refuses connections until `listen` is called again, and resets the open ones, as the end of a process does. */
+  refuse(): void {
+    this.#server.close();
+    this.#resetConnections();
+  }
+
   /**
    * Sets the current fault. The end of `silent` and `one-way` resets the open connections, because the bytes dropped
    * meanwhile are lost.
@@ -38,7 +45,7 @@
     const wasSilent = this.#fault === 'silent' || this.#fault === 'one-way';
     this.#fault = fault;
     if (fault !== 'reset' && !(wasSilent && fault === 'none')) return;
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    this.#resetConnections();
   }
 
   [Symbol.asyncDispose](): Promise<void> {
@@ -48,6 +55,10 @@
     });
   }
 
+  #resetConnections(): void {
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+  }
+
   #forward(from: net.Socket, to: net.Socket, direction: 'forth' | 'back'): void {
     this.#sockets.add(from);
     from.on('error', () => to.destroy());
--- a/playground/faultSoak/faultSoak.ts
+++ b/playground/faultSoak/faultSoak.ts
@@ -2,17 +2,26 @@
 import { Command } from 'commander';
 import { seededRandom } from '../../src/shared/random.ts';
 import { sleepMs } from '../standIns/standInServer.ts';
+import { SoakBatches } from './soakBatches.ts';
 import { SoakClients } from './soakClients.ts';
-import { SoakDeployment } from './soakDeployment.ts';
-import { drawFaults, FaultInjector } from './soakFaults.ts';
-import { drawLimit, runLimit } from './soakLimits.ts';
+import { SoakDeployment, WORKER_SLOTS } from './soakDeployment.ts';
+import { drawFaults, FaultInjector, type SoakFault } from './soakFaults.ts';
+import { drawLimit, runLimit, type SoakLimit } from './soakLimits.ts';
+import { drawWorkerEnds, type WorkerEnd } from './soakWorkerEnds.ts';
 
 /** Time for the nodes to reconnect to each other and to the platform after the last fault, in ms. */
 const RECOVERY_MS = 5000;
 
-/** Keeps the schedule of faults of a seed independent of its limit. */
+/** Keeps the schedule of faults of a seed independent of its limit, or of the ends of its workers. */
 const LIMIT_SEED_OFFSET = 1_000_000;
 
+/**
+ * In seeds with ends of workers, faults begin in the first part of each round. The rest is calm for long enough that an
+ * item that waits in vain is seen.
+ */
+const ROUND_MS = 15_000;
+const BURST_MS = 5000;
+
 /** Time between two revisions of the tables, each of which removes a key of every account, in ms. */
 const KEY_ROTATION_MS = 1500;
 
@@ -30,36 +39,69 @@
   readonly refusedKeys: number;
   readonly batches: number;
   readonly faults: number;
+  readonly ends: number;
   readonly logs: readonly string[];
 }
 
+/** What happens to the deployment of a soak. */
+export interface SoakSchedule {
+  readonly faults: readonly SoakFault[];
+  readonly ends: readonly WorkerEnd[];
+  readonly limit: SoakLimit | undefined;
+}
+
+/** Even seeds contain ends of workers. In the others all workers name a request limit, by which items may wait. */
+const drawSchedule = (seed: number, durationMs: number): SoakSchedule => {
+  const faults = drawFaults(seededRandom(seed), durationMs);
+  const random = seededRandom(seed + LIMIT_SEED_OFFSET);
+  if (seed % 2 === 1) return { faults, ends: [], limit: drawLimit(random, durationMs) };
+  const isInBurst = ({ startMs }: { startMs: number }) => startMs % ROUND_MS < BURST_MS;
+  const ends = drawWorkerEnds(random, durationMs);
+  return { faults: faults.filter(isInBurst), ends: ends.filter(isInBurst), limit: undefined };
+};
+
+/** Whether less than half of the slots of the workers are taken, and no request limit keeps items waiting. */
+const hasRoom = ({ workers, itemRuns }: SoakDeployment): boolean =>
+  itemRuns.runningCount * 2 < workers.length * WORKER_SLOTS &&
+  workers.every(({ limitPerSecond }) => limitPerSecond === undefined);
+
 /**
  * Runs one seed on real processes. The seed determines the schedule of faults, but not how they interleave with the
  * load.
  */
 export const runSeed = async (seed: number, durationMs: number): Promise<SoakResult> => {
   const deployment = new SoakDeployment();
+  const watch = new AbortController();
   try {
     await deployment.start();
-    const faults = drawFaults(seededRandom(seed), durationMs);
+    const { faults, ends, limit } = drawSchedule(seed, durationMs);
     const injector = new FaultInjector(deployment);
-    const clients = new SoakClients(deployment, injector.stoppingNodes);
+    const batches = new SoakBatches(deployment);
+    const clients = new SoakClients(deployment, batches, injector.stoppingNodes);
+    const mustRun = () => injector.isCalm && hasRoom(deployment);
+    deployment.itemRuns.watch(() => batches.open(), mustRun, watch.signal);
     const load = clients.run();
-    const limit = drawLimit(seededRandom(seed + LIMIT_SEED_OFFSET), durationMs);
     const [excesses] = await Promise.all([
-      runLimit(deployment.workers, limit),
-      injector.run(faults),
+      limit === undefined ? [] : runLimit(deployment.workers, limit),
+      injector.run(faults, ends),
       rotateKeys(deployment, durationMs),
     ]);
     await sleepMs(RECOVERY_MS);
     clients.stop();
     await load;
     await clients.checkRecovered();
-    const { answered, refusedKeys, batches } = clients;
-    const violations = [...clients.violations, ...excesses];
-    const { logs } = deployment;
-    return { seed, violations, answered, refusedKeys, batches, faults: faults.length, logs };
+    const { answered, refusedKeys } = clients;
+    const { logs, itemRuns } = deployment;
+    const violations = [
+      ...[...clients.violations, ...batches.violations],
+      ...[...itemRuns.violations, ...excesses],
+    ];
+    return {
+      ...{ seed, violations, answered, refusedKeys, batches: batches.count },
+      ...{ faults: faults.length, ends: ends.length, logs },
+    };
   } finally {
+    watch.abort();
     await deployment[Symbol.asyncDispose]();
   }
 };
--- a/playground/faultSoak/soakAccounts.ts
+++ b/playground/faultSoak/soakAccounts.ts
@@ -9,6 +9,8 @@
 /** Time after which no node may accept a key any more that was removed from the tables, in ms. */
 const REVOKED_AFTER_MS = REVOKE_AFTER_MS + 1000;
 
+export const randomAccount = (): AccountName => ACCOUNT_NAMES[Math.random() < 0.5 ? 0 : 1];
+
 const keyOf = (account: AccountName, number: number): string => `key-${number}-of-${account}`;
 
 /** The accounts of a revision, as the platform stores them. */
@@ -35,6 +37,10 @@
     return keyOf(account, this.#confirmedMs.length - 1);
   }
 
+  keyHeaderOf(account: AccountName) {
+    return { 'x-key': this.currentKey(account) };
+  }
+
   /** The latest key that no node may accept any more, or one that no revision contains. */
   revokedKey(account: AccountName): string {
     const nowMs = performance.now();
--- a/playground/faultSoak/soakClients.ts
+++ b/playground/faultSoak/soakClients.ts
@@ -6,36 +6,13 @@
   type SoakDeployment,
   type SoakNode,
 } from './soakDeployment.ts';
-import { ACCOUNT_NAMES, type AccountName } from './soakAccounts.ts';
-import { eventText } from './soakWorker.ts';
+import { randomAccount } from './soakAccounts.ts';
+import type { SoakBatches } from './soakBatches.ts';
 import { sleepMs } from '../standIns/standInServer.ts';
 
 const REQUEST_DEADLINE_MS = 2000;
 
-const ITEMS_PER_BATCH = 10;
-
-/** A batch that a node has accepted. */
-interface AcceptedBatch {
-  readonly id: string;
-  /** Number of events of each item, by item ID. */
-  readonly eventCounts: ReadonlyMap<string, number>;
-  readonly account: AccountName;
-  /** ID and state of the results read so far, by position, as text. */
-  readonly seenResults: string[];
-}
-
-interface ResultsBody {
-  readonly total: number;
-  readonly results: readonly {
-    readonly id: string;
-    readonly state: string;
-    readonly text: string;
-  }[];
-}
-
-const randomAccount = (): AccountName => ACCOUNT_NAMES[Math.random() < 0.5 ? 0 : 1];
-
-/** Sends requests and batches to the nodes and checks the responses. */
+/** Sends requests to the nodes, and batches beside them, and checks the responses. */
 export class SoakClients {
   readonly violations: string[] = [];
 
@@ -47,20 +24,25 @@
   /** Requests that were refused with a status that says that they did not run. */
   readonly #refusedRequests = new Set<string>();
 
-  readonly #acceptedBatches: AcceptedBatch[] = [];
-
   /** Newest revision whose route each node process has served, by process ID. */
   readonly #servedRevisions = new Map<number, number>();
 
   readonly #deployment: SoakDeployment;
 
+  readonly #batches: SoakBatches;
+
   /** Nodes in a planned stop during which no other fault has begun. */
   readonly #stoppingNodes: ReadonlySet<string>;
 
   #isStopped = false;
 
-  constructor(deployment: SoakDeployment, stoppingNodes: ReadonlySet<string>) {
+  constructor(
+    deployment: SoakDeployment,
+    batches: SoakBatches,
+    stoppingNodes: ReadonlySet<string>,
+  ) {
     this.#deployment = deployment;
+    this.#batches = batches;
     this.#stoppingNodes = stoppingNodes;
   }
 
@@ -71,8 +53,11 @@
       this.#repeatUntilStopped(30, (node) => this.#sendRequest(node, '/once/')),
       this.#repeatUntilStopped(100, (node) => this.#sendRevokedKey(node)),
       this.#repeatUntilStopped(100, (node) => this.#probeNewestRoute(node)),
-      this.#repeatUntilStopped(700, () => this.#submitBatch()),
-      this.#repeatUntilStopped(150, (node) => this.#readRandomBatch(node)),
+      this.#repeatUntilStopped(700, () =>
+        this.#batches.submit({ isStopped: () => this.#isStopped }),
+      ),
+      this.#repeatUntilStopped(150, (node) => this.#batches.readAny(node)),
+      this.#repeatUntilStopped(500, (node) => this.#batches.endOne(node)),
     ]);
   }
 
@@ -91,17 +76,13 @@
       const probe = await this.#probeNewestRoute(node);
       if (probe?.statusCode !== 200) this.#report(`${node.name} does not serve the newest route`);
     }
-    for (const batch of this.#acceptedBatches) await this.#readToEnd(batch);
+    await this.#batches.checkRecovered();
     this.violations.push(...runCounts.violations);
     for (const id of this.#refusedRequests) {
       if (runCounts.get(id) > 0) this.#report(`request ${id} was refused as not run but ran`);
     }
   }
 
-  get batches(): number {
-    return this.#acceptedBatches.length;
-  }
-
   async #repeatUntilStopped(
     pauseMs: number,
     action: (node: SoakNode) => Promise<unknown>,
@@ -123,7 +104,7 @@
     this.#deployment.runCounts.expectAccount(id, account);
     const headers = {
       host: HOST,
-      ...this.#keyOf(account),
+      ...this.#deployment.accounts.keyHeaderOf(account),
       'x-tenant': 'chosen by the client',
       'x-request-id': id,
       'x-deadline-ms': String(REQUEST_DEADLINE_MS),
@@ -165,10 +146,6 @@
     }
   }
 
-  #keyOf(account: AccountName) {
-    return { 'x-key': this.#deployment.accounts.currentKey(account) };
-  }
-
   /** Requests the newest route. A process that has served a revision must not return to an older one. */
   async #probeNewestRoute(node: SoakNode): Promise<CallResponse | undefined> {
     const pid = node.process?.child.pid ?? 0;
@@ -188,105 +165,6 @@
     return response;
   }
 
-  async #submitBatch(): Promise<void> {
-    const id = newId();
-    const account = randomAccount();
-    const eventCounts = new Map(
-      Array.from({ length: ITEMS_PER_BATCH }, () => [newId(), 5 + Math.floor(Math.random() * 40)]),
-    );
-    const body = JSON.stringify({
-      ...{ step: 0, model: 'model', 'min-version': 0, desired: 1 },
-      items: [...eventCounts].map(([item, events]) => ({
-        ...{ id: item, path: `/items/${item}`, group: 'g', tokens: events },
-        headers: { 'x-model': 'model', 'x-token-counts': `1,${events}` },
-        body: Buffer.from(JSON.stringify({ events })).toString('base64'),
-      })),
-    });
-    for (const item of eventCounts.keys()) this.#deployment.runCounts.expectAccount(item, account);
-    while (!this.#isStopped) {
-      const { nodes } = this.#deployment;
-      const node = nodes[Math.floor(Math.random() * nodes.length)];
-      const headers = { host: HOST, 'x-request-id': id, ...this.#keyOf(account) };
-      const response =
-        node?.process &&
-        (await call(node.frontPort, { method: 'POST', url: '/batches/b', headers, body }));
-      if (response?.statusCode === 202) {
-        this.#acceptedBatches.push({ id, eventCounts, account, seenResults: [] });
-        return;
-      }
-      // A node that has missed two revisions does not know the key.
-      const isFinal = response !== undefined && response.statusCode < 429;
-      if (isFinal && response.statusCode !== 401) {
-        this.#report(`batch ${id} got status ${response.statusCode}`);
-        return;
-      }
-      await sleepMs(200);
-    }
-  }
-
-  async #readRandomBatch(node: SoakNode): Promise<void> {
-    const batch = this.#acceptedBatches[Math.floor(Math.random() * this.#acceptedBatches.length)];
-    if (batch === undefined) return;
-    await this.#readResults(node, batch, Math.random() < 0.3 ? 0 : batch.seenResults.length);
-    const other = ACCOUNT_NAMES.find((name) => name !== batch.account) ?? batch.account;
-    const headers = { host: HOST, ...this.#keyOf(other) };
-    const response = await call(node.frontPort, { url: `/lots/${batch.id}`, headers });
-    if (response?.statusCode === 200) this.#report(`${other} read batch ${batch.id}`);
-  }
-
-  /** Reads results of a batch and compares them with the expected text and with earlier reads. */
-  async #readResults(node: SoakNode, batch: AcceptedBatch, after: number): Promise<void> {
-    const response = await call(node.frontPort, {
-      url: `/lots/${batch.id}?after=${after}`,
-      headers: { host: HOST, ...this.#keyOf(batch.account) },
-    });
-    if (response?.statusCode === 404) this.#report(`${node.name} does not know batch ${batch.id}`);
-    if (response?.statusCode !== 200) return;
-    const { total, results } = JSON.parse(response.body) as ResultsBody;
-    const { seenResults } = batch;
-    if (total !== batch.eventCounts.size) this.#report(`batch ${batch.id} has total ${total}`);
-    results.forEach(({ id, state, text }, index) => {
-      const position = after + index;
-      const events = batch.eventCounts.get(id) ?? 0;
-      const expectedText = Array.from({ length: events }, (_, at) => eventText(id, at + 1)).join(
-        '\n',
-      );
-      if (state === 'completed' && text !== expectedText) {
-        this.#report(
-          `item ${id} has a text of length ${text.length} instead of ${expectedText.length}`,
-        );
-      }
-      const previous = seenResults[position];
-      const current = `${id} ${state}`;
-      if (previous !== undefined && previous !== current) {
-        this.#report(
-          `position ${position} of ${batch.id} was "${previous}" and is now "${current}"`,
-        );
-      }
-      if (position === seenResults.length) seenResults.push(current);
-    });
-  }
-
-  /** Reads a batch to its end, from the nodes in rotation. */
-  async #readToEnd(batch: AcceptedBatch): Promise<void> {
-    const { nodes } = this.#deployment;
-    for (
-      let attempt = 0;
-      attempt < 200 && batch.seenResults.length < batch.eventCounts.size;
-      attempt += 1
-    ) {
-      const node = nodes[attempt % nodes.length];
-      if (node) await this.#readResults(node, batch, batch.seenResults.length);
-      await sleepMs(50);
-    }
-    const ids = new Set(batch.seenResults.map((entry) => entry.split(' ')[0]));
-    if (ids.size !== batch.eventCounts.size) {
-      this.#report(
-        `batch ${batch.id} has ${ids.size} of ${batch.eventCounts.size} results after recovery`,
-      );
-    }
-  }
-
   #report(violation: string): void {
     this.violations.push(violation);
   }
--- a/playground/faultSoak/soakDeployment.ts
+++ b/playground/faultSoak/soakDeployment.ts
@@ -7,11 +7,13 @@
 import { sleepMs } from '../standIns/standInServer.ts';
 import { FaultProxy } from './faultProxy.ts';
 import { REVOKE_AFTER_MS, SoakAccounts, tenantsOf } from './soakAccounts.ts';
+import { ItemRuns } from './itemRuns.ts';
 import { RunCounts } from './runCounts.ts';
 import { SoakWorker } from './soakWorker.ts';
 
 const NODE_COUNT = 4;
 const WORKER_COUNT = 4;
+export const WORKER_SLOTS = 8;
 const ZONE_COUNT = 2;
 
 /** Range of the ports that nodes listen on. */
@@ -99,12 +101,17 @@
 export class SoakDeployment implements AsyncDisposable {
   readonly runCounts = new RunCounts();
 
+  readonly itemRuns = new ItemRuns();
+
   readonly accounts = new SoakAccounts();
 
   readonly nodes: SoakNode[] = [];
 
   readonly workerProxies: FaultProxy[] = [];
 
+  /** Ports of the proxies, which stay those of the workers when they start again. */
+  readonly workerPorts: number[] = [];
+
   /** Output lines of all nodes, printed for a failed seed. */
   readonly logs: string[] = [];
 
@@ -134,14 +141,14 @@
   /** Writes the next revision of the tables, which adds a route. Retries until the platform accepts it. */
   writeTables(): Promise<void> {
     this.#lastTablesWrite = this.#lastTablesWrite.then(async () => {
-      while (!(await this.#writeRevision(this.revision + 1))) await sleepMs(WRITE_RETRY_MS);
+      while ((await this.#writeRevision(this.revision + 1)) >= 300) await sleepMs(WRITE_RETRY_MS);
       this.revision += 1;
       this.accounts.confirmed(this.revision);
     });
     return this.#lastTablesWrite;
   }
 
-  #writeRevision(revision: number): Promise<boolean> {
+  #writeRevision(revision: number): Promise<number> {
     const route = (kind: string, prefix: string) => ({
       ...{ name: prefix, host: HOST, 'path-prefix': prefix, kind, service: 'service' },
       ...{ 'timeout-ms': 3000, 'target-latency-ms': 300, 'max-attempts': 3 },
@@ -160,7 +167,12 @@
       services: [
         {
           ...{ name: 'service', 'max-connections': 500 },
-          engine: { slots: 8, 'kv-cache-tokens': 1e6, stride: 1, models: [{ name: 'model' }] },
+          engine: {
+            slots: WORKER_SLOTS,
+            'kv-cache-tokens': 1e6,
+            stride: 1,
+            models: [{ name: 'model' }],
+          },
         },
       ],
       tenants: tenantsOf(revision),
@@ -183,6 +195,21 @@
     await call(this.#platformPort, { method: 'PUT', url: '/control/faults', body });
   }
 
+  /** Writes the registration of a worker, or deletes it. Retries until the platform accepts it. */
+  async register(index: number, method: 'POST' | 'PUT' | 'DELETE'): Promise<void> {
+    const { id, startedAtMs } = this.workers[index] ?? { id: '', startedAtMs: 0 };
+    const url = method === 'POST' ? '/servers' : `/servers/${id}`;
+    const spec = {
+      ...{ service: 'service', address: `127.0.0.1:${this.workerPorts[index]}` },
+      ...{ zone: `z${index % ZONE_COUNT}`, slots: WORKER_SLOTS, state: 'ready', sequence: 1 },
+      ...{ born: startedAtMs, models: [{ name: 'model', version: 1 }] },
+    };
+    // Status of a repeated call when only the response to the first one was lost.
+    const repeatedStatus = { POST: 409, PUT: 200, DELETE: 404 }[method];
+    const isDone = (status: number) => status < 300 || status === repeatedStatus;
+    while (!isDone(await this.#writeObject(method, url, id, spec))) await sleepMs(WRITE_RETRY_MS);
+  }
+
   async startNode(node: SoakNode): Promise<void> {
     const { file } = node;
     const started = await this.#group.start(
@@ -200,7 +227,6 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    for (const { process } of this.nodes) if (process) this.logs.push(...process.lines);
     await this.#group[Symbol.asyncDispose]();
     const proxies = [...this.workerProxies, ...this.nodes.map((node) => node.platformProxy)];
     await Promise.all(
@@ -209,15 +235,13 @@
   }
 
   async #startWorker(index: number): Promise<void> {
-    const worker = new SoakWorker(`w${index}`, this.runCounts);
+    const worker = new SoakWorker(`w${index}`, this.runCounts, this.itemRuns);
     this.workers.push(worker);
     const proxy = new FaultProxy(await worker.listen());
     this.workerProxies.push(proxy);
-    await this.#writeObject('POST', '/servers', worker.id, {
-      ...{ service: 'service', address: `127.0.0.1:${await proxy.listen()}` },
-      ...{ zone: `z${index % ZONE_COUNT}`, slots: 8, state: 'ready', sequence: 1, born: 1 },
-      models: [{ name: 'model', version: 1 }],
-    });
+    const [port = 0] = await findFreePorts(1);
+    this.workerPorts.push(await proxy.listen(port));
+    await this.register(index, 'POST');
   }
 
   async #prepare(index: number): Promise<SoakNode> {
@@ -250,10 +274,11 @@
     };
   }
 
-  /** Writes an object. Returns whether the stand-in for the platform confirmed the write. */
-  async #writeObject(method: string, url: string, name: string, spec: unknown): Promise<boolean> {
-    const body = JSON.stringify({ metadata: { name }, spec });
+  /** Writes an object. Returns the status of the stand-in for the platform, or 504 if there was no response. */
+  async #writeObject(method: string, url: string, name: string, spec: unknown): Promise<number> {
+    // Node sends the body of a DELETE without its length.
+    const body = method === 'DELETE' ? '' : JSON.stringify({ metadata: { name }, spec });
     const response = await call(this.#platformPort, { method, url: `/objects${url}`, body });
-    return response !== undefined && response.statusCode < 300;
+    return response?.statusCode ?? 504;
   }
 }
--- a/playground/faultSoak/soakFaults.ts
+++ b/playground/faultSoak/soakFaults.ts
@@ -3,6 +3,7 @@
 import type { ProxyFault } from './faultProxy.ts';
 import type { SoakDeployment, SoakNode } from './soakDeployment.ts';
 import type { ResponseFault } from './soakWorker.ts';
+import { endWorker, type WorkerEnd } from './soakWorkerEnds.ts';
 import { sleepMs } from '../standIns/standInServer.ts';
 
 /** One fault of a schedule; several may overlap. */
@@ -36,6 +37,9 @@
 /** Timeout of a planned stop, in ms: longer than the nodes' `graceMs`. */
 const STOP_TIMEOUT_MS = 7000;
 
+/** Time after a fault in which the nodes may still be recovering from it, in ms. */
+const CALM_AFTER_MS = 3000;
+
 /** Draws a schedule of consecutive faults, some of which overlap. */
 export const drawFaults = (random: Random, durationMs: number): SoakFault[] => {
   const faults: SoakFault[] = [];
@@ -55,6 +59,12 @@
 export class FaultInjector {
   readonly #deployment: SoakDeployment;
 
+  /** Number of faults in progress. Planned work is none: new tables, and a node that is told to read its settings again. */
+  #activeCount = 0;
+
+  /** When the last fault began or ended, in ms. */
+  #lastFaultMs = 0;
+
   /** Nodes in a planned stop during which no other fault has begun. */
   readonly stoppingNodes = new Set<string>();
 
@@ -65,14 +75,25 @@
     this.#deployment = deployment;
   }
 
+  /** Whether no fault is in progress or has ended shortly before. */
+  get isCalm(): boolean {
+    return this.#activeCount === 0 && performance.now() - this.#lastFaultMs > CALM_AFTER_MS;
+  }
+
   /** Runs a schedule. Resolves when every fault has ended and every node runs. */
-  async run(faults: readonly SoakFault[]): Promise<void> {
-    await Promise.all(
-      faults.map(async (fault) => {
+  async run(faults: readonly SoakFault[], ends: readonly WorkerEnd[]): Promise<void> {
+    await Promise.all([
+      ...faults.map(async (fault) => {
         await sleepMs(fault.startMs);
-        await this.#inject(fault);
+        if (fault.kind === 'hangup' || fault.kind === 'tables') await this.#inject(fault);
+        else await this.#track(() => this.#inject(fault));
+      }),
+      ...ends.map(async (end) => {
+        await sleepMs(end.startMs);
+        this.stoppingNodes.clear();
+        await this.#track(() => endWorker(this.#deployment, end));
       }),
-    );
+    ]);
     const { nodes, workers, workerProxies } = this.#deployment;
     await this.#deployment.setPlatformFaults({});
     for (const proxy of workerProxies) proxy.setFault('none');
@@ -82,6 +103,15 @@
       node.process?.child.kill('SIGCONT');
       if (node.process === undefined) await this.#deployment.startNode(node);
     }
+    this.#lastFaultMs = performance.now();
+  }
+
+  async #track(fault: () => Promise<void>): Promise<void> {
+    this.#activeCount += 1;
+    this.#lastFaultMs = performance.now();
+    await fault();
+    this.#activeCount -= 1;
+    this.#lastFaultMs = performance.now();
   }
 
   async #inject({ kind, durationMs, targetIndex, variant }: SoakFault): Promise<void> {
--- a/playground/faultSoak/soakWorker.ts
+++ b/playground/faultSoak/soakWorker.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
+import type { ItemRuns } from './itemRuns.ts';
 import type { RunCounts } from './runCounts.ts';
 import { sleepMs } from '../standIns/standInServer.ts';
 
@@ -32,14 +33,14 @@
   return Buffer.concat(chunks).toString();
 };
 
-/** Streams the events of an item, starting after `last-event-id`. */
+/** Streams the events of an item, starting after `last-event-id`. Returns whether the stream reached its end. */
 const streamEvents = async (
   request: http.IncomingMessage,
   response: http.ServerResponse,
   id: string,
   body: string,
   isFaulty: () => boolean,
-): Promise<void> => {
+): Promise<boolean> => {
   response.writeHead(200, { 'content-type': 'text/event-stream', 'x-weight-versions': '1' });
   const total = countEvents(body);
   const after = Number(request.headers['last-event-id'] ?? 0);
@@ -48,11 +49,13 @@
     if (isFaulty()) {
       response.write(`id: ${number}\ndata: ha`);
       response.destroy();
-      return;
+      return false;
     }
     response.write(`id: ${number}\ndata: ${eventText(id, number)}\n\n`);
   }
+  const isComplete = !response.destroyed;
   response.end();
+  return isComplete;
 };
 
 /** Sends a response as modified by a fault. */
@@ -73,7 +76,10 @@
 
 /** A worker that speaks the platform's protocol, as both a plain service and a model engine. */
 export class SoakWorker implements AsyncDisposable {
-  readonly id: string;
+  id: string;
+
+  /** Start of the worker's process, as it reports it. */
+  startedAtMs = 1;
 
   responseFault: ResponseFault = 'none';
 
@@ -85,11 +91,14 @@
 
   readonly #runCounts: RunCounts;
 
+  readonly #itemRuns: ItemRuns;
+
   readonly #server: http.Server;
 
-  constructor(id: string, counts: RunCounts) {
+  constructor(id: string, counts: RunCounts, itemRuns: ItemRuns) {
     this.id = id;
     this.#runCounts = counts;
+    this.#itemRuns = itemRuns;
     this.#server = http.createServer((request, response) => {
       this.#handle(request, response).catch(() => response.destroy());
     });
@@ -114,7 +123,7 @@
     const body = await readBody(request);
     if (request.url === '/report') {
       const models = [{ name: 'model', version: 1 }];
-      response.end(JSON.stringify({ busy: false, sequence: 0, born: 1, models }));
+      response.end(JSON.stringify({ busy: false, sequence: 0, born: this.startedAtMs, models }));
       return;
     }
     const id = String(request.headers['x-request-id']);
@@ -130,7 +139,8 @@
     if (request.url?.startsWith('/items/')) {
       const isFaulty = () =>
         this.responseFault !== 'none' && Math.random() < EVENT_FAULT_PROBABILITY;
-      await streamEvents(request, response, id, body, isFaulty);
+      this.#itemRuns.begin(id);
+      this.#itemRuns.end(id, await streamEvents(request, response, id, body, isFaulty));
       return;
     }
     await sleepMs(REQUEST_DURATION_MS);
