fix(poison): a lost worker excuses a trial only if half of its pool was lost, and single losses are tried alone

Change: a loss is common if half of the pool's other workers ended with it, or most of three that are probed; only items whose worker was lost in common start in groups.

--- a/src/node/batches/suspectedItems.ts
+++ b/src/node/batches/suspectedItems.ts
@@ -62,6 +62,9 @@
   /** Longest time for which a run of the item had lasted when its worker ended, in ms. */
   readonly #longestMs = new WeakMap<ItemState, number>();
 
+  /** Items whose worker was last lost together with others, so that it ended for another reason than one of its items. */
+  readonly #lostInCommon = new WeakSet<ItemState>();
+
   /** Monotonic time at which the results of a batch are due, in ms. */
   readonly #dueMs = new WeakMap<BatchState, number>();
 
@@ -138,7 +141,10 @@
   /** How an item must be placed because workers ended under it. */
   suspicionOf(state: ItemState): WaitingItem['suspicion'] {
     if (this.#verdictOf(state) !== 'suspected') return undefined;
-    return this.#options.poison.endsOf(state.request) < MIN_ENDS_TO_RUN_ALONE ? 'weak' : 'strong';
+    const { poison } = this.#options;
+    const isWeak =
+      this.#lostInCommon.has(state) && poison.endsOf(state.request) < MIN_ENDS_TO_RUN_ALONE;
+    return isWeak ? 'weak' : 'strong';
   }
 
   /** Room for suspected items at a worker. */
@@ -190,8 +196,10 @@
     this.#windows.reset(worker.id);
     this.#longestMs.set(state, Math.max(this.#longestMs.get(state) ?? 0, elapsedMs));
     const { id } = state.batch.record;
-    const isTrial = ofBatch && !survivedBatch;
-    const trial = isTrial && !(await poison.isCommonLoss(pool, worker, startedMs));
+    const isCommonLoss = await poison.isCommonLoss(pool, worker, startedMs);
+    if (isCommonLoss) this.#lostInCommon.add(state);
+    else this.#lostInCommon.delete(state);
+    const trial = ofBatch && !survivedBatch && !isCommonLoss;
     const before = this.#verdictOfBatch(state.batch);
     this.#batches.recordEnd(id, {
       ...{ worker: startOf(worker), trial },
--- a/src/node/decisions/poisonRequests/commonLosses.ts
+++ b/src/node/decisions/poisonRequests/commonLosses.ts
@@ -24,19 +24,23 @@
   }
 
   /**
-   * Whether another worker of the pool ended at about the same time. One that ended before the trial started does not count:
-   * the request may have run there.
+   * Number of other workers of the pool that ended at about the same time. One that ended before the trial started does not
+   * count: the request may have run there.
    *
    * @param startedMs - when the trial started
    */
-  isCommon(pool: string, worker: string, atMs: number, startedMs: number): boolean {
-    return this.#losses.some(
-      (loss) =>
-        loss.pool === pool &&
-        loss.worker !== worker &&
-        loss.atMs > startedMs &&
-        Math.abs(loss.atMs - atMs) <= COMMON_LOSS_MS,
-    );
+  countWith(pool: string, worker: string, atMs: number, startedMs: number): number {
+    return new Set(
+      this.#losses
+        .filter(
+          (loss) =>
+            loss.pool === pool &&
+            loss.worker !== worker &&
+            loss.atMs > startedMs &&
+            Math.abs(loss.atMs - atMs) <= COMMON_LOSS_MS,
+        )
+        .map((loss) => loss.worker),
+    ).size;
   }
 
   /** Whether a worker ended a short time ago. */
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -196,22 +196,26 @@
   }
 
   /**
-   * Finds out whether other workers of the pool were lost together with one that has just ended during a trial, so that the
-   * trial says nothing.
+   * Finds out whether half of the pool's other workers or more were lost together with one that has just ended during a trial,
+   * so that the trial says nothing. A worker that ended under another suspected request at that time does not excuse it.
    *
    * @param startedMs - when the trial started
    */
   async isCommonLoss(pool: string, worker: CalledWorker, startedMs: number): Promise<boolean> {
     const { clock, workersOf } = this.#options;
     const atMs = clock.monotonicMs();
-    const others = (workersOf?.(pool) ?? [])
-      .filter((other) => other.id !== worker.id && !this.#losses.hasLost(startOf(other)))
-      .slice(0, MAX_PROBED_WORKERS);
+    const others = (workersOf?.(pool) ?? []).filter(
+      (other) => other.id !== worker.id && !this.#losses.hasLost(startOf(other)),
+    );
     const [probes] = await Promise.all([
-      Promise.all(others.map(({ address }) => this.#hasEnded(address))),
+      Promise.all(
+        others.slice(0, MAX_PROBED_WORKERS).map(({ address }) => this.#hasEnded(address)),
+      ),
       sleep(clock, COMMON_LOSS_MS),
     ]);
-    return probes.includes(true) || this.#losses.isCommon(pool, startOf(worker), atMs, startedMs);
+    const lost = this.#losses.countWith(pool, startOf(worker), atMs, startedMs);
+    const probedLost = probes.filter(Boolean).length;
+    return (lost > 0 && lost >= others.length / 2) || probedLost > probes.length / 2;
   }
 
   /** Resolves when it is known whether the last trial of a request has failed. */
