test(playground): deployments of the fault soak keep their ports from each other

Cause: each deployment drew its ports at random out of 20,000 and only remembered those of its own process. Ruled out: ports of outgoing connections, which begin at 32768.

--- a/playground/faultSoak/soakDeployment.ts
+++ b/playground/faultSoak/soakDeployment.ts
@@ -1,6 +1,5 @@
 import { writeFile } from 'node:fs/promises';
 import http from 'node:http';
-import net from 'node:net';
 import path from 'node:path';
 import { newId } from '../../src/shared/random.ts';
 import { ProcessGroup, type StartedProcess } from '../processes.ts';
@@ -8,6 +7,7 @@
 import { FaultProxy } from './faultProxy.ts';
 import { REVOKE_AFTER_MS, SoakAccounts, tenantsOf } from './soakAccounts.ts';
 import { ItemRuns } from './itemRuns.ts';
+import { PortBlock } from './portBlock.ts';
 import { RunCounts } from './runCounts.ts';
 import { SoakWorker } from './soakWorker.ts';
 
@@ -16,10 +16,6 @@
 export const WORKER_SLOTS = 8;
 const ZONE_COUNT = 2;
 
-/** Range of the ports that nodes listen on. */
-const FIRST_PORT = 10_000;
-const PORT_COUNT = 20_000;
-
 /** Time between attempts to write tables during a platform outage, in ms. */
 const WRITE_RETRY_MS = 200;
 
@@ -61,31 +57,6 @@
     request.end(body);
   });
 
-const isPortFree = (port: number): Promise<boolean> =>
-  new Promise((resolve) => {
-    const server = net.createServer();
-    server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
-  });
-
-/** Ports already assigned to a node. The node may not listen on them yet, or may be down. */
-const assignedPorts = new Set<number>();
-
-/**
- * Finds free ports below the range that the kernel uses for outgoing connections, so that the ports of a node that is
- * down stay free.
- */
-const findFreePorts = async (count: number): Promise<readonly number[]> => {
-  const ports: number[] = [];
-  while (ports.length < count) {
-    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
-    if (assignedPorts.has(port) || !(await isPortFree(port))) continue;
-    assignedPorts.add(port);
-    ports.push(port);
-  }
-  return ports;
-};
-
 /** A node of the deployment. */
 export interface SoakNode {
   readonly name: string;
@@ -117,6 +88,8 @@
 
   readonly #group = new ProcessGroup();
 
+  readonly #ports = new PortBlock();
+
   readonly workers: SoakWorker[] = [];
 
   /** Keeps the nodes of soaks that run on the same machine apart when they reuse each other's ports. */
@@ -130,6 +103,7 @@
   revision = 0;
 
   async start(): Promise<void> {
+    await this.#ports.reserve();
     const { address } = await this.#group.startStandIn('platform');
     this.#platformPort = Number(address.split(':').at(-1));
     await this.writeTables();
@@ -232,6 +206,7 @@
     await Promise.all(
       [...this.workers, ...proxies].map((resource) => resource[Symbol.asyncDispose]()),
     );
+    await this.#ports[Symbol.asyncDispose]();
   }
 
   async #startWorker(index: number): Promise<void> {
@@ -239,13 +214,14 @@
     this.workers.push(worker);
     const proxy = new FaultProxy(await worker.listen());
     this.workerProxies.push(proxy);
-    const [port = 0] = await findFreePorts(1);
+    const [port = 0] = await this.#ports.take(1);
     this.workerPorts.push(await proxy.listen(port));
     await this.register(index, 'POST');
   }
 
   async #prepare(index: number): Promise<SoakNode> {
-    const [front = 0, ready = 0, directory = 0, peer = 0, datagrams = 0] = await findFreePorts(5);
+    const [front = 0, ready = 0, directory = 0, peer = 0, datagrams = 0] =
+      await this.#ports.take(5);
     const platformProxy = new FaultProxy(this.#platformPort);
     const platformPort = await platformProxy.listen();
     const name = `node-${index}`;
