fix(election): a restarted node that finds the holder gone waits its claim delay once

After a restart of all nodes the record of a subject names a process that has ended.

The waiting time restarts only if the holder changed after the first read, or if the holder that is found is not gone.

The test failed before: no claim within the discovery of peers, one stagger and two checks.

--- a/src/node/election/holderElection.ts
+++ b/src/node/election/holderElection.ts
@@ -406,10 +406,13 @@
   }
 
   #setKnown(record: R | undefined, version: number): void {
-    // The grace period restarts for a new holder: the heartbeat by which it announces that it has regained the platform
-    // may arrive after its record.
-    if (record?.incarnation !== this.#known?.record?.incarnation) this.#unableSince = undefined;
+    const isFirst = this.#known === undefined;
+    const isSameHolder = record?.incarnation === this.#known?.record?.incarnation;
     this.#known = { record, version };
+    // The grace period restarts for a new holder: the heartbeat by which it announces that it has regained the platform
+    // may arrive after its record. A holder that is gone when the record is read for the first time is not a new one.
+    const wasGone = isFirst && this.#holderState() === 'gone';
+    if (!isSameHolder && !wasGone) this.#unableSince = undefined;
     this.#latestVersion = Math.max(this.#latestVersion, version);
   }
 
