fix(batches): after a take-over, runs start once the open batches are loaded

A new dispatcher loads the open batches one after the other and started the items of each as soon as it was loaded. The batch that was loaded first took all slots, and the items of an older step, whose result log is longer and whose items have to be read, waited until items of the newer one ended.

Runs now start when all batches of the first listing are loaded, but at most 300 ms after it, so that a batch that cannot be loaded does not hold up the others.

The first test failed before: all slots had items of the newer batch. The second one guards the limit.

--- a/src/node/batches/__tests__/batchNodeHarness.ts
+++ b/src/node/batches/__tests__/batchNodeHarness.ts
@@ -146,14 +146,16 @@
     await this.platform.write(dispatcherKey(POOL), encodeDispatcher(former));
   }
 
-  /** Stores an accepted batch of one item, `ID-item`. */
-  async addBatch(id: string, pool = POOL): Promise<BatchRecord> {
+  /** Stores an accepted batch whose first item is `ID-item`. */
+  async addBatch(id: string, pool = POOL, itemCount = 1): Promise<BatchRecord> {
     const record = create(BatchRecordSchema, {
-      ...{ id, pool, model: 'm', itemCount: 1, partCount: 1, maxAttempts: 3 },
+      ...{ id, pool, model: 'm', itemCount, partCount: 1, maxAttempts: 3 },
       submittedAtMs: BigInt(this.clock.nowMs()),
     });
-    const item = create(BatchItemSchema, { id: `${id}-item`, group: 'g' });
-    await this.platform.write(itemsKey(record, 0), encodeItems([item]));
+    const items = Array.from({ length: itemCount }, (_, index) =>
+      create(BatchItemSchema, { id: `${id}-item${index === 0 ? '' : index}`, group: `g${index}` }),
+    );
+    await this.platform.write(itemsKey(record, 0), encodeItems(items));
     await this.platform.write(batchKey(id), encodeBatch(record));
     return record;
   }
--- a/src/node/batches/__tests__/heldPlatform.ts
+++ b/src/node/batches/__tests__/heldPlatform.ts
@@ -7,6 +7,11 @@
 
   #waiting: (() => void)[] = [];
 
+  /** Number of calls that wait to be released. */
+  get heldCount(): number {
+    return this.#waiting.length;
+  }
+
   /** Leaves calls for objects with this prefix unanswered until they are released. */
   hold(prefix: string): void {
     this.#heldPrefix = prefix;
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -3,7 +3,7 @@
   DispatcherRecord,
   ItemProgress,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
-import { type Clock, Stopwatch } from '../../shared/clock.ts';
+import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { messageOf } from '../../shared/errors.ts';
 import type { Random } from '../../shared/random.ts';
@@ -33,6 +33,7 @@
 import {
   BATCHES_LONG_POLL_MS,
   BATCH_CHANGE_GRACE_MS,
+  MAX_FIRST_LOAD_MS,
   MAX_ORDER_TRANSIT_MS,
   RETENTION_SWEEP_INTERVAL_MS,
 } from './constants.ts';
@@ -105,6 +106,9 @@
 
   #loader: BatchLoader | undefined;
 
+  /** Whether the batches that were open when this node was elected have been loaded, or their loading takes too long. */
+  #isFirstLoadOver = false;
+
   /** Follows the batch records while this node is elected. */
   #batchFollower: ObjectFollower | undefined;
 
@@ -173,7 +177,7 @@
       newestVersion: (model) => published.newest(model),
       partialTexts: this.#partialTexts,
       batchView: () => ({
-        ageMs: this.#batchFollower?.ageMs ?? Infinity,
+        ageMs: this.#isFirstLoadOver ? (this.#batchFollower?.ageMs ?? Infinity) : Infinity,
         platformLost: this.#options.health.lost,
       }),
       onSuperseded: () => this.election.resign('a result log was taken over by a later term', term),
@@ -219,6 +223,7 @@
     this.#dispatcher = undefined;
     this.#loader = undefined;
     this.#batchFollower = undefined;
+    this.#isFirstLoadOver = false;
     await resources?.[Symbol.asyncDispose]();
   }
 
@@ -245,14 +250,17 @@
     if (dispatcher.closed) return;
     // Batches in the first successful listing may have run under the former dispatcher.
     let isFirstListing = true;
+    const firstLoads: Promise<void>[] = [];
     const follower = new ObjectFollower({
       ...{ platform, clock, random, logger, prefix: BATCHES_PREFIX },
       waitMs: () => BATCHES_LONG_POLL_MS,
       onEvent: (event) => {
         const takeOver = isFirstListing && former !== undefined;
-        this.#handleBatchEvent(dispatcher, loader, event, takeOver, byBatch);
+        const load = this.#handleBatchEvent(dispatcher, loader, event, takeOver, byBatch);
+        if (isFirstListing && load !== undefined) firstLoads.push(load);
       },
       onApplied: () => {
+        if (isFirstListing) void this.#startRunsAfter(firstLoads, dispatcher);
         isFirstListing = false;
       },
     });
@@ -266,6 +274,22 @@
     await follower.start();
   }
 
+  /**
+   * Lets runs start once the open batches are loaded. Otherwise the batch that loads first takes all slots, and the items of
+   * an older step wait behind a newer one.
+   */
+  async #startRunsAfter(
+    loads: readonly Promise<void>[],
+    dispatcher: PoolDispatcher,
+  ): Promise<void> {
+    if (loads.length > 0) {
+      await Promise.race([Promise.all(loads), sleep(this.#options.clock, MAX_FIRST_LOAD_MS)]);
+    }
+    if (this.#dispatcher !== dispatcher) return;
+    this.#isFirstLoadOver = true;
+    dispatcher.schedule();
+  }
+
   #isReachable(node: DispatcherRecord | undefined): boolean {
     const peers = this.#options.view.peers();
     return peers.some(
@@ -273,30 +297,33 @@
     );
   }
 
+  /** @returns the load of a batch that was not known */
   #handleBatchEvent(
     dispatcher: PoolDispatcher,
     loader: BatchLoader,
     { type, object }: PlatformEvent,
     takeOver: boolean,
     progress: ReadonlyMap<string, ItemProgress[]>,
-  ): void {
+  ): Promise<void> | undefined {
     const id = object.key.slice(BATCHES_PREFIX.length);
     if (type === 'removed') {
       loader.cancel(id, 'removed');
       dispatcher.forget(id);
-      return;
+      return undefined;
     }
     const record = tryDecodeBatch(object, this.#options.logger);
-    if (record === undefined) return;
+    if (record === undefined) return undefined;
     if (record.pool !== this.pool) {
       if (record.endedAtMs === 0n) this.#options.onOtherOpenBatch(record);
-      return;
+      return undefined;
     }
     // A batch that ended before it was loaded here is not loaded; its results are read from the platform.
     if (record.endedAtMs > 0n) {
       loader.cancel(id, 'ended');
       dispatcher.end(id);
-    } else if (!dispatcher.has(id)) void loader.load(record, takeOver, progress.get(id));
+      return undefined;
+    }
+    return dispatcher.has(id) ? undefined : loader.load(record, takeOver, progress.get(id));
   }
 
   /**
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -41,6 +41,12 @@
 /** Delay between attempts to load a batch while the platform does not respond, in ms. */
 export const BATCH_LOAD_RETRY_MS = 250;
 
+/**
+ * Longest time for which a new dispatcher starts no runs because open batches are still being loaded, in ms: several round
+ * trips to the platform. The items of the batches that are loaded wait meanwhile.
+ */
+export const MAX_FIRST_LOAD_MS = 300;
+
 /** Bounds of the delay between attempts of a starting node to list the open batches, in ms. */
 export const OPEN_BATCHES_BACKOFF = { baseMs: 250, maxMs: 4000 };
 
