fix(batches): a read that waits for the platform asks the next dispatcher meanwhile

A dispatcher that loses the platform is replaced. A trainer that asked its node after that waited 2.4 s for two reads of the platform, which the node could not reach, and got 503, although the results were stored and the successor, which the node learned of within a heartbeat, could answer.

While the platform has not responded, the dispatcher is asked again every 200 ms.

--- a/src/node/batches/batchReader.ts
+++ b/src/node/batches/batchReader.ts
@@ -5,7 +5,7 @@
   type ItemResult,
   ReadStatus,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
-import { type Clock, Stopwatch } from '../../shared/clock.ts';
+import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { type BatchCaller, mayAccessBatch } from '../decisions/accounts/batchOwnership.ts';
 import type { BatchClient, PeerAddress } from '../membership/peerClients.ts';
@@ -13,7 +13,11 @@
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { BatchCoordinator } from './batchCoordinator.ts';
 import { batchKey, decodeBatch, decodeItems, isBatchId, itemsKey } from './batchObjects.ts';
-import { MAX_CACHED_ITEM_BATCHES, PEER_READ_MARGIN_MS } from './constants.ts';
+import {
+  DISPATCHER_READ_RETRY_MS,
+  MAX_CACHED_ITEM_BATCHES,
+  PEER_READ_MARGIN_MS,
+} from './constants.ts';
 import { limitReadSize, readLog } from './resultLog.ts';
 
 /** Results of a batch from a position on. `unavailable`: neither a dispatcher nor the platform could be read. */
@@ -70,7 +74,10 @@
     if (!isBatchId(batchId)) return { kind: 'no-such-batch' };
     const started = new Stopwatch(this.#options.clock);
     const fromDispatcher = await this.#readFromDispatchers(batchId, after, waitMs, caller);
-    const read = fromDispatcher ?? (await this.#readFromPlatform(batchId, after, caller));
+    const { read, source } =
+      fromDispatcher === undefined
+        ? await this.#readFromPlatformOrNextDispatcher(batchId, after, caller)
+        : { read: fromDispatcher, source: 'dispatcher' };
     this.#options.logger.info('batch-read', {
       batch: batchId,
       account: caller,
@@ -78,7 +85,7 @@
       outcome: read.kind,
       reason: read.kind === 'no-such-batch' ? read.reason : undefined,
       results: read.kind === 'found' ? read.results.length : undefined,
-      source: fromDispatcher === undefined ? 'platform' : 'dispatcher',
+      source,
       tookMs: Math.round(started.elapsedMs()),
     });
     return read;
@@ -150,6 +157,42 @@
     }
   }
 
+  /**
+   * Reads from the platform and, while that takes long, from the dispatcher that has been elected in the meantime: a
+   * dispatcher is replaced when it has lost the platform, and its node would read from there in vain.
+   */
+  async #readFromPlatformOrNextDispatcher(
+    batchId: string,
+    after: number,
+    caller: BatchCaller,
+  ): Promise<{ readonly read: BatchRead; readonly source: string }> {
+    const ended = new AbortController();
+    const fromPlatform = this.#readFromPlatform(batchId, after, caller).then((read) => ({
+      ...{ read, source: 'platform' },
+    }));
+    const fromDispatcher = this.#readFromNextDispatcher(batchId, after, caller, ended.signal).then(
+      (read) => (read === undefined ? fromPlatform : { read, source: 'dispatcher' }),
+    );
+    const first = await Promise.race([fromPlatform, fromDispatcher]);
+    ended.abort();
+    return first;
+  }
+
+  /** Asks the dispatcher until it knows the batch or the signal is aborted. */
+  async #readFromNextDispatcher(
+    batchId: string,
+    after: number,
+    caller: BatchCaller,
+    signal: AbortSignal,
+  ): Promise<BatchRead | undefined> {
+    for (;;) {
+      await sleep(this.#options.clock, DISPATCHER_READ_RETRY_MS, signal);
+      if (signal.aborted) return undefined;
+      const read = await this.#readFromDispatchers(batchId, after, 0, caller);
+      if (read !== undefined) return read;
+    }
+  }
+
   async #readFromPlatform(batchId: string, after: number, caller: BatchCaller): Promise<BatchRead> {
     const { platform } = this.#options;
     try {
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -65,6 +65,9 @@
 /** Time allowed for a peer's response in addition to the requested wait, in ms. */
 export const PEER_READ_MARGIN_MS = 400;
 
+/** Interval between reads from the dispatcher while the platform has not responded, in ms. It usually takes under 100 ms. */
+export const DISPATCHER_READ_RETRY_MS = 200;
+
 /** Maximum number of batches whose items a node caches after reading them from the platform. */
 export const MAX_CACHED_ITEM_BATCHES = 8;
 
