fix(weights): at least two workers of a pool load weights at the same time

The limit of concurrent loads was a quarter of the workers in use.

The limit is a quarter of the pool, but at least two unless these are all.

--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -83,9 +83,6 @@
 /** Status code by which a worker reports that the item can never be completed. */
 export const ITEM_UNPROCESSABLE_STATUS = 422;
 
-/** Share of a pool that may load weights at the same time. With more, the weight store serves each more slowly. */
-export const MAX_LOADING_SHARE = 0.25;
-
 /** Interval between progress checkpoints, in ms. A killed dispatcher loses up to this much work on each item. */
 export const CHECKPOINT_INTERVAL_MS = 1500;
 
--- a/src/node/batches/poolDispatcherOptions.ts
+++ b/src/node/batches/poolDispatcherOptions.ts
@@ -39,7 +39,7 @@
   readonly weights: WeightLoads;
   /** Newest published weight version of a model. */
   readonly newestVersion: (model: string) => number;
-  /** Maximum number of workers that load weights at the same time. @default `MAX_LOADING_SHARE` of the pool */
+  /** Maximum number of workers that load weights at the same time. @default `loadLimitOf` the pool */
   readonly maxLoading?: number;
   readonly partialTexts: PartialTextCache;
   readonly batchView: StaleViewGuardOptions['batchView'];
--- a/src/node/batches/weightRefresher.ts
+++ b/src/node/batches/weightRefresher.ts
@@ -1,11 +1,11 @@
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import { BatchWorkEstimates } from '../decisions/batchWorkEstimates.ts';
+import { loadLimitOf } from '../decisions/weightRefresh.ts';
 import { assignWorkersToModels } from '../decisions/workerAssignment.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
 import type { BatchState } from './batchState.ts';
-import { MAX_LOADING_SHARE } from './constants.ts';
 import type { EngineWorkers } from './engineWorkers.ts';
 import type { ItemRun } from './itemRun.ts';
 import { countByWorker } from './suspectedItems.ts';
@@ -24,7 +24,7 @@
   readonly workers: Pick<EngineWorkers, 'forAssignment'>;
   /** Newest published weight version of a model. */
   readonly newestVersion: (model: string) => number;
-  /** Maximum number of workers that load weights at the same time. @default `MAX_LOADING_SHARE` of the pool */
+  /** Maximum number of workers that load weights at the same time. @default `loadLimitOf` the pool */
   readonly maxLoading?: number;
 }
 
@@ -95,7 +95,7 @@
       this.#modelByWorker,
       (model) => this.#workload.meanTokens(model),
     );
-    const loadLimit = maxLoading ?? Math.ceil(workers.length * MAX_LOADING_SHARE);
+    const loadLimit = maxLoading ?? loadLimitOf(workers.length);
     const waiting = countWaiting(open);
     const totalSlots = workers.reduce((sum, { slots }) => sum + (engine()?.slots ?? slots), 0);
     const meanSlots = Math.max(1, totalSlots / Math.max(1, workers.length));
--- a/src/node/decisions/weightRefresh.ts
+++ b/src/node/decisions/weightRefresh.ts
@@ -47,3 +47,16 @@
     .slice(0, loadSlots)
     .map(({ id }) => id);
 };
+
+/** Share of a pool that may load weights at the same time. With more, the weight store serves each more slowly. */
+const MAX_LOADING_SHARE = 0.25;
+
+/** Number of workers of any pool that may load at the same time, unless these are all. */
+const MIN_LOADING_LIMIT = 2;
+
+/**
+ * Number of workers of a pool that may load weights at the same time. The weight store serves no fewer workers when a pool
+ * has lost some of its own, and loads one after the other leave items waiting beside workers that only need the weights.
+ */
+export const loadLimitOf = (workers: number): number =>
+  Math.max(Math.min(MIN_LOADING_LIMIT, workers - 1), Math.ceil(workers * MAX_LOADING_SHARE));
