fix(weights): a worker that rejects runs soon after its load counts as loading

A load is taken as complete 950 ms after its order was accepted. If more workers load than the weight store serves at full speed, for example beside those that a former dispatcher or a leaving worker had begun, a load takes up to twice as long. The next worker then loaded beside it, and its load took longer as well.

A worker that rejects a run within 3 s after its load counts towards the limit of concurrent loads for another 200 ms. Runs are still tried there, so that its slots are used as soon as it accepts them.

The test failed before, as such a worker did not count (`recordRejection` did not exist).

--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -330,6 +330,7 @@
       this.#handleItemFailure(run, end.statusCode);
     } else if (end.kind === 'not-run') {
       if (!end.misdirected) state.requeue(undefined);
+      this.#options.weights.recordRejection(worker.id);
       this.#pauseWorker(worker, REJECTION_BACKOFF_MS);
     } else if (end.kind === 'broken') {
       this.#recordResult(worker, 'failed');
--- a/src/node/weights/__tests__/weightLoads.test.ts
+++ b/src/node/weights/__tests__/weightLoads.test.ts
@@ -123,3 +123,20 @@
   const { loads } = startLoad(['accepted']);
   expect(loads.usesLoadSlot('w')).toEqual(true);
 });
+
+// Guards against ever more workers that load at the same time, each more slowly: a load that takes longer than expected is taken
+// as complete, the next worker loads beside it, and its load takes longer as well (czujka-ops, day scale-1).
+test('a worker that rejects runs soon after its load counts as loading', async () => {
+  const { clock, loads, outcomes } = startLoad(['accepted']);
+  loads.recordRejection('w');
+  await clock.advanceAsync(1000);
+  expect(outcomes).toEqual(['loaded']);
+  expect(loads.usesLoadSlot('w')).toEqual(false);
+  loads.recordRejection('w');
+  expect(loads.usesLoadSlot('w')).toEqual(true);
+  await clock.advanceAsync(250);
+  expect(loads.usesLoadSlot('w')).toEqual(false);
+  await clock.advanceAsync(5000);
+  loads.recordRejection('w');
+  expect(loads.usesLoadSlot('w')).toEqual(false);
+});
--- a/src/node/weights/weightLoads.ts
+++ b/src/node/weights/weightLoads.ts
@@ -9,6 +9,12 @@
 /** Expected duration of a load, in ms. An accepted load is taken as complete after this time. */
 const EXPECTED_LOAD_MS = 950;
 
+/** Time after an accepted load for which a worker that rejects runs may still be loading, in ms. */
+const MAX_OVERDUE_MS = 3000;
+
+/** Time for which a worker whose load is overdue counts as loading after it has rejected a run, in ms: several retries. */
+const OVERDUE_MS = 200;
+
 /** Time after which a worker with an unanswered order no longer counts towards the limit of concurrent loads, in ms. */
 const UNANSWERED_ORDER_LIMIT_MS = 300;
 
@@ -82,6 +88,12 @@
   /** Number of consecutive failed loads, by worker. */
   readonly #failureCounts = new Map<string, number>();
 
+  /** Started when a load was taken as complete, by worker. */
+  readonly #sinceLoaded = new Map<string, Stopwatch>();
+
+  /** Started when a worker rejected a run soon after its load was taken as complete, by worker. */
+  readonly #sinceOverdue = new Map<string, Stopwatch>();
+
   #closed = false;
 
   constructor(options: WeightLoadsOptions) {
@@ -107,7 +119,22 @@
   usesLoadSlot(worker: string): boolean {
     const weights = this.#workers.get(worker);
     const sinceOrderedMs = this.#sinceOrdered.get(worker)?.elapsedMs() ?? Infinity;
-    return (weights?.isAccepted ?? false) || sinceOrderedMs < UNANSWERED_ORDER_LIMIT_MS;
+    const sinceOverdueMs = this.#sinceOverdue.get(worker)?.elapsedMs() ?? Infinity;
+    return (
+      (weights?.isAccepted ?? false) ||
+      sinceOrderedMs < UNANSWERED_ORDER_LIMIT_MS ||
+      sinceOverdueMs < OVERDUE_MS
+    );
+  }
+
+  /**
+   * Records that a worker rejected a run. If its load was taken as complete not long ago, it may still be loading, because
+   * more workers than usual load, and then counts towards the limit of concurrent loads.
+   */
+  recordRejection(worker: string): void {
+    const sinceLoadedMs = this.#sinceLoaded.get(worker)?.elapsedMs() ?? Infinity;
+    if (sinceLoadedMs >= MAX_OVERDUE_MS) return;
+    this.#sinceOverdue.set(worker, new Stopwatch(this.#options.clock));
   }
 
   /** Merges a registration. Registrations lag, so they never lower a version of the same worker process. */
@@ -159,8 +186,14 @@
 
   /** Removes workers that `isKnown` rejects. */
   retain(isKnown: (worker: string) => boolean): void {
-    for (const id of this.#workers.keys()) if (!isKnown(id)) this.#workers.delete(id);
-    for (const id of this.#failureCounts.keys()) if (!isKnown(id)) this.#failureCounts.delete(id);
+    for (const byWorker of [
+      this.#workers,
+      this.#failureCounts,
+      this.#sinceLoaded,
+      this.#sinceOverdue,
+    ]) {
+      for (const id of byWorker.keys()) if (!isKnown(id)) byWorker.delete(id);
+    }
   }
 
   /** Stops sending orders. */
@@ -190,7 +223,10 @@
     });
     this.#options.onLoad(outcome);
     this.#sinceOrdered.delete(worker.id);
-    if (outcome === 'loaded') weights.observe(model, version);
+    if (outcome === 'loaded') {
+      weights.observe(model, version);
+      this.#sinceLoaded.set(worker.id, new Stopwatch(this.#options.clock));
+    }
     weights.endLoad();
     const backOff = this.#backOff(worker.id, weights, outcome);
     if (!this.#closed) this.#options.onChange();
