--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -41,6 +41,12 @@
 /** Delay between attempts to load a batch while the platform does not respond, in ms. */
 export const BATCH_LOAD_RETRY_MS = 250;
 
+/**
+ * Longest time for which a new dispatcher starts no runs because open batches are still being loaded, in ms: several round
+ * trips to the platform. The items of the batches that are loaded wait meanwhile.
+ */
+export const MAX_FIRST_LOAD_MS = 300;
+
 /** Bounds of the delay between attempts of a starting node to list the open batches, in ms. */
 export const OPEN_BATCHES_BACKOFF = { baseMs: 250, maxMs: 4000 };
 
@@ -59,6 +65,9 @@
 /** Time allowed for a peer's response in addition to the requested wait, in ms. */
 export const PEER_READ_MARGIN_MS = 400;
 
+/** Interval between reads from the dispatcher while the platform has not responded, in ms. It usually takes under 100 ms. */
+export const DISPATCHER_READ_RETRY_MS = 200;
+
 /** Maximum number of batches whose items a node caches after reading them from the platform. */
 export const MAX_CACHED_ITEM_BATCHES = 8;
 
@@ -74,11 +83,11 @@
 /** Status code by which a worker reports that the item can never be completed. */
 export const ITEM_UNPROCESSABLE_STATUS = 422;
 
-/** Share of a pool that may load weights at the same time. With more, the weight store serves each more slowly. */
-export const MAX_LOADING_SHARE = 0.25;
-
-/** Interval between progress checkpoints, in ms. A killed dispatcher loses up to this much work on each item. */
-export const CHECKPOINT_INTERVAL_MS = 1500;
+/**
+ * Interval between progress checkpoints, in ms. A killed dispatcher loses up to this much work on each item, and as much as
+ * `MIN_EVENTS_TO_CHECKPOINT` take on one that has no checkpoint yet.
+ */
+export const CHECKPOINT_INTERVAL_MS = 750;
 
 /** Priority of batch items at model engines: the default. Callers' streams have this priority or a more urgent one. */
 export const ITEM_ENGINE_PRIORITY = 5;
