fix(batches): time in which the dispatcher's process did not run does not count as silence of its workers

A dispatcher that was paused or starved stopped the runs of all its items as stalled, and counted all workers as silent. After a pause, Node runs the timers that are due before it reads what has arrived, so that by the monotonic clock every run was silent although its events were waiting in the socket. Under load that lasts, each next run was stopped the same way, within a second: by the rule LOST such runs do not count, and the item was at no worker.

A silent worker is still found by a dispatcher that runs for half of the time.

The test "a pause of the dispatcher does not make the runs of its items count as stalled" failed before (all 9 items had left their workers 10 ms after a pause of 1.5 s).

--- a/src/node/batches/__tests__/fakeEnginePool.ts
+++ b/src/node/batches/__tests__/fakeEnginePool.ts
@@ -1,4 +1,5 @@
 import { create } from '@bufbuild/protobuf';
+import { PausableClock } from '../../../../playground/membership/pausableClock.ts';
 import { InMemoryPlatform } from '../../../../playground/inMemoryPlatform.ts';
 import { BatchItemSchema, BatchRecordSchema } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
 import { sleep } from '../../../shared/clock.ts';
@@ -104,6 +105,13 @@
   maySendOrders = () => true,
 }: FakeEnginePoolOptions) => {
   const clock = new VirtualClock();
+  const processClock = new PausableClock(clock);
+  /** Responses that arrived while the dispatcher's process was paused. */
+  const unread: (() => void)[] = [];
+  const receive = (read: () => void): void => {
+    if (processClock.paused) unread.push(read);
+    else read();
+  };
   const platform = new InMemoryPlatform();
   const common = { clock, platform, logger: silentLogger, random };
   const published = new Map<string, number>();
@@ -199,11 +207,13 @@
     };
     try {
       await pass(engine.prefillMs);
-      listener.onResponseStart(engine.versions.get(model) ?? 0, undefined);
+      const startVersion = engine.versions.get(model) ?? 0;
+      receive(() => listener.onResponseStart(startVersion, undefined));
       const last = eventsOf.get(requestId) ?? 0;
       for (let number = resumeAfter + 1; number <= last; number += 1) {
         await pass(engine.gapMs);
-        listener.onEvent({ number, data: 'x', version: engine.versions.get(model) ?? 0 });
+        const event = { number, data: 'x', version: engine.versions.get(model) ?? 0 };
+        receive(() => listener.onEvent(event));
       }
       return { kind: 'complete' };
     } finally {
@@ -211,7 +221,7 @@
     }
   };
   const dispatcher = new PoolDispatcher({
-    ...common,
+    ...{ ...common, clock: processClock },
     ...{ pool: 'p', term: 1, writer: 'n-1', registry, weights, limits, maxValueBytes: 100_000 },
     poison: noSuspicion,
     permits: {
@@ -264,6 +274,15 @@
   return {
     ...{ clock, dispatcher, registry, limits, published, weights },
     ...{ register, unregister, addBatch, random },
+    /** Pauses the dispatcher's process: its timers do not run, and it does not read responses. */
+    pause: () => {
+      processClock.paused = true;
+    },
+    /** Ends the pause. As in Node, timers that are due run before responses are read. */
+    resume: () => {
+      processClock.resume();
+      for (const read of unread.splice(0)) read();
+    },
     /** Engine that runs an item. */
     engineRunning: (item: string) => engines.find(({ running }) => running.has(item)),
     /** Items of a batch that have a result. */
--- a/src/node/batches/__tests__/idleWorkers.test.ts
+++ b/src/node/batches/__tests__/idleWorkers.test.ts
@@ -79,3 +79,43 @@
   expect(await longestWaitMs(pool, items, 9000)).toBeLessThanOrEqual(3500);
   pool.dispatcher[Symbol.dispose]();
 });
+
+/** Engine of each item. */
+const enginesOf = (pool: ReturnType<typeof startFakeEnginePool>, items: readonly string[]) =>
+  items.map((item) => pool.engineRunning(item)?.id);
+
+// Guards against items that are taken from all their workers, which then count as silent, because the dispatcher's own
+// process was paused or starved and has not read their events yet (fault soak, seeds 4004 and 4018).
+test('a pause of the dispatcher does not make the runs of its items count as stalled', async () => {
+  const engines = ['w1', 'w2', 'w3'].map((id) => new FakeEngine(id, { m: 2 }));
+  const pool = startFakeEnginePool({ engines });
+  const items = await pool.addBatch('b', 9, 1000);
+  await pool.clock.advanceAsync(2000);
+  const before = enginesOf(pool, items);
+  for (let pauses = 0; pauses < 5; pauses += 1) {
+    pool.pause();
+    await pool.clock.advanceAsync(1500);
+    pool.resume();
+    await pool.clock.advanceAsync(10);
+    expect(enginesOf(pool, items)).toEqual(before);
+  }
+  pool.dispatcher[Symbol.dispose]();
+});
+
+// Guards against silent workers that keep their items because the dispatcher's process is slow.
+test('an item at a silent worker is moved, though the dispatcher is paused for half of the time', async () => {
+  const engines = ['w1', 'w2', 'w3'].map((id) => new FakeEngine(id, { m: 2 }));
+  const pool = startFakeEnginePool({ engines });
+  const items = await pool.addBatch('b', 3, 1000);
+  await pool.clock.advanceAsync(2000);
+  const [silent] = engines;
+  if (silent !== undefined) silent.frozen = true;
+  for (let pauses = 0; pauses < 8; pauses += 1) {
+    pool.pause();
+    await pool.clock.advanceAsync(100);
+    pool.resume();
+    await pool.clock.advanceAsync(100);
+  }
+  expect(enginesOf(pool, items).includes('w1')).toEqual(false);
+  pool.dispatcher[Symbol.dispose]();
+});
--- a/src/node/batches/__tests__/itemRun.test.ts
+++ b/src/node/batches/__tests__/itemRun.test.ts
@@ -28,7 +28,8 @@
     },
   };
   const run = new ItemRun({
-    ...{ clock: systemClock, calls, state, worker: { id: 'w' } as RegisteredWorker },
+    ...{ clock: systemClock, observedTime: { nowMs: 0 }, calls, state },
+    worker: { id: 'w' } as RegisteredWorker,
     onVersion: () => {},
     onGap: () => {},
   });
--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -7,6 +7,7 @@
 import type { ItemState } from './itemState.ts';
 import { ITEM_ENGINE_PRIORITY } from './constants.ts';
 import type { GenerationCalls, GenerationEnd } from './generationCalls.ts';
+import type { ObservedTime } from './observedTime.ts';
 
 /** Why the dispatcher stopped a run before its end. */
 export type StopReason =
@@ -20,6 +21,7 @@
 
 export interface ItemRunOptions {
   readonly clock: Clock;
+  readonly observedTime: Pick<ObservedTime, 'nowMs'>;
   readonly calls: GenerationCalls;
   readonly state: ItemState;
   readonly worker: RegisteredWorker;
@@ -46,6 +48,9 @@
   /** Monotonic time of the last progress, in ms: the start, the response head or a new event. */
   #progressMs: number;
 
+  /** The same in observed time. */
+  #progressObservedMs: number;
+
   #events = 0;
 
   #stopReason: StopReason | undefined;
@@ -56,6 +61,7 @@
     this.worker = options.worker;
     this.#started = new Stopwatch(options.clock);
     this.#progressMs = options.clock.monotonicMs();
+    this.#progressObservedMs = options.observedTime.nowMs;
   }
 
   /** Number of events that this run has added to the text. */
@@ -72,9 +78,9 @@
     return this.#started.elapsedMs();
   }
 
-  /** Time since the last progress, in ms. */
-  sinceProgressMs(nowMs: number): number {
-    return nowMs - this.#progressMs;
+  /** Time since the last progress in which this process ran, in ms. */
+  get silentMs(): number {
+    return this.#options.observedTime.nowMs - this.#progressObservedMs;
   }
 
   /** Stops the run and makes the worker drop it. Only the first reason is kept. */
@@ -145,6 +151,7 @@
     const nowMs = this.#options.clock.monotonicMs();
     const gapMs = nowMs - this.#progressMs;
     this.#progressMs = nowMs;
+    this.#progressObservedMs = this.#options.observedTime.nowMs;
     return gapMs;
   }
 }
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -32,6 +32,7 @@
 import type { AddOptions, PoolDispatcherOptions } from './poolDispatcherOptions.ts';
 import { StaleViewGuard } from './staleViewGuard.ts';
 import { unstoredProgress, CheckpointStore } from './checkpointStore.ts';
+import { ObservedTime } from './observedTime.ts';
 import { stopRunsOnLeavingWorkers, stopSlowRuns, stopStalledRuns } from './runSupervision.ts';
 import { sharedPromptOf } from './waitingItem.ts';
 import { countByWorker, SuspectedItems } from './suspectedItems.ts';
@@ -70,12 +71,15 @@
 
   readonly #timers = new DisposableStore();
 
+  readonly #observedTime: ObservedTime;
+
   #placementScheduled = false;
 
   #closed = false;
 
   constructor(options: PoolDispatcherOptions) {
     this.#options = options;
+    this.#observedTime = new ObservedTime(options.clock, 2 * RUN_CHECK_INTERVAL_MS);
     this.#permits = new EnginePermits(options);
     this.#workers = new EngineWorkers({
       ...options,
@@ -286,7 +290,7 @@
     const { clock, calls, weights } = this.#options;
     const { model } = state.batch.record;
     const run = new ItemRun({
-      ...{ clock, calls, state, worker },
+      ...{ clock, observedTime: this.#observedTime, calls, state, worker },
       account: accountOfItems(state.batch.record.account, this.#options.hasAccounts?.() ?? false),
       onVersion: (version) => weights.recordVersion(worker.id, model, version),
       onGap: (gapMs) => this.#workers.recordGap(worker.id, gapMs),
@@ -416,7 +420,8 @@
   #checkRuns(): void {
     const { clock, weights, registry, engine } = this.#options;
     const runs = [...this.#runs.values()];
-    stopStalledRuns(runs, this.#workers.stallMs, clock.monotonicMs());
+    stopStalledRuns(runs, this.#workers.stallMs);
+    this.#observedTime.observe();
     stopRunsOnLeavingWorkers(runs, countByWorker(runs), {
       ...{ registry, weights, workers: this.#workers },
       tokensPerEvent: engine()?.tokensPerEvent ?? 1,
--- a/src/node/batches/runSupervision.ts
+++ b/src/node/batches/runSupervision.ts
@@ -21,9 +21,9 @@
 };
 
 /** Stops runs that have had no event for too long, so that their items continue on other workers. */
-export const stopStalledRuns = (runs: readonly ItemRun[], stallMs: number, nowMs: number): void => {
+export const stopStalledRuns = (runs: readonly ItemRun[], stallMs: number): void => {
   for (const run of runs) {
-    if (run.sinceProgressMs(nowMs) > stallLimitMs(run, stallMs)) run.stop('stalled');
+    if (run.silentMs > stallLimitMs(run, stallMs)) run.stop('stalled');
   }
 };
 
