fix(batches): events that are read together do not make a worker look slow or fast

Items moved between equal workers as off a slow one, each time after 0.5 s to 1 s, when the dispatcher read late what had arrived. Events that are read together have one long gap and then none. The moving average of about four gaps was near zero after such a group, and the pool's median too; the next event that was read alone made its worker appear several times as slow.

Gaps are averaged over 250 ms instead of a number of gaps, so that a group counts as the time that it took. Events that are read together with a run's first one are not counted, as the time since the start of the run includes its prompt.

Tests that failed before: "items do not move between equal workers while the dispatcher reads events late", "a worker whose events are read five at a time has the gap of one whose events are read one by one".

--- a/src/node/batches/__tests__/idleWorkers.test.ts
+++ b/src/node/batches/__tests__/idleWorkers.test.ts
@@ -119,3 +119,23 @@
   expect(enginesOf(pool, items).includes('w1')).toEqual(false);
   pool.dispatcher[Symbol.dispose]();
 });
+
+// Guards against items that move from worker to worker because events that a starved dispatcher reads together make a
+// worker look fast, and the next one that is read alone makes it look slow (fault soak, seeds 4004 and 4018).
+test('items do not move between equal workers while the dispatcher reads events late', async () => {
+  const engines = ['w1', 'w2', 'w3'].map((id) => new FakeEngine(id, { m: 2 }));
+  // Their events arrive at different times.
+  for (const [index, engine] of engines.entries()) engine.prefillMs = 40 + 7 * index;
+  const pool = startFakeEnginePool({ engines });
+  const items = await pool.addBatch('b', 9, 1000);
+  await pool.clock.advanceAsync(2000);
+  const before = enginesOf(pool, items);
+  for (let pauses = 0; pauses < 50; pauses += 1) {
+    pool.pause();
+    await pool.clock.advanceAsync(45);
+    pool.resume();
+    await pool.clock.advanceAsync(5);
+    expect(enginesOf(pool, items)).toEqual(before);
+  }
+  pool.dispatcher[Symbol.dispose]();
+});
--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -9,6 +9,9 @@
 import type { GenerationCalls, GenerationEnd } from './generationCalls.ts';
 import type { ObservedTime } from './observedTime.ts';
 
+/** Time from the first event of a run in which further events count as read together with it, in ms. */
+const READ_TOGETHER_MS = 1;
+
 /** Why the dispatcher stopped a run before its end. */
 export type StopReason =
   'stalled' | 'slow-worker' | 'worker-leaving' | 'batch-ended' | 'released' | 'wrong-version';
@@ -51,6 +54,9 @@
   /** The same in observed time. */
   #progressObservedMs: number;
 
+  /** Monotonic time of the first event, in ms. */
+  #firstEventMs = 0;
+
   #events = 0;
 
   #stopReason: StopReason | undefined;
@@ -139,7 +145,9 @@
     if (outcome === 'taken') {
       this.#events += 1;
       const gapMs = this.#recordProgress();
-      if (this.#events > 1) this.#options.onGap(gapMs);
+      if (this.#events === 1) this.#firstEventMs = this.#progressMs;
+      // How long the worker took for what was read together with the first event is not known.
+      if (this.#progressMs - this.#firstEventMs >= READ_TOGETHER_MS) this.#options.onGap(gapMs);
     } else if (outcome === 'wrong-version') {
       this.stop('wrong-version');
     } else if (outcome === 'gap') {
--- a/src/node/decisions/__tests__/eventGapTracker.test.ts
+++ b/src/node/decisions/__tests__/eventGapTracker.test.ts
@@ -46,3 +46,16 @@
   tracker.record('d', 200, 0);
   expect(tracker.isSlow('d', 1)).toEqual(false);
 });
+
+// Guards against equal workers that look fast or slow by turns because their events are read several at a time.
+test('a worker whose events are read five at a time has the gap of one whose events are read one by one', () => {
+  const tracker = new EventGapTracker();
+  for (let nowMs = 20; nowMs <= 1000; nowMs += 20) {
+    for (const worker of ['a', 'b']) tracker.record(worker, 20, nowMs);
+    if (nowMs % 100 > 0) continue;
+    tracker.record('c', 100, nowMs);
+    for (let event = 0; event < 4; event += 1) tracker.record('c', 0, nowMs);
+  }
+  expect(Math.round(tracker.medianGapMs ?? 0)).toEqual(20);
+  expect(Math.round(10 * tracker.slowdownOf('c', 1000))).toEqual(10);
+});
--- a/src/node/decisions/eventGapTracker.ts
+++ b/src/node/decisions/eventGapTracker.ts
@@ -1,5 +1,8 @@
-/** Weight of the newest gap in the moving average; effectively averages about the last four gaps. */
-const NEWEST_GAP_WEIGHT = 0.4;
+/**
+ * Time over which gaps are averaged, in ms. Events that are read together have one long gap and then none, so that an
+ * average over a number of gaps would depend on where in such a group it ends.
+ */
+const AVERAGING_MS = 250;
 
 /** Number of gaps from which a worker's average is used. */
 const MIN_GAPS = 3;
@@ -11,11 +14,15 @@
 const MAX_MEASUREMENT_AGE_MS = 3000;
 
 interface GapAverage {
-  gapMs: number;
+  /** Sum of the gaps and their number, both decayed exponentially with their age. */
+  sumMs: number;
+  weight: number;
   gaps: number;
   measuredMs: number;
 }
 
+const averageOf = ({ sumMs, weight }: GapAverage): number => sumMs / weight;
+
 /**
  * Measures how fast each worker generates, by the gaps between the events of its runs. All runs of a worker advance
  * together, so each run measures the same speed.
@@ -30,9 +37,11 @@
   record(worker: string, gapMs: number, nowMs: number): void {
     const known = this.#records.get(worker);
     if (known === undefined || nowMs - known.measuredMs > MAX_MEASUREMENT_AGE_MS) {
-      this.#records.set(worker, { gapMs, gaps: 1, measuredMs: nowMs });
+      this.#records.set(worker, { sumMs: gapMs, weight: 1, gaps: 1, measuredMs: nowMs });
     } else {
-      known.gapMs += NEWEST_GAP_WEIGHT * (gapMs - known.gapMs);
+      const decay = Math.exp((known.measuredMs - nowMs) / AVERAGING_MS);
+      known.sumMs = decay * known.sumMs + gapMs;
+      known.weight = decay * known.weight + 1;
       known.gaps += 1;
       known.measuredMs = nowMs;
     }
@@ -52,7 +61,7 @@
       record.gaps >= MIN_GAPS &&
       nowMs - record.measuredMs < MAX_MEASUREMENT_AGE_MS;
     if (!isKnown || this.#medianGapMs === undefined) return 1;
-    return record.gapMs / this.#medianGapMs;
+    return averageOf(record) / this.#medianGapMs;
   }
 
   isSlow(worker: string, nowMs: number): boolean {
@@ -72,7 +81,7 @@
         ({ gaps: count, measuredMs }) =>
           count >= MIN_GAPS && nowMs - measuredMs < MAX_MEASUREMENT_AGE_MS,
       )
-      .map(({ gapMs }) => gapMs)
+      .map(averageOf)
       .sort((left, right) => left - right);
     // The lower median: if one of two workers is slow, the other one is the reference.
     return gaps[Math.floor((gaps.length - 1) / 2)];
