test(playground): a testbed that fails to start ends its processes

A test run never ended when a node of a training testbed was not ready within 20 s: the processes that had started were not disposed of, and their pipes kept the test process alive (seen for over 4 min at "the owner is paused past its lease and resumed", beside a load of 40 on 8 cores). The deployment of the keyed requests had the same fault.

--- a/playground/keyedRequests/keyedDeployment.ts
+++ b/playground/keyedRequests/keyedDeployment.ts
@@ -103,11 +103,10 @@
     .reduce((sum, line) => sum + Number(line.split(' ').at(-1)), 0);
 };
 
-/** Starts a platform, a service and nodes in a zone each, and waits until every node lists all of them as entries. */
-export const startKeyedDeployment = async (
+const startInGroup = async (
+  group: ProcessGroup,
   nodeNames: readonly string[],
 ): Promise<KeyedDeployment> => {
-  const group = new ProcessGroup();
   const [platform, service] = await Promise.all([
     group.startStandIn('platform'),
     group.startStandIn('service'),
@@ -139,3 +138,16 @@
     [Symbol.asyncDispose]: () => group[Symbol.asyncDispose](),
   };
 };
+
+/** Starts a platform, a service and nodes in a zone each, and waits until every node lists all of them as entries. */
+export const startKeyedDeployment = async (
+  nodeNames: readonly string[],
+): Promise<KeyedDeployment> => {
+  const group = new ProcessGroup();
+  try {
+    return await startInGroup(group, nodeNames);
+  } catch (error) {
+    await group[Symbol.asyncDispose]();
+    throw error;
+  }
+};
--- a/playground/training/trainingTestbed.ts
+++ b/playground/training/trainingTestbed.ts
@@ -80,8 +80,13 @@
 
   static async start(options: TestbedOptions): Promise<TrainingTestbed> {
     const started = new TrainingTestbed(options);
-    await started.#start();
-    return started;
+    try {
+      await started.#start();
+      return started;
+    } catch (error) {
+      await started[Symbol.asyncDispose]();
+      throw error;
+    }
   }
 
   /** Total number of samples that the trainer must receive. */
