test(playground): the check after the faults repeats a request as clients do

The check now makes up to three attempts and reports the status. A 404, which says that the node does not have the route, is reported at the first one, as before.

--- a/playground/faultSoak/soakClients.ts
+++ b/playground/faultSoak/soakClients.ts
@@ -12,6 +12,21 @@
 
 const REQUEST_DEADLINE_MS = 2000;
 
+/** Number of attempts at an idempotent request, which clients repeat after any failure. */
+const MAX_ATTEMPTS = 3;
+
+/** Repeats a request that was not answered with 200. A 404 is final: the node does not have the route. */
+const retry = async (
+  send: () => Promise<CallResponse | undefined>,
+): Promise<CallResponse | undefined> => {
+  let response: CallResponse | undefined;
+  for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
+    response = await send();
+    if (response?.statusCode === 200 || response?.statusCode === 404) break;
+  }
+  return response;
+};
+
 /** Sends requests to the nodes, and batches beside them, and checks the responses. */
 export class SoakClients {
   readonly violations: string[] = [];
@@ -69,12 +84,14 @@
   async checkRecovered(): Promise<void> {
     const { nodes, runCounts } = this.#deployment;
     for (const node of nodes) {
-      const response = await this.#sendRequest(node, '/twice/');
+      const response = await retry(() => this.#sendRequest(node, '/twice/'));
       if (response?.statusCode !== 200) {
         this.#report(`${node.name} responded with status ${response?.statusCode} after the faults`);
       }
-      const probe = await this.#probeNewestRoute(node);
-      if (probe?.statusCode !== 200) this.#report(`${node.name} does not serve the newest route`);
+      const probe = await retry(() => this.#probeNewestRoute(node));
+      if (probe?.statusCode !== 200) {
+        this.#report(`${node.name} answered the newest route with ${probe?.statusCode}`);
+      }
     }
     await this.#batches.checkRecovered();
     this.violations.push(...runCounts.violations);
