test(playground): the fault soak has a control API and checks the usage reports

The soak knew no duties. Its nodes now report usage to a stand-in for the control API that refuses calls, loses answers or executes calls up to 12 s late. Checked are: terms never go back as calls arrive, and belong to one holder; holders do not take turns within 3 s while nothing is disturbed; the reports of a window are equal, an accepted one is not repeated without need, each window is reported by its due time after the faults, and no more requests of an account are reported than ran. The faults of nodes, links and the platform of a seed are the same as before.

--- a/playground/faultSoak/faultSoak.ts
+++ b/playground/faultSoak/faultSoak.ts
@@ -1,9 +1,11 @@
 import { pathToFileURL } from 'node:url';
 import { Command } from 'commander';
+import { messageOf } from '../../src/shared/errors.ts';
 import { seededRandom } from '../../src/shared/random.ts';
 import { sleepMs } from '../standIns/standInServer.ts';
 import { SoakBatches } from './soakBatches.ts';
 import { SoakClients } from './soakClients.ts';
+import { drawControlFaults } from './soakControl.ts';
 import { SoakDeployment, WORKER_SLOTS } from './soakDeployment.ts';
 import { drawFaults, FaultInjector, type SoakFault } from './soakFaults.ts';
 import { drawLimit, runLimit, type SoakLimit } from './soakLimits.ts';
@@ -15,6 +17,9 @@
 /** Keeps the schedule of faults of a seed independent of its limit, or of the ends of its workers. */
 const LIMIT_SEED_OFFSET = 1_000_000;
 
+/** The same for the faults of the control API. */
+const CONTROL_SEED_OFFSET = 2_000_000;
+
 /**
  * In seeds with ends of workers, faults begin in the first part of each round. The rest is calm for long enough that an
  * item that waits in vain is seen.
@@ -38,6 +43,7 @@
   readonly answered: number;
   readonly refusedKeys: number;
   readonly batches: number;
+  readonly reports: number;
   readonly faults: number;
   readonly ends: number;
   readonly logs: readonly string[];
@@ -79,25 +85,37 @@
     const batches = new SoakBatches(deployment);
     const clients = new SoakClients(deployment, batches, injector.stoppingNodes);
     const mustRun = () => injector.isCalm && hasRoom(deployment);
+    deployment.control.nodes = injector;
     deployment.itemRuns.watch(() => batches.open(), mustRun, watch.signal);
     const load = clients.run();
     const [excesses] = await Promise.all([
       limit === undefined ? [] : runLimit(deployment.workers, limit),
       injector.run(faults, ends),
       rotateKeys(deployment, durationMs),
+      deployment.control.runFaults(
+        drawControlFaults(seededRandom(seed + CONTROL_SEED_OFFSET), durationMs),
+      ),
     ]);
     await sleepMs(RECOVERY_MS);
     clients.stop();
     await load;
-    await clients.checkRecovered();
+    await Promise.all([clients.checkRecovered(), deployment.control.checkRecovered()]);
+    deployment.control.checkCounts((account) => deployment.runCounts.requestsOf(account));
     const { answered, refusedKeys } = clients;
-    const { logs, itemRuns } = deployment;
+    const { logs, itemRuns, control } = deployment;
     const violations = [
       ...[...clients.violations, ...batches.violations],
-      ...[...itemRuns.violations, ...excesses],
+      ...[...itemRuns.violations, ...excesses, ...control.violations],
     ];
     return {
-      ...{ seed, violations, answered, refusedKeys, batches: batches.count },
+      ...{
+        seed,
+        violations,
+        answered,
+        refusedKeys,
+        batches: batches.count,
+        reports: control.reportCount,
+      },
       ...{ faults: faults.length, ends: ends.length, logs },
     };
   } finally {
@@ -106,6 +124,14 @@
   }
 };
 
+/** Result of a seed that could not be played to its end, so that the next seeds are played nevertheless. */
+const toFailure =
+  (seed: number) =>
+  (error: unknown): SoakResult => ({
+    ...{ seed, violations: [`not played to the end: ${messageOf(error)}`], logs: [] },
+    ...{ answered: 0, refusedKeys: 0, batches: 0, reports: 0, faults: 0, ends: 0 },
+  });
+
 const main = async (): Promise<void> => {
   const program = new Command('fault-soak')
     .description('runs real processes under injected faults; npm run fault-soak -- --seed 1')
@@ -117,7 +143,8 @@
   const options = program.opts<{ seed: string; seeds: string; seconds: string; logs?: true }>();
   let failed = 0;
   for (let index = 0; index < Number(options.seeds); index += 1) {
-    const result = await runSeed(Number(options.seed) + index, Number(options.seconds) * 1000);
+    const seed = Number(options.seed) + index;
+    const result = await runSeed(seed, Number(options.seconds) * 1000).catch(toFailure(seed));
     const { logs, ...summary } = result;
     console.log(JSON.stringify(summary));
     if (result.violations.length > 0) {
--- a/playground/faultSoak/soakDeployment.ts
+++ b/playground/faultSoak/soakDeployment.ts
@@ -9,6 +9,7 @@
 import { ItemRuns } from './itemRuns.ts';
 import { PortBlock } from './portBlock.ts';
 import { RunCounts } from './runCounts.ts';
+import { SoakControl, USAGE_WINDOW_MS } from './soakControl.ts';
 import { SoakWorker } from './soakWorker.ts';
 
 const NODE_COUNT = 4;
@@ -76,6 +77,8 @@
 
   readonly accounts = new SoakAccounts();
 
+  readonly control = new SoakControl();
+
   readonly nodes: SoakNode[] = [];
 
   readonly workerProxies: FaultProxy[] = [];
@@ -106,10 +109,12 @@
     await this.#ports.reserve();
     const { address } = await this.#group.startStandIn('platform');
     this.#platformPort = Number(address.split(':').at(-1));
+    await this.control.listen();
     await this.writeTables();
     for (let index = 0; index < WORKER_COUNT; index += 1) await this.#startWorker(index);
     for (let index = 0; index < NODE_COUNT; index += 1) this.nodes.push(await this.#prepare(index));
     await Promise.all(this.nodes.map((node) => this.startNode(node)));
+    this.control.nodesStarted();
   }
 
   /** Writes the next revision of the tables, which adds a route. Retries until the platform accepts it. */
@@ -204,7 +209,9 @@
     await this.#group[Symbol.asyncDispose]();
     const proxies = [...this.workerProxies, ...this.nodes.map((node) => node.platformProxy)];
     await Promise.all(
-      [...this.workers, ...proxies].map((resource) => resource[Symbol.asyncDispose]()),
+      [...this.workers, ...proxies, this.control].map((resource) =>
+        resource[Symbol.asyncDispose](),
+      ),
     );
     await this.#ports[Symbol.asyncDispose]();
   }
@@ -241,6 +248,10 @@
         ordersFenced: true,
         strictRevocation: true,
         revokeAfterMs: REVOKE_AFTER_MS,
+        control: {
+          ...{ address: this.control.address, duties: 'usage_reporting' },
+          usageWindowS: USAGE_WINDOW_MS / 1000,
+        },
       },
     };
     await writeFile(file, JSON.stringify(settings));
--- a/playground/faultSoak/soakWorker.ts
+++ b/playground/faultSoak/soakWorker.ts
@@ -132,11 +132,12 @@
       response.writeHead(421, { 'x-not-executed': '1' }).end();
       return;
     }
-    this.#runCounts.increment(id, request.headers);
+    const isItem = request.url?.startsWith('/items/') ?? false;
+    this.#runCounts.increment(id, request.headers, { isItem });
     this.arrivalsMs.push(performance.now());
     if (this.limitPerSecond !== undefined) response.setHeader('server-limit', this.limitPerSecond);
     response.setHeader('x-server-stamp', `${this.id}.${id}`);
-    if (request.url?.startsWith('/items/')) {
+    if (isItem) {
       const isFaulty = () =>
         this.responseFault !== 'none' && Math.random() < EVENT_FAULT_PROBABILITY;
       this.#itemRuns.begin(id);
