--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -7,6 +7,10 @@
 import type { ItemState } from './itemState.ts';
 import { ITEM_ENGINE_PRIORITY } from './constants.ts';
 import type { GenerationCalls, GenerationEnd } from './generationCalls.ts';
+import type { ObservedTime } from './observedTime.ts';
+
+/** Time from the first event of a run in which further events count as read together with it, in ms. */
+const READ_TOGETHER_MS = 1;
 
 /** Why the dispatcher stopped a run before its end. */
 export type StopReason =
@@ -20,6 +24,7 @@
 
 export interface ItemRunOptions {
   readonly clock: Clock;
+  readonly observedTime: Pick<ObservedTime, 'nowMs'>;
   readonly calls: GenerationCalls;
   readonly state: ItemState;
   readonly worker: RegisteredWorker;
@@ -46,6 +51,12 @@
   /** Monotonic time of the last progress, in ms: the start, the response head or a new event. */
   #progressMs: number;
 
+  /** The same in observed time. */
+  #progressObservedMs: number;
+
+  /** Monotonic time of the first event, in ms. */
+  #firstEventMs = 0;
+
   #events = 0;
 
   #stopReason: StopReason | undefined;
@@ -56,6 +67,7 @@
     this.worker = options.worker;
     this.#started = new Stopwatch(options.clock);
     this.#progressMs = options.clock.monotonicMs();
+    this.#progressObservedMs = options.observedTime.nowMs;
   }
 
   /** Number of events that this run has added to the text. */
@@ -72,9 +84,9 @@
     return this.#started.elapsedMs();
   }
 
-  /** Time since the last progress, in ms. */
-  sinceProgressMs(nowMs: number): number {
-    return nowMs - this.#progressMs;
+  /** Time since the last progress in which this process ran, in ms. */
+  get silentMs(): number {
+    return this.#options.observedTime.nowMs - this.#progressObservedMs;
   }
 
   /** Stops the run and makes the worker drop it. Only the first reason is kept. */
@@ -133,7 +145,9 @@
     if (outcome === 'taken') {
       this.#events += 1;
       const gapMs = this.#recordProgress();
-      if (this.#events > 1) this.#options.onGap(gapMs);
+      if (this.#events === 1) this.#firstEventMs = this.#progressMs;
+      // How long the worker took for what was read together with the first event is not known.
+      if (this.#progressMs - this.#firstEventMs >= READ_TOGETHER_MS) this.#options.onGap(gapMs);
     } else if (outcome === 'wrong-version') {
       this.stop('wrong-version');
     } else if (outcome === 'gap') {
@@ -145,6 +159,7 @@
     const nowMs = this.#options.clock.monotonicMs();
     const gapMs = nowMs - this.#progressMs;
     this.#progressMs = nowMs;
+    this.#progressObservedMs = this.#options.observedTime.nowMs;
     return gapMs;
   }
 }
