fix(poison): ends that one node saw do not condemn a request that others have answered since

Cause: a node behind a firewall takes refused connections for ends of workers. Three of them, told when it was in touch again, condemned a request at nodes that had answered it all the time: answers to requests that were not suspected when they were answered were not remembered, so the ends were taken for later than any answer.

While requests are suspected, each answer is digested as before; its time is now kept for 1024 digests. Ends before a remembered answer do not count, and the other nodes are told of the answer. An operator's clearing of an unknown digest is not remembered.

--- a/src/node/decisions/poisonRequests/__tests__/manyEnds.test.ts
+++ b/src/node/decisions/poisonRequests/__tests__/manyEnds.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { PoisonRequests } from '../poisonRequests.ts';
+import { MAX_REMEMBERED_ANSWERS, PoisonRequests } from '../poisonRequests.ts';
 
 const end = (worker: string, atMs: number, trial = false) => ({ worker, trial, atMs });
 
@@ -42,3 +42,28 @@
   requests.merge({ digest: 'd', ends, answeredMs: -Infinity }, 5000);
   expect(requests.verdictOf('d', 5000)).toEqual('unsuspected');
 });
+
+// Guards against an answer that clears a request although workers ended under it afterwards.
+test('ends after an answer count, though the request was not suspected when it was answered', () => {
+  const requests = new PoisonRequests();
+  requests.recordAnswer('d', 1000);
+  const ends = [end('a', 0), end('b', 1200), end('c', 2400), end('e', 3600)];
+  requests.merge({ digest: 'd', ends, answeredMs: -Infinity }, 4000);
+  expect(requests.verdictOf('d', 4000)).toEqual('condemned');
+});
+
+// Guards against memory that grows with the requests of callers.
+test('answers are remembered up to a number, and the oldest gives way', () => {
+  const requests = new PoisonRequests();
+  for (let index = 0; index < MAX_REMEMBERED_ANSWERS; index += 1) {
+    requests.recordAnswer(`x${index}`, index);
+  }
+  requests.recordAnswer('x0', 5000);
+  requests.recordAnswer('d', 5000);
+  expect(requests.rememberedAnswers).toEqual(MAX_REMEMBERED_ANSWERS);
+  for (const digest of ['x0', 'x1']) {
+    requests.merge({ digest, ends: [end('a', 0)], answeredMs: -Infinity }, 5000);
+  }
+  expect(requests.verdictOf('x0', 5000)).toEqual('unsuspected');
+  expect(requests.verdictOf('x1', 5000)).toEqual('suspected');
+});
--- a/src/node/decisions/poisonRequests/poisonRequests.ts
+++ b/src/node/decisions/poisonRequests/poisonRequests.ts
@@ -47,6 +47,9 @@
 /** Maximum number of requests that are remembered; an end of a worker adds as many as ran there. */
 export const MAX_SUSPECTED_REQUESTS = 512;
 
+/** Maximum number of requests whose last answer is remembered, suspected or not. */
+export const MAX_REMEMBERED_ANSWERS = 1024;
+
 /** Counts the times at which workers ended; workers that end shortly after each other are lost at the same time. */
 const countLosses = (ends: readonly WorkerEnd[]): number => {
   let losses = 0;
@@ -68,6 +71,12 @@
 export class PoisonRequests {
   readonly #requests = new Map<string, SuspectedRequest>();
 
+  /**
+   * When this node's workers last answered requests, by digest, the latest last. The ends that a node cut off from the others
+   * saw arrive late, after answers to requests that were not suspected here.
+   */
+  readonly #answers = new Map<string, number>();
+
   /** Number of remembered requests. */
   get size(): number {
     return this.#requests.size;
@@ -107,13 +116,30 @@
     this.merge({ digest, ends: [end], answeredMs: -Infinity }, end.atMs);
   }
 
+  /** Number of requests whose last answer is remembered. */
+  get rememberedAnswers(): number {
+    return this.#answers.size;
+  }
+
   /** Clears a request that a worker has answered. Returns whether it was suspected. */
   recordAnswer(digest: string, nowMs: number): boolean {
+    this.rememberAnswer(digest, nowMs);
     if (this.verdictOf(digest, nowMs) === 'unsuspected') return false;
     this.merge({ digest, ends: [], answeredMs: nowMs }, nowMs);
     return true;
   }
 
+  /** Remembers when a worker answered a request: ends before that will not count. */
+  rememberAnswer(digest: string, answeredMs: number): void {
+    const latestMs = Math.max(answeredMs, this.#answers.get(digest) ?? -Infinity);
+    this.#answers.delete(digest);
+    this.#answers.set(digest, latestMs);
+    const [oldest] = this.#answers.keys();
+    if (this.#answers.size > MAX_REMEMBERED_ANSWERS && oldest !== undefined) {
+      this.#answers.delete(oldest);
+    }
+  }
+
   /** Adds what another node knows. Returns whether it was news. */
   merge({ digest, ends, answeredMs }: SuspectedRequest, nowMs: number): boolean {
     const known = this.#requests.get(digest);
@@ -135,7 +161,7 @@
     this.#requests.delete(digest);
     this.#requests.set(digest, {
       ...{ digest, ends: kept },
-      answeredMs: Math.max(knownAnsweredMs, answeredMs),
+      answeredMs: Math.max(knownAnsweredMs, answeredMs, this.#answers.get(digest) ?? -Infinity),
     });
     this.#evict(nowMs);
     return true;
--- a/src/node/poison/__tests__/poisonExchange.test.ts
+++ b/src/node/poison/__tests__/poisonExchange.test.ts
@@ -111,6 +111,40 @@
   expect(sent).toEqual([20, 1]);
 });
 
+// Guards against ends that only a node behind a firewall saw and that condemn a request at nodes that answer it all the time.
+test('ends that a cut-off node saw do not condemn a request that other nodes have answered since', async () => {
+  const cut = new Set(['c']);
+  const { clock, verdicts, recordEnd, guardOf } = startNodes(['a', 'b', 'c'], cut);
+  for (const id of ['w1', 'w2', 'w3']) {
+    await recordEnd('c', id, false);
+    await clock.advanceAsync(1000);
+    // Each copy stands for another caller's request, whose memory is used again after the answer.
+    const body = Buffer.from(REQUEST.body);
+    guardOf('b')?.recordAnswer({ ...REQUEST, body });
+    body.fill(0);
+  }
+  expect(verdicts()).toEqual(['unsuspected', 'unsuspected', 'condemned']);
+  cut.clear();
+  await clock.advanceAsync(3000);
+  expect(verdicts()).toEqual(['unsuspected', 'unsuspected', 'unsuspected']);
+});
+
+// Guards against a deadly request that is sent on because it was answered before workers ended under it.
+test('ends that a cut-off node saw after an answer condemn the request everywhere', async () => {
+  const cut = new Set(['c']);
+  const { clock, verdicts, recordEnd, guardOf } = startNodes(['a', 'b', 'c'], cut);
+  guardOf('b')?.recordAnswer({ ...REQUEST });
+  guardOf('b')?.recordAnswer({ ...REQUEST, path: '/other' });
+  for (const id of ['w1', 'w2', 'w3']) {
+    await clock.advanceAsync(1000);
+    await recordEnd('c', id, false);
+    guardOf('b')?.recordAnswer({ ...REQUEST, path: '/other' });
+  }
+  cut.clear();
+  await clock.advanceAsync(3000);
+  expect(verdicts()).toEqual(['condemned', 'condemned', 'condemned']);
+});
+
 // Guards against a suspicion that an operator has cleared at one node and that other nodes keep or bring back.
 test('a request that an operator clears at one node is sent to workers again at all nodes', async () => {
   const { clock, recordEnd, guardOf, verdicts } = startNodes(['a', 'b', 'c']);
--- a/src/node/poison/poisonExchange.ts
+++ b/src/node/poison/poisonExchange.ts
@@ -163,7 +163,7 @@
         ends: ends.map(({ worker, trial, ageMs }) => ({ worker, trial, atMs: nowMs - ageMs })),
         answeredMs: answeredAgeMs === undefined ? -Infinity : nowMs - answeredAgeMs,
       };
-      if (!guard.requests.merge(request, nowMs)) continue;
+      if (!guard.learn(request)) continue;
       logger.info('suspected-request-learned', {
         digest,
         ends: guard.requests.endsOf(digest, nowMs),
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -6,7 +6,11 @@
 import { type Clock, sleep } from '../../shared/clock.ts';
 import type { Random } from '../../shared/random.ts';
 import { COMMON_LOSS_MS, CommonLosses } from '../decisions/poisonRequests/commonLosses.ts';
-import { PoisonRequests, type PoisonVerdict } from '../decisions/poisonRequests/poisonRequests.ts';
+import {
+  PoisonRequests,
+  type PoisonVerdict,
+  type SuspectedRequest,
+} from '../decisions/poisonRequests/poisonRequests.ts';
 import {
   requestRetrialPauseMs,
   type RetrialPause,
@@ -15,6 +19,7 @@
 import type { CalledWorker } from '../gateway/workerCalls.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
+import { RecentAnswers } from './recentAnswers.ts';
 import { type DigestedRequest, requestDigest } from './requestDigest.ts';
 import { type TrialSlot, TrialSlots } from './trialSlots.ts';
 import { WorkerEndProbe } from './workerEndProbe.ts';
@@ -77,6 +82,9 @@
 
   readonly #losses = new CommonLosses();
 
+  /** Answers while no request was suspected. */
+  readonly #recentAnswers = new RecentAnswers();
+
   /** Resolved when it is known whether the last trial of a request has failed, by digest. */
   readonly #judged = new Map<string, Promise<void>>();
 
@@ -229,7 +237,9 @@
    * @returns whether the digest is that of a suspected request
    */
   clear(digest: string): boolean {
-    const cleared = this.requests.recordAnswer(digest, this.#options.clock.monotonicMs());
+    const nowMs = this.#options.clock.monotonicMs();
+    const isSuspected = this.requests.verdictOf(digest, nowMs) !== 'unsuspected';
+    const cleared = isSuspected && this.requests.recordAnswer(digest, nowMs);
     this.#options.logger.info('suspicion-cleared-by-operator', { digest, found: cleared });
     if (cleared) this.#onChange?.(digest);
     return cleared;
@@ -249,15 +259,35 @@
     });
   }
 
-  /** Clears a suspected request that a worker has answered. */
+  /** Clears a suspected request that a worker has answered, and remembers the answer to another one. */
   recordAnswer(request: DigestedRequest & { readonly id: string }): void {
-    if (this.requests.size === 0) return;
+    const nowMs = this.#options.clock.monotonicMs();
+    if (this.requests.size === 0) {
+      this.#recentAnswers.record(request, nowMs);
+      return;
+    }
     const digest = this.#digestOf(request);
-    if (!this.requests.recordAnswer(digest, this.#options.clock.monotonicMs())) return;
+    if (!this.requests.recordAnswer(digest, nowMs)) return;
     this.#options.logger.info('request-cleared', { request: request.id, digest });
     this.#onChange?.(digest);
   }
 
+  /**
+   * Adds what another node knows of a request. If this node's workers have answered it since some of the ends, the others are
+   * told. Returns whether it was news.
+   */
+  learn(request: SuspectedRequest): boolean {
+    const { digest, answeredMs } = request;
+    for (const recent of this.#recentAnswers.take()) {
+      this.requests.rememberAnswer(requestDigest(recent.request), recent.answeredMs);
+    }
+    const knownMs = this.requests.find(digest)?.answeredMs ?? -Infinity;
+    if (!this.requests.merge(request, this.#options.clock.monotonicMs())) return false;
+    const mergedMs = this.requests.find(digest)?.answeredMs ?? -Infinity;
+    if (mergedMs > Math.max(knownMs, answeredMs)) this.#onChange?.(digest);
+    return true;
+  }
+
   #recordEnd(attempt: BrokenAttempt, digest: string): void {
     const { worker, pool, trial, startedMs } = attempt;
     const { clock } = this.#options;
