fix(poison): a response that a worker gave up early does not clear a suspected request

Cause: every complete response of a worker cleared its request, also the 504 with which a worker gives a request up at the caller's time budget. A request that ends its worker after 600 ms was so cleared at all nodes by each caller with less time, and the next caller's attempt ended one more worker.

Change: a status above 500 clears a request, or is remembered as an answer, only after a run of a second, the longest time for which a run must generate to have survived. Shorter ones leave the request suspected, so it runs as a trial. Items of batches are as before.

Failed before: "a deadly request ends few workers though some of its callers have little time" (callers.test.ts; 64 instead of less than 17).

--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -6,7 +6,7 @@
 import type { RequestLimits } from '../decisions/requestLimits.ts';
 import type { RequestPermits } from '../limits/requestPermits.ts';
 import type { Logger } from '../observability/logger.ts';
-import { MIN_REMAINING_MS } from './constants.ts';
+import { MIN_REMAINING_MS, REQUEST_FAILED_STATUS } from './constants.ts';
 import type { ForwardedRequest, ResponseOutcome } from './forwardedRequest.ts';
 import type { GatewayRoute } from './gatewayTables.ts';
 import type { LoadBalancer } from './loadBalancer.ts';
@@ -89,6 +89,13 @@
 /** Whether a worker failed the request. */
 export const is5xx = (statusCode: number): boolean => statusCode >= 500;
 
+/**
+ * Whether a worker's response shows that it has survived the request. A worker that gives a request up early, such as at the
+ * caller's time budget, may do so before the request would have ended it.
+ */
+const showsSurvival = (statusCode: number, tookMs: number): boolean =>
+  statusCode <= REQUEST_FAILED_STATUS || tookMs >= survivalMs(Infinity);
+
 /** Sends requests to workers one attempt at a time, and records how the worker did. */
 export class WorkerAttempts {
   /** Reads complete responses. All forwarders of a node share its limit on the bytes in memory. */
@@ -258,7 +265,9 @@
       if (!response.notRun && attemptResult.response !== undefined) began();
       if (response.notRun) result = 'refused';
       else if (!is5xx(response.statusCode)) result = 'answered';
-      if (!response.notRun) poison.recordAnswer(request);
+      if (!response.notRun && showsSurvival(response.statusCode, started.elapsedMs())) {
+        poison.recordAnswer(request);
+      }
     } catch (error) {
       const notConnected = error instanceof WorkerCallError && error.notConnected;
       attemptResult = { worker, mayHaveRun: !notConnected, reason: messageOf(error) };
--- a/src/node/poison/__tests__/callers.test.ts
+++ b/src/node/poison/__tests__/callers.test.ts
@@ -14,6 +14,17 @@
   expect(harness.endedWorkers).toBeLessThan(17);
 });
 
+// Guards against a deadly request that is cleared because a worker gave it up at a caller's time budget before it was deadly.
+test('a deadly request ends few workers though some of its callers have little time', async () => {
+  const harness = new CallersHarness({ nodes: 6, workers: 8, workMs: 600, isDeadly: () => true });
+  for (let count = 0; count < 1200; count += 1) {
+    const budgetMs = count % 2 === 0 ? 5000 : 300;
+    harness.clock.schedule(50 * count, () => void harness.send(count % 6, '/deadly', budgetMs));
+  }
+  await harness.clock.advanceAsync(60_000);
+  expect(harness.endedWorkers).toBeLessThan(17);
+});
+
 // Guards against a sound request that is refused for up to a minute, because all workers were lost three times by chance.
 test('a request of many callers is answered soon after its workers are back', async () => {
   const harness = new CallersHarness({ nodes: 6, workers: 8, workMs: 600, downMs: 800 });
--- a/src/node/poison/__tests__/callersHarness.ts
+++ b/src/node/poison/__tests__/callersHarness.ts
@@ -24,6 +24,9 @@
 
 const POOL = 'p';
 
+/** Time before the end of a request's time budget at which a worker gives it up with status 504, in ms. */
+const GIVEN_UP_BEFORE_MS = 5;
+
 const ROUTE = {
   ...{ name: 'r', host: 'h', pathPrefix: '/', kind: 'idempotent', priority: 0 },
   ...{ pools: [{ pool: POOL, weight: 1 }], timeoutMs: 5000, targetLatencyMs: 4000 },
@@ -144,7 +147,10 @@
         obtain: () => Promise.resolve({ permits: [], retryAfterMs: 0, issuer: undefined }),
       },
       isMostUrgent: () => true,
-      calls: { send: ({ id }, { path }, signal) => this.#run(id, path, signal) },
+      calls: {
+        send: ({ id }, { path, remainingMs = Infinity }, signal) =>
+          this.#run(id, path, remainingMs - GIVEN_UP_BEFORE_MS, signal),
+      },
     });
     // The response of the stand-in workers has no body to read.
     Object.assign(attempts, {
@@ -155,12 +161,18 @@
     this.#nodes.push({ registry, forwarder, exchange });
   }
 
-  async #run(id: string, path: string, signal: AbortSignal): Promise<WorkerResponse> {
+  async #run(
+    id: string,
+    path: string,
+    giveUpAfterMs: number,
+    signal: AbortSignal,
+  ): Promise<WorkerResponse> {
     const worker = this.#workers.get(id);
     if (worker?.isUp !== true) {
       throw new WorkerCallError('connection refused', { props: { notConnected: true } });
     }
     this.runs += 1;
+    const isGivenUp = giveUpAfterMs < this.#options.workMs;
     await new Promise<void>((resolve, reject) => {
       const breakOff = () => reject(new WorkerCallError('connection reset'));
       worker.breakOffs.add(breakOff);
@@ -168,9 +180,9 @@
         worker.breakOffs.delete(breakOff);
         reject(new WorkerCallError('aborted'));
       });
-      this.clock.schedule(this.#options.workMs, () => {
+      this.clock.schedule(Math.min(this.#options.workMs, giveUpAfterMs), () => {
         if (!worker.breakOffs.has(breakOff)) return;
-        if (this.#options.isDeadly?.(path)) {
+        if (!isGivenUp && this.#options.isDeadly?.(path)) {
           this.endWorkers([id]);
           return;
         }
@@ -178,6 +190,7 @@
         resolve();
       });
     });
-    return { statusCode: 200, notRun: false, headers: {} } as unknown as WorkerResponse;
+    const statusCode = isGivenUp ? 504 : 200;
+    return { statusCode, notRun: false, headers: {} } as unknown as WorkerResponse;
   }
 }
