fix(batches): let runs get on where every worker takes longer for an event than a run may be silent

What users see: the items of a step are at no worker by the rule that leaves out runs ended by their sender within a second, for the rest of the step; the log has `event=item-run end=stopped reason=stalled events=1` or `events=0` every 0.4 s.

Cause: a run is stopped after ten typical gaps without an event, at least 350 ms.

Change: the longer wait holds until the run is steady, with four events in a second or more, so that three gaps are measured; only a steady run sets it back. In a run that is steady the limit is ten typical gaps as before.

--- a/src/node/batches/__tests__/idleWorkers.test.ts
+++ b/src/node/batches/__tests__/idleWorkers.test.ts
@@ -36,6 +36,22 @@
   pool.dispatcher[Symbol.dispose]();
 });
 
+// Guards against items that move from worker to worker after one event each, because all workers have become so slow that the
+// next event takes longer than a run may be silent, and gaps of that length are never measured.
+for (const gapMs of [400, 1000]) {
+  test(`items are completed though all workers have slowed down to an event in ${gapMs} ms`, async () => {
+    const engines = ['w1', 'w2', 'w3', 'w4'].map((id) => new FakeEngine(id, { m: 2 }));
+    const pool = startFakeEnginePool({ engines });
+    await pool.addBatch('short', 16, 100);
+    await pool.clock.advanceAsync(3000);
+    for (const engine of engines) engine.gapMs = gapMs;
+    await pool.addBatch('long', 12, 10);
+    await pool.clock.advanceAsync(15_000);
+    expect((await pool.listedItems('long')).length).toEqual(12);
+    pool.dispatcher[Symbol.dispose]();
+  });
+}
+
 // Guards against permits that all go to workers whose weights the items do not allow, while the other workers are idle.
 test('an item gets a permit for the worker that has its weights', async () => {
   const outdated = new FakeEngine('w1', { m: 1 });
--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -18,6 +18,10 @@
   | { readonly kind: 'stopped'; readonly reason: StopReason }
   | { readonly kind: 'broken'; readonly notConnected: boolean; readonly reason: string };
 
+/** Time and number of events from which a run is steady: its worker's speed is measured by the gaps between them. */
+const MIN_STEADY_MS = 1000;
+const MIN_STEADY_EVENTS = 4;
+
 export interface ItemRunOptions {
   readonly clock: Clock;
   readonly calls: GenerationCalls;
@@ -63,6 +67,11 @@
     return this.#events;
   }
 
+  /** Whether its worker has generated for some time. */
+  get isSteady(): boolean {
+    return this.#events >= MIN_STEADY_EVENTS && this.elapsedMs >= MIN_STEADY_MS;
+  }
+
   /** Whether the run has been stopped and will end. */
   get isStopped(): boolean {
     return this.#stopReason !== undefined;
--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -25,8 +25,7 @@
 
   #restarts = 0;
 
-  /** Number of silent runs, and the number of events of the text at that time. */
-  #silent = { runs: 0, events: 0 };
+  #stalledRuns = 0;
 
   readonly #request: DigestedRequest & { readonly id: string };
 
@@ -59,9 +58,9 @@
     return this.#failedAttempts;
   }
 
-  /** Number of runs since the latest event that were stopped because nothing came from their workers. */
-  get silentRuns(): number {
-    return this.#silent.events === this.text.events.length ? this.#silent.runs : 0;
+  /** Number of runs since the last steady one that were stopped because nothing came from their workers. */
+  get stalledRuns(): number {
+    return this.#stalledRuns;
   }
 
   /** Worker of the item's previous run, which the next placement avoids if possible. */
@@ -105,9 +104,14 @@
     this.#failedAttempts += 1;
   }
 
-  /** Records that a run was stopped before its first event because nothing came from its worker. */
-  recordSilentRun(): void {
-    this.#silent = { runs: this.silentRuns + 1, events: this.text.events.length };
+  /** Records that a run that was not steady was stopped because nothing came from its worker. */
+  recordStalledRun(): void {
+    this.#stalledRuns += 1;
+  }
+
+  /** Records the end of a steady run. */
+  recordSteadyRun(): void {
+    this.#stalledRuns = 0;
   }
 
   /** Records that a run may have ended as a broken one. Returns whether the text is complete. */
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -320,6 +320,8 @@
     }
     state.requeue(worker.id);
     const isStopped = end.kind === 'stopped';
+    if (run.isSteady) state.recordSteadyRun();
+    else if (isStopped && end.reason === 'stalled') state.recordStalledRun();
     this.#updateSuspicion(run, end);
     if (end.kind === 'complete' || (end.kind === 'uncertain' && state.confirmEnd())) {
       this.#recordResult(worker, 'answered');
@@ -335,7 +337,6 @@
       this.#recordResult(worker, 'failed');
       if (run.events === 0) this.#pauseWorker(worker, BROKEN_STREAM_BACKOFF_MS);
     } else if (isStopped && end.reason === 'stalled') {
-      if (run.events === 0) state.recordSilentRun();
       this.#recordResult(worker, 'silent');
     } else if (isStopped && end.reason === 'wrong-version') {
       if (state.batch.record.singleVersion) state.restartText(this.#options.term);
--- a/src/node/batches/runSupervision.ts
+++ b/src/node/batches/runSupervision.ts
@@ -5,19 +5,20 @@
 import type { ItemRun } from './itemRun.ts';
 import { remainingTokens } from './waitingItem.ts';
 
-/** Longest wait for the first event of a run, in ms. */
-const MAX_FIRST_EVENT_MS = 6000;
+/** Longest wait for the next event of a run, in ms. */
+const MAX_EVENT_WAIT_MS = 6000;
 
-/** Number of runs in a row that may be silent because their workers are; several fail together in a zone. */
-const SHORT_SILENT_RUNS = 4;
+/** Number of runs in a row that may stall because their workers do; several fail together in a zone. */
+const SHORT_STALLED_RUNS = 4;
 
 /**
- * Time without an event after which a run is stopped, in ms. Where reading the prompt takes longer than `stallMs`, no run
- * would ever get to an event, so before the first event the limit doubles with each further silent run of the item.
+ * Time without an event after which a run is stopped, in ms. Where every worker takes longer than `stallMs` to read the
+ * prompt or to generate an event, no run would get on, and no gap of that length would be measured, so until the run is
+ * steady the limit doubles with each further stalled run of the item.
  */
-const stallLimitMs = ({ events, state }: ItemRun, stallMs: number): number => {
-  const doublings = Math.max(0, state.silentRuns - SHORT_SILENT_RUNS + 1);
-  return events > 0 ? stallMs : Math.min(MAX_FIRST_EVENT_MS, stallMs * 2 ** doublings);
+const stallLimitMs = ({ isSteady, state }: ItemRun, stallMs: number): number => {
+  const doublings = Math.max(0, state.stalledRuns - SHORT_STALLED_RUNS + 1);
+  return isSteady ? stallMs : Math.min(MAX_EVENT_WAIT_MS, stallMs * 2 ** doublings);
 };
 
 /** Stops runs that have had no event for too long, so that their items continue on other workers. */
