fix(batches): start single-version texts anew on workers whose request limits leave no permits

What users see: items of a step that requires one weight version per text wait for the rest of the step beside idle workers.

Cause: a text whose version no worker has any more is given up once a worker with another version could start it anew. Only workers with a permit counted as such, and since permits are asked for only on workers that can run the item: the text got no permit because it had not been given up, and was not given up because there was no permit.

Change: where no worker with free slots has the text's version, workers whose limits leave no permits count as those that could start it. A text that waits for a permit on a worker with its version is kept as before.

--- a/src/node/batches/__tests__/idleWorkers.test.ts
+++ b/src/node/batches/__tests__/idleWorkers.test.ts
@@ -65,6 +65,25 @@
   pool.dispatcher[Symbol.dispose]();
 });
 
+// Guards against texts of one weight version that wait for good: no worker has their version any more, and permits for the
+// others are asked for only once a text may start anew there, which was found only on workers with permits.
+test('a single-version text starts anew on workers with a request limit and newer weights', async () => {
+  const engines = ['w1', 'w2', 'w3'].map((id) => new FakeEngine(id, { m: 1 }));
+  const pool = startFakeEnginePool({ engines });
+  for (const { id } of engines) pool.limits.observe(id, 20, pool.clock.monotonicMs());
+  const items = await pool.addBatch('b', 8, 400, { singleVersion: true });
+  await pool.clock.advanceAsync(1500);
+  for (const engine of engines) engine.crash();
+  await pool.clock.advanceAsync(300);
+  for (const engine of engines) {
+    engine.restart(pool.clock.nowMs());
+    engine.versions.set('m', 2);
+    pool.register(engine);
+  }
+  expect(await longestWaitMs(pool, items, 5000)).toBeLessThanOrEqual(1000);
+  pool.dispatcher[Symbol.dispose]();
+});
+
 // Guards against a suspension of up to 3 s of a worker that has started anew under its former id.
 test('a worker that has started again under the same id is not suspended for its former start', async () => {
   const engines = ['w1', 'w2'].map((id) => new FakeEngine(id, { m: 2 }));
--- a/src/node/batches/itemPlacer.ts
+++ b/src/node/batches/itemPlacer.ts
@@ -92,7 +92,7 @@
     const placementWorkers = workers
       .forPlacement(running)
       .map((worker) => ({ ...worker, ...suspected.trialsAt(worker.id) }));
-    textRestarts.restartHeldTexts(waiting.values(), placementWorkers);
+    textRestarts.restartHeldTexts(waiting.values(), placementWorkers, running);
     const tokensPerEvent = engine()?.tokensPerEvent ?? 1;
     const freeSlots = placementWorkers.reduce((sum, worker) => sum + worker.freeSlots, 0);
     const ranks = waiting.size > freeSlots ? this.#groupRanks(open, usable) : undefined;
--- a/src/node/batches/textRestarts.ts
+++ b/src/node/batches/textRestarts.ts
@@ -9,7 +9,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly term: number;
-  readonly workers: Pick<EngineWorkers, 'weightVersions' | 'eventGapMs'>;
+  readonly workers: Pick<EngineWorkers, 'weightVersions' | 'eventGapMs' | 'limitedWithFreeSlots'>;
 }
 
 /** Gives up the texts of waiting items that no worker can continue, because its weights have another version. */
@@ -23,16 +23,32 @@
     this.#options = options;
   }
 
-  /** @param workers - workers that may get items */
-  restartHeldTexts(waiting: Iterable<ItemState>, workers: readonly PlacementWorker[]): void {
+  /**
+   * @param workers - workers that may get items
+   * @param running - number of runs by worker
+   */
+  restartHeldTexts(
+    waiting: Iterable<ItemState>,
+    workers: readonly PlacementWorker[],
+    running: ReadonlyMap<string, number>,
+  ): void {
     const free = workers.filter(({ freeSlots }) => freeSlots > 0);
+    const limited = this.#options.workers.limitedWithFreeSlots(running);
     for (const state of waiting) {
       const { text, batch } = state;
       const [version] = text.eventVersions;
       if (version === undefined || !batch.record.singleVersion) continue;
-      const freeVersions = free.flatMap((worker) => worker.versionOf(batch.record.model) ?? []);
-      const isHeld = !freeVersions.some((freeVersion) => text.allows(freeVersion));
-      const couldStartAnew = freeVersions.some((other) => other >= batch.record.minVersion);
+      const versionsOf = (each: readonly Pick<PlacementWorker, 'versionOf'>[]) =>
+        each.flatMap((worker) => worker.versionOf(batch.record.model) ?? []);
+      const freeVersions = versionsOf(free);
+      const limitedVersions = versionsOf(limited);
+      const isAllowed = (other: number) => text.allows(other);
+      const isHeld = !freeVersions.some(isAllowed);
+      // Permits are asked for only on workers that can run the item, so a held text gets none on the others.
+      const startVersions = limitedVersions.some(isAllowed)
+        ? freeVersions
+        : [...freeVersions, ...limitedVersions];
+      const couldStartAnew = startVersions.some((other) => other >= batch.record.minVersion);
       if (!isHeld) this.#heldSince.delete(state);
       else if (couldStartAnew) this.#restartIfDue(state, version);
     }
