fix(batches): end the trial of a run whose result was adopted from the former dispatcher

Cause: the end of a run was not processed where the item had a result by then, which happens after a take-over. If the run was a trial that the worker had not survived yet, it counted as one in progress for good, and no other suspected item started there.

Change: the trial is ended before that check.

Measured: in the new test, with one worker, the second suspected item never started before (2 s) and starts when the trial ends after.

--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -6,6 +6,7 @@
   BatchItemSchema,
   BatchRecordSchema,
   ItemProgressSchema,
+  ItemResultSchema,
 } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
 import { sleep } from '../../../shared/clock.ts';
 import { seededRandom } from '../../../shared/random.ts';
@@ -24,6 +25,7 @@
 import type { GenerationEnd, GenerationListener } from '../generationCalls.ts';
 import type { ItemScorer } from '../itemScorer.ts';
 import { PoolDispatcher } from '../poolDispatcher.ts';
+import { ResultLog } from '../resultLog.ts';
 
 const WORKER: RegisteredWorker = {
   ...{ id: 'w', pool: 'p', address: '127.0.0.1:1', availabilityZone: 'z', slots: 8 },
@@ -112,7 +114,7 @@
     onSuperseded: () => {},
   });
   dispatcher.workersChanged();
-  return { clock, dispatcher, view, started, requests };
+  return { clock, platform, dispatcher, view, started, requests };
 };
 
 const batchOf = (id: string, itemCount = 1) => {
@@ -293,3 +295,39 @@
   expect(Math.max(...waitsMs) <= 6100).toEqual(true);
   dispatcher[Symbol.dispose]();
 });
+
+// Guards against suspected items that never start at a worker again: a trial there ended after its item's result had been
+// adopted from the former dispatcher, and counted as one in progress.
+test('a trial whose result was adopted from the former dispatcher makes room for the next one', async () => {
+  const runs = new Map<string, number>();
+  const { clock, platform, dispatcher, started } = startDispatcher(
+    () => {},
+    [],
+    async (busyClock, { requestId }) => {
+      const run = (runs.get(requestId) ?? 0) + 1;
+      runs.set(requestId, run);
+      if (requestId === 'a-item-2') {
+        await sleep(busyClock, 300);
+        return { kind: 'failed', statusCode: 500 };
+      }
+      if (run === 1) throw new WorkerCallError('connection reset');
+      await sleep(busyClock, 200);
+      return { kind: 'complete' };
+    },
+  );
+  await dispatcher.add(...batchOf('a', 3));
+  const formerLog = new ResultLog({
+    ...{ platform, clock, random: seededRandom(1), logger: silentLogger },
+    ...{ batchId: 'a', term: 0, writer: 'former', maxValueBytes: 100_000 },
+    ...{ onAdopted() {}, onTakenOver() {} },
+  });
+  formerLog.append(create(ItemResultSchema, { itemId: 'a-item' }));
+  await clock.advanceAsync(2000);
+  expect(started.filter((item) => item !== 'a-item-2')).toEqual([
+    'a-item',
+    'a-item-1',
+    'a-item',
+    'a-item-1',
+  ]);
+  dispatcher[Symbol.dispose]();
+});
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -313,6 +313,7 @@
   /** Updates the item and the worker's record after a run: scores, requeues or gives up the item. */
   #handleRunEnd(run: ItemRun, end: RunEnd): void {
     const { state, worker } = run;
+    this.#updateSuspicion(run, end);
     // The item's result may have been adopted from the former dispatcher during the run.
     if (state.closed) {
       this.schedule();
@@ -322,7 +323,6 @@
     const isStopped = end.kind === 'stopped';
     if (run.isSteady) state.recordSteadyRun();
     else if (isStopped && end.reason === 'stalled') state.recordStalledRun();
-    this.#updateSuspicion(run, end);
     if (end.kind === 'complete' || (end.kind === 'uncertain' && state.confirmEnd())) {
       this.#recordResult(worker, 'answered');
       void this.#score(state);
