fix(poison): judge each worker of a common loss by the same pool

What users see: after half of a pool was lost at once, one item is condemned and held for 4 s, and its whole batch too if it ran as the trial of its batch; for requests, one is refused for 6 s.

Cause: a failed trial is excused if half of the pool was lost with its worker. The pool was counted without the workers whose ends had been found before, but not without those found after, so the first one of a loss was measured against a larger pool than the others. Ends that are found one after the other, by probes of processes, always gave the first one another result.

Change: only workers that were lost earlier than this loss are left out, and the worker itself counts as part of the half, as `docs/incidents/items-held-for-lost-workers.md` says: half of its pool. Ends found in the same turn are judged as before.

Two of six and three of eight stay no common loss.

--- a/src/node/decisions/poisonRequests/commonLosses.ts
+++ b/src/node/decisions/poisonRequests/commonLosses.ts
@@ -43,8 +43,8 @@
     ).size;
   }
 
-  /** Whether a worker ended a short time ago. */
-  hasLost(worker: string): boolean {
-    return this.#losses.some((loss) => loss.worker === worker);
+  /** Whether a worker ended a short time ago, before a time. */
+  hasLost(worker: string, beforeMs = Infinity): boolean {
+    return this.#losses.some((loss) => loss.worker === worker && loss.atMs < beforeMs);
   }
 }
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -196,8 +196,8 @@
   }
 
   /**
-   * Finds out whether half of the pool's other workers or more were lost together with one that has just ended during a trial,
-   * so that the trial says nothing. A worker that ended under another suspected request at that time does not excuse it.
+   * Finds out whether one that has just ended during a trial was lost together with others, half of the pool or more in all, so
+   * that the trial says nothing. Workers that were lost before are not counted as part of the pool. A worker that ended under another suspected request at that time does not excuse it.
    *
    * @param startedMs - when the trial started
    */
@@ -205,17 +205,19 @@
     const { clock, workersOf } = this.#options;
     const atMs = clock.monotonicMs();
     const others = (workersOf?.(pool) ?? []).filter(
-      (other) => other.id !== worker.id && !this.#losses.hasLost(startOf(other)),
+      (other) =>
+        other.id !== worker.id && !this.#losses.hasLost(startOf(other), atMs - COMMON_LOSS_MS),
     );
+    const unknown = others.filter((other) => !this.#losses.hasLost(startOf(other)));
     const [probes] = await Promise.all([
       Promise.all(
-        others.slice(0, MAX_PROBED_WORKERS).map(({ address }) => this.#hasEnded(address)),
+        unknown.slice(0, MAX_PROBED_WORKERS).map(({ address }) => this.#hasEnded(address)),
       ),
       sleep(clock, COMMON_LOSS_MS),
     ]);
     const lost = this.#losses.countWith(pool, startOf(worker), atMs, startedMs);
     const probedLost = probes.filter(Boolean).length;
-    return (lost > 0 && lost >= others.length / 2) || probedLost > probes.length / 2;
+    return (lost > 0 && lost + 1 >= (others.length + 1) / 2) || probedLost > probes.length / 2;
   }
 
   /** Resolves when it is known whether the last trial of a request has failed. */
