fix(poison): hold no end of a worker against an item that had run there for over a second

What users see: a worker is lost by chance, and the items that had run on it for seconds start again one after the other, a second apart on each worker: at no worker for over 5 s where few workers are left.

Cause: since the items of a single lost worker are tried alone. A trial must outlive the lost run by half, a second at most, so items that had run for longer than that waited a second each, for a trial that cannot tell anything: whatever ended their worker had not done so in the first second, after which the trial is passed.

Change: the end of a worker that had generated a part of the item for over a second counts as a loss of the pool, but not against the item or its batch. Items that end their workers later than that were cleared before as well.

--- a/src/node/batches/__tests__/heldAfterLosses.test.ts
+++ b/src/node/batches/__tests__/heldAfterLosses.test.ts
@@ -120,3 +120,13 @@
   const { values } = await harness.metrics.itemsHeld.get();
   expect(values.map(({ value }) => value)).toEqual(values.map(() => 0));
 });
+
+// Guards against items of one lost worker that start again one after the other, a second apart, though they had run for longer
+// than a trial takes to clear them.
+test('items that had run for two seconds start again soon on the only other worker', async () => {
+  using harness = new DispatcherHarness({ workers: 2, slots: 24, eventsOf: () => 800 });
+  await harness.addBatch('a', 22);
+  await harness.clock.advanceAsync(2000);
+  harness.endWorkers(['w0'], 30_000);
+  expect(await harness.longestIdleMs(itemsOf('a', 22), 12_000)).toBeLessThan(1000);
+});
--- a/src/node/batches/suspectedItems.ts
+++ b/src/node/batches/suspectedItems.ts
@@ -4,7 +4,7 @@
 import { BatchSuspicion, type BatchVerdict } from '../decisions/poisonRequests/batchSuspicion.ts';
 import type { PoisonVerdict } from '../decisions/poisonRequests/poisonRequests.ts';
 import { itemRetrialPauseMs } from '../decisions/poisonRequests/retrialPause.ts';
-import { survivalMs } from '../decisions/poisonRequests/survival.ts';
+import { MAX_SURVIVAL_MS, survivalMs } from '../decisions/poisonRequests/survival.ts';
 import {
   MIN_ENDS_TO_RUN_ALONE,
   type Trial,
@@ -179,6 +179,8 @@
     const { poison, pool, clock, logger } = this.#options;
     const { state, worker, elapsedMs } = run;
     const { ofItem, ofBatch = false } = this.#trials.get(run) ?? {};
+    // A run of this length clears the item in any case, so ends that come later are not held against it.
+    const hasOutlived = hasSurvived(run, MAX_SURVIVAL_MS);
     const survived = hasSurvived(run, this.#survivalMs(state));
     const survivedBatch = hasSurvived(run, this.#batches.survivalMs(state.batch.record.id));
     const startedMs = clock.monotonicMs() - elapsedMs;
@@ -188,12 +190,14 @@
       trial: !survived && (ofItem?.isAlone ?? false),
       startedMs,
       others: countByWorker(others).get(worker.id) ?? 0,
+      hasOutlived,
     });
     if (!hasEnded) {
       this.#endTrial(run);
       return;
     }
     this.#windows.reset(worker.id);
+    if (hasOutlived) return;
     this.#longestMs.set(state, Math.max(this.#longestMs.get(state) ?? 0, elapsedMs));
     const { id } = state.batch.record;
     const isCommonLoss = await poison.isCommonLoss(pool, worker, startedMs);
--- a/src/node/decisions/poisonRequests/survival.ts
+++ b/src/node/decisions/poisonRequests/survival.ts
@@ -1,6 +1,6 @@
 /** Shortest and longest time for which a run must generate to clear what it runs, in ms. */
 const MIN_SURVIVAL_MS = 250;
-const MAX_SURVIVAL_MS = 1000;
+export const MAX_SURVIVAL_MS = 1000;
 
 /** Factor by which a run must outlive the runs under which workers ended. */
 export const OUTLIVE_FACTOR = 1.5;
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -59,6 +59,8 @@
   readonly startedMs: number;
   /** Number of this node's other requests on the worker. */
   readonly others: number;
+  /** Whether the worker had run the request for so long that its end says nothing of it. @default false */
+  readonly hasOutlived?: boolean;
 }
 
 /** Identifies one start of a worker. */
@@ -261,14 +263,14 @@
   }
 
   #recordEnd(attempt: BrokenAttempt, digest: string): void {
-    const { worker, pool, trial, startedMs } = attempt;
+    const { worker, pool, trial, startedMs, hasOutlived = false } = attempt;
     const { clock } = this.#options;
     const atMs = clock.monotonicMs();
     const end = { worker: startOf(worker), atMs };
     this.windows.reset(worker.id);
     this.#trials.reset(pool);
     this.#losses.record(pool, startOf(worker), atMs);
-    this.requests.recordEnd(digest, { ...end, trial: false });
+    if (!hasOutlived) this.requests.recordEnd(digest, { ...end, trial: false });
     if (!trial) {
       this.#reportEnd(attempt, digest);
       return;
