--- a/src/node/batches/__tests__/idleWorkers.test.ts
+++ b/src/node/batches/__tests__/idleWorkers.test.ts
@@ -36,6 +36,22 @@
   pool.dispatcher[Symbol.dispose]();
 });
 
+// Guards against items that move from worker to worker after one event each, because all workers have become so slow that the
+// next event takes longer than a run may be silent, and gaps of that length are never measured.
+for (const gapMs of [400, 1000]) {
+  test(`items are completed though all workers have slowed down to an event in ${gapMs} ms`, async () => {
+    const engines = ['w1', 'w2', 'w3', 'w4'].map((id) => new FakeEngine(id, { m: 2 }));
+    const pool = startFakeEnginePool({ engines });
+    await pool.addBatch('short', 16, 100);
+    await pool.clock.advanceAsync(3000);
+    for (const engine of engines) engine.gapMs = gapMs;
+    await pool.addBatch('long', 12, 10);
+    await pool.clock.advanceAsync(15_000);
+    expect((await pool.listedItems('long')).length).toEqual(12);
+    pool.dispatcher[Symbol.dispose]();
+  });
+}
+
 // Guards against permits that all go to workers whose weights the items do not allow, while the other workers are idle.
 test('an item gets a permit for the worker that has its weights', async () => {
   const outdated = new FakeEngine('w1', { m: 1 });
@@ -49,6 +65,25 @@
   pool.dispatcher[Symbol.dispose]();
 });
 
+// Guards against texts of one weight version that wait for good: no worker has their version any more, and permits for the
+// others are asked for only once a text may start anew there, which was found only on workers with permits.
+test('a single-version text starts anew on workers with a request limit and newer weights', async () => {
+  const engines = ['w1', 'w2', 'w3'].map((id) => new FakeEngine(id, { m: 1 }));
+  const pool = startFakeEnginePool({ engines });
+  for (const { id } of engines) pool.limits.observe(id, 20, pool.clock.monotonicMs());
+  const items = await pool.addBatch('b', 8, 400, { singleVersion: true });
+  await pool.clock.advanceAsync(1500);
+  for (const engine of engines) engine.crash();
+  await pool.clock.advanceAsync(300);
+  for (const engine of engines) {
+    engine.restart(pool.clock.nowMs());
+    engine.versions.set('m', 2);
+    pool.register(engine);
+  }
+  expect(await longestWaitMs(pool, items, 5000)).toBeLessThanOrEqual(1000);
+  pool.dispatcher[Symbol.dispose]();
+});
+
 // Guards against a suspension of up to 3 s of a worker that has started anew under its former id.
 test('a worker that has started again under the same id is not suspended for its former start', async () => {
   const engines = ['w1', 'w2'].map((id) => new FakeEngine(id, { m: 2 }));
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -317,6 +317,7 @@
   /** Updates the item and the worker's record after a run: scores, requeues or gives up the item. */
   #handleRunEnd(run: ItemRun, end: RunEnd): void {
     const { state, worker } = run;
+    this.#updateSuspicion(run, end);
     // The item's result may have been adopted from the former dispatcher during the run.
     if (state.closed) {
       this.schedule();
@@ -324,7 +325,8 @@
     }
     state.requeue(worker.id);
     const isStopped = end.kind === 'stopped';
-    this.#updateSuspicion(run, end);
+    if (run.isSteady) state.recordSteadyRun();
+    else if (isStopped && end.reason === 'stalled') state.recordStalledRun();
     if (end.kind === 'complete' || (end.kind === 'uncertain' && state.confirmEnd())) {
       this.#recordResult(worker, 'answered');
       void this.#score(state);
@@ -340,7 +342,6 @@
       this.#recordResult(worker, 'failed');
       if (run.events === 0) this.#pauseWorker(worker, BROKEN_STREAM_BACKOFF_MS);
     } else if (isStopped && end.reason === 'stalled') {
-      if (run.events === 0) state.recordSilentRun();
       this.#recordResult(worker, 'silent');
     } else if (isStopped && end.reason === 'wrong-version') {
       if (state.batch.record.singleVersion) state.restartText(this.#options.term);
