test(playground): windows whose counts ended with all nodes need not be reported

Trace: node-2, node-0 and node-3 stopped as planned at 21:53:25, 25.9 and 30.5, node-1 was killed at 24.3, and the first node was up again at 42.6, as processes took over 12 s to start. Counts are kept in the memory of nodes, and a window of which the holder has seen less than half is skipped with a log line (as it was here); see docs/design/duties-and-usage.md, "all nodes restart in a window".

The soak notes the times in which no node runs, and does not ask for windows that had begun by their end and whose report was not due by their start. All others must be reported as before.

--- a/playground/faultSoak/soakControl.ts
+++ b/playground/faultSoak/soakControl.ts
@@ -90,6 +90,9 @@
 
   #firstWindow = Infinity;
 
+  /** Times in which no node ran, as wall-clock times in ms. The latest one may not have ended yet. */
+  readonly #outages: { readonly startMs: number; endMs: number }[] = [];
+
   get address(): string {
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
@@ -109,6 +112,15 @@
     this.#firstWindow = windowNow() + 1;
   }
 
+  allNodesEnded(): void {
+    this.#outages.push({ startMs: Date.now(), endMs: Infinity });
+  }
+
+  nodeStarted(): void {
+    const last = this.#outages.at(-1);
+    if (last?.endMs === Infinity) last.endMs = Date.now();
+  }
+
   async runFaults(faults: readonly ControlFault[]): Promise<void> {
     await Promise.all(
       faults.map(async ({ kind, startMs, durationMs }) => {
@@ -127,7 +139,7 @@
     const owed = () => {
       const windows: number[] = [];
       for (let window = this.#firstWindow; window * USAGE_WINDOW_MS < endedMs; window += 1) {
-        if (!this.#reports.has(window)) windows.push(window);
+        if (!this.#reports.has(window) && !this.#isLost(window)) windows.push(window);
       }
       return windows;
     };
@@ -136,6 +148,14 @@
     for (const window of owed()) this.violations.push(`window ${window} was not reported`);
   }
 
+  /** Whether the counts of a window were lost because no node ran before its report was due. */
+  #isLost(window: number): boolean {
+    const [beginMs, endMs] = [window * USAGE_WINDOW_MS, (window + 1) * USAGE_WINDOW_MS];
+    return this.#outages.some(
+      (outage) => endMs + USAGE_DUE_MS > outage.startMs && beginMs < outage.endMs,
+    );
+  }
+
   /** @param ranFor - number of requests that ran for an account */
   checkCounts(ranFor: (account: string) => number): void {
     const sums = new Map<string, number>();
--- a/playground/faultSoak/soakDeployment.ts
+++ b/playground/faultSoak/soakDeployment.ts
@@ -201,8 +201,10 @@
     child.once('exit', () => {
       this.logs.push(...started.lines);
       if (node.process === started) Object.assign(node, { process: undefined });
+      if (this.nodes.every(({ process }) => process === undefined)) this.control.allNodesEnded();
     });
     Object.assign(node, { process: started });
+    this.control.nodeStarted();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
