test(playground): a seed of the fault soak that cannot be played ends the run with its result

A run went on after such a seed while load and faults of that seed were still scheduled; the process did not end (seed 4241, "not ready within 30000 ms"). The seed is printed as failed, and the run ends.

--- a/playground/faultSoak/faultSoak.ts
+++ b/playground/faultSoak/faultSoak.ts
@@ -124,14 +124,6 @@
   }
 };
 
-/** Result of a seed that could not be played to its end, so that the next seeds are played nevertheless. */
-const toFailure =
-  (seed: number) =>
-  (error: unknown): SoakResult => ({
-    ...{ seed, violations: [`not played to the end: ${messageOf(error)}`], logs: [] },
-    ...{ answered: 0, refusedKeys: 0, batches: 0, reports: 0, faults: 0, ends: 0 },
-  });
-
 const main = async (): Promise<void> => {
   const program = new Command('fault-soak')
     .description('runs real processes under injected faults; npm run fault-soak -- --seed 1')
@@ -144,7 +136,11 @@
   let failed = 0;
   for (let index = 0; index < Number(options.seeds); index += 1) {
     const seed = Number(options.seed) + index;
-    const result = await runSeed(seed, Number(options.seconds) * 1000).catch(toFailure(seed));
+    const result = await runSeed(seed, Number(options.seconds) * 1000).catch((error: unknown) => {
+      // Faults of this seed may still be scheduled, so that no other seed can follow.
+      console.log(JSON.stringify({ seed, violations: [`not played: ${messageOf(error)}`] }));
+      return process.exit(1);
+    });
     const { logs, ...summary } = result;
     console.log(JSON.stringify(summary));
     if (result.violations.length > 0) {
