test(playground): the fault soak sends a node a series of hangup signals, also while it is paused or stops

A SIGHUP was sent once, and not to a node that was paused or stopping, so that signals to one node never overlapped.

--- a/playground/faultSoak/soakFaults.ts
+++ b/playground/faultSoak/soakFaults.ts
@@ -34,6 +34,9 @@
   { loseNextAnswers: 3 },
 ];
 
+/** Number of signals of a series that tells a node to read its settings again. */
+const HANGUPS = 3;
+
 /** Timeout of a planned stop, in ms: longer than the nodes' `graceMs`. */
 const STOP_TIMEOUT_MS = 7000;
 
@@ -143,11 +146,13 @@
 
   async #signalNode(node: SoakNode, kind: SoakFault['kind'], durationMs: number): Promise<void> {
     const child = node.process?.child;
-    if (child === undefined || this.#busyNodes.has(node)) return;
-    if (kind === 'hangup') {
+    if (child === undefined) return;
+    // A node may get any number of these, also while it is paused or stops.
+    for (let sent = 0; kind === 'hangup' && sent < HANGUPS; sent += 1) {
       child.kill('SIGHUP');
-      return;
+      await sleepMs(durationMs / HANGUPS);
     }
+    if (kind === 'hangup' || this.#busyNodes.has(node)) return;
     this.#busyNodes.add(node);
     if (kind === 'pause') {
       child.kill('SIGSTOP');
