fix(batches): a former dispatcher on a busy VM is given 1.2 s to hand over its progress

The next dispatcher waited 400 ms for the progress of the items. A former dispatcher that is leaving first stops its runs and then sends the texts of up to two steps; on a small VM that took longer, so the response came too late and the items started again, or from older checkpoints.

--- a/src/node/batches/batchService.ts
+++ b/src/node/batches/batchService.ts
@@ -153,9 +153,10 @@
 };
 
 /**
- * Timeout for the former dispatcher to hand over its progress, in ms. A dead one delays the take-over by this long.
+ * Timeout for the former dispatcher to hand over its progress, in ms. A former dispatcher that is awaited usually runs: it
+ * is leaving or has lost the platform. On a small VM, stopping its runs and sending the texts of two steps takes over 400 ms.
  */
-const RELEASE_TIMEOUT_MS = 400;
+const RELEASE_TIMEOUT_MS = 1200;
 
 /**
  * Asks the former dispatcher of a pool to stop and hand over its progress. Returns no progress when the call fails;
