test(batches): items held after the loss of the worker of a batch's only trial

Cause: a batch whose only trial fails is held for 4 s, also if the trial's worker was lost by chance shortly after all others.

--- a/src/node/batches/__tests__/heldAfterLosses.test.ts
+++ b/src/node/batches/__tests__/heldAfterLosses.test.ts
@@ -130,3 +130,16 @@
   harness.endWorkers(['w0'], 30_000);
   expect(await harness.longestIdleMs(itemsOf('a', 22), 12_000)).toBeLessThan(1000);
 });
+
+// Guards against a batch that is held for seconds because the worker of its only trial was lost by chance, soon after all others.
+test('items start again soon though the worker of the first trial after a loss of all workers is lost too', async () => {
+  using harness = new DispatcherHarness({ workers: 6, slots: 24 });
+  await harness.addBatch('a', 60, 7500);
+  await harness.clock.advanceAsync(700);
+  harness.endWorkers(['w0', 'w1', 'w2', 'w3', 'w4', 'w5'], 500);
+  await harness.clock.advanceAsync(700);
+  harness.endWorkers(['w0'], 500);
+  await harness.clock.advanceAsync(500);
+  const idleMs = await harness.longestIdleMs(itemsOf('a', 60), 12_000, 0.5);
+  expect(idleMs).toBeLessThan(MAX_IDLE_MS);
+});
