--- a/src/node/batches/batchAcceptor.ts
+++ b/src/node/batches/batchAcceptor.ts
@@ -62,7 +62,11 @@
   readonly maxValueBytes: number;
 }
 
-const validationErrorOf = ({ id, items }: BatchSubmission): string | undefined => {
+/** Why a submission is invalid, undefined when it is not. Does not depend on the bodies of the items. */
+export const submissionErrorOf = ({
+  id,
+  items,
+}: Pick<BatchSubmission, 'id' | 'items'>): string | undefined => {
   if (!isBatchId(id)) return 'a batch id must have 1 to 64 letters, digits, dashes or underscores';
   if (items.length === 0) return 'a batch must contain at least one item';
   const ids = new Set(items.map((item) => item.id));
@@ -104,7 +108,7 @@
   }
 
   accept(submission: BatchSubmission, route: GatewayRoute): Promise<AcceptResult> {
-    const reason = validationErrorOf(submission);
+    const reason = submissionErrorOf(submission);
     if (reason !== undefined) return Promise.resolve({ kind: 'invalid', reason });
     const running = this.#inProgress.get(submission.id);
     if (running) return running.account === submission.account ? running.result : OTHER_ACCOUNT;
--- a/src/node/dataPath/__tests__/byteCollector.test.ts
+++ b/src/node/dataPath/__tests__/byteCollector.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import fc from 'fast-check';
-import { ByteCollector } from '../byteCollector.ts';
+import { ByteCollector, freeChunk } from '../byteCollector.ts';
 
 const MAX_BYTES = 1024 * 1024;
 
@@ -35,3 +35,12 @@
   collector.discard();
   expect(collector.capacityFor(0)).toEqual(0);
 });
+
+// Guards against bytes that are lost because a chunk shares its memory with others.
+test('a chunk is freed only where it has its memory for itself', () => {
+  const own = Buffer.from(new ArrayBuffer(8192));
+  const shared = Buffer.from(new ArrayBuffer(16_384), 0, 8192);
+  const resizable = Buffer.from(new ArrayBuffer(8192, { maxByteLength: 8192 }));
+  for (const chunk of [own, shared, resizable]) freeChunk(chunk);
+  expect([own, shared, resizable].map(({ length }) => length)).toEqual([0, 8192, 8192]);
+});
--- a/src/node/dataPath/byteCollector.ts
+++ b/src/node/dataPath/byteCollector.ts
@@ -81,3 +81,15 @@
 export const releaseBytes = ({ buffer }: Buffer): void => {
   if (buffer instanceof ArrayBuffer && buffer.resizable) buffer.resize(0);
 };
+
+/** Chunks of fewer bytes are left to the garbage collector; many of them take little memory. */
+const MIN_FREED_BYTES = 4 * 1024;
+
+/**
+ * Returns the memory of a chunk whose bytes were copied and that nothing else uses. Otherwise chunks stay in memory until the
+ * garbage collector runs, which takes long on a busy machine. A chunk that shares its memory with others is left as it is.
+ */
+export const freeChunk = ({ buffer, length }: Uint8Array): void => {
+  if (length < MIN_FREED_BYTES || length !== buffer.byteLength) return;
+  if (buffer instanceof ArrayBuffer && !buffer.resizable) buffer.transfer(0);
+};
