fix(data-path): free received chunks as soon as they are joined

Cause: chunks of request bodies and of workers' responses were copied into one buffer and left to the garbage collector, which runs when external memory has grown by 64 MiB, later on a busy machine. This memory came on top of the limits on uploads and responses.

Change: a chunk that has its memory for itself is detached after its bytes are copied.

The chunks of the connection itself, which the HTTP client copies, are still left to the garbage collector.

--- a/src/node/dataPath/readBody.ts
+++ b/src/node/dataPath/readBody.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { ByteCollector } from './byteCollector.ts';
+import { ByteCollector, freeChunk } from './byteCollector.ts';
 import { requestError, type RequestFailure } from './problem.ts';
 
 /** Memory for a body that is being received. */
@@ -60,8 +60,10 @@
   try {
     await new Promise<void>((resolve, reject) => {
       const append = (chunk: Buffer) => {
+        const { length } = chunk;
         collector.append(chunk);
-        memory?.receive(chunk.length);
+        freeChunk(chunk);
+        memory?.receive(length);
       };
       const onData = (chunk: Buffer) => {
         const sizeBytes = collector.sizeBytes + chunk.length;
--- a/src/node/dataPath/workerHttpClient.ts
+++ b/src/node/dataPath/workerHttpClient.ts
@@ -11,7 +11,7 @@
   MAX_SHORT_RESPONSE_BYTES,
   SHORT_CALL_TIMEOUT_MS,
 } from './constants.ts';
-import { ByteCollector } from './byteCollector.ts';
+import { ByteCollector, freeChunk } from './byteCollector.ts';
 import type { ResponseMemory } from './responseMemory.ts';
 import { parseWorkerAddress } from './workerAddress.ts';
 
@@ -66,10 +66,12 @@
   const collector = new ByteCollector(Math.min(announced, maxBytes));
   try {
     for await (const chunk of response as AsyncIterable<Buffer>) {
-      const sizeBytes = collector.sizeBytes + chunk.length;
+      const before = collector.sizeBytes;
+      const sizeBytes = before + chunk.length;
       if (sizeBytes > maxBytes) throw new WorkerCallError(`response larger than ${maxBytes} bytes`);
       collector.append(chunk);
-      share?.grow(chunk.length);
+      freeChunk(chunk);
+      share?.grow(sizeBytes - before);
     }
     if (!response.complete) throw new WorkerCallError('the response was truncated');
     return collector.bytes();
