--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -192,7 +192,7 @@
 
   /**
    * Finds out whether the worker has ended, and holds that against the request. Returns whether it has. A trial counts as
-   * failed only if no other worker of the pool ended at the same time: several are lost together for another reason.
+   * failed unless half of the pool was lost at the same time, which has another reason.
    */
   async recordBroken(attempt: BrokenAttempt): Promise<boolean> {
     const { request, worker } = attempt;
@@ -206,8 +206,8 @@
   }
 
   /**
-   * Finds out whether one that has just ended during a trial was lost together with others, half of the pool or more in all, so
-   * that the trial says nothing. Workers that were lost before are not counted as part of the pool. A worker that ended under another suspected request at that time does not excuse it.
+   * Finds out whether a worker that has just ended during a trial was lost together with others, half of the pool or more in
+   * all, so that the trial says nothing. Workers that were lost earlier do not count as part of the pool.
    *
    * @param startedMs - when the trial started
    */
