feat(batches): a pause of the dispatcher's process is logged

Change: `event=dispatcher-paused` with the length of a pause of 250 ms or more and the number of runs. Measured: the new test failed without the line.

--- a/src/node/batches/__tests__/fakeEnginePool.ts
+++ b/src/node/batches/__tests__/fakeEnginePool.ts
@@ -10,7 +10,7 @@
 import { RequestLimits } from '../../decisions/requestLimits.ts';
 import type { CalledWorker, DispatchedRequest } from '../../gateway/workerCalls.ts';
 import { type RegisteredWorker, WorkerRegistry } from '../../gateway/workerRegistry.ts';
-import { silentLogger } from '../../observability/logger.ts';
+import { type Logger, silentLogger } from '../../observability/logger.ts';
 import { createMetrics } from '../../observability/metrics.ts';
 import type { LoadOrder, OrderResponse, WorkerReport } from '../../weights/orderCalls.ts';
 import { WeightLoads } from '../../weights/weightLoads.ts';
@@ -95,6 +95,7 @@
   readonly models?: readonly string[];
   readonly random?: Random;
   readonly maySendOrders?: () => boolean;
+  readonly logger?: Logger;
 }
 
 /** A dispatcher with engines that a test controls. No request is held for workers that ended under it. */
@@ -103,6 +104,7 @@
   models = ['m'],
   random = seededRandom(1),
   maySendOrders = () => true,
+  logger = silentLogger,
 }: FakeEnginePoolOptions) => {
   const clock = new VirtualClock();
   const processClock = new PausableClock(clock);
@@ -113,7 +115,7 @@
     else read();
   };
   const platform = new InMemoryPlatform();
-  const common = { clock, platform, logger: silentLogger, random };
+  const common = { clock, platform, logger, random };
   const published = new Map<string, number>();
   const limits = new RequestLimits();
   const issuer = new PermitIssuer();
--- a/src/node/batches/__tests__/idleWorkers.test.ts
+++ b/src/node/batches/__tests__/idleWorkers.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { type Logger, silentLogger } from '../../observability/logger.ts';
 import { FakeEngine, startFakeEnginePool } from './fakeEnginePool.ts';
 
 const STEP_MS = 50;
@@ -137,6 +138,28 @@
   pool.dispatcher[Symbol.dispose]();
 });
 
+// Guards against a pause of the dispatcher that its log does not tell from silence of its workers.
+test('a pause of the dispatcher is logged with its length', async () => {
+  const pauses: unknown[] = [];
+  const logger: Logger = {
+    ...silentLogger,
+    warn: (event, fields) => {
+      if (event === 'dispatcher-paused') pauses.push(fields?.pausedMs);
+    },
+  };
+  const pool = startFakeEnginePool({ engines: [new FakeEngine('w1', { m: 2 })], logger });
+  await pool.addBatch('b', 3, 1000);
+  await pool.clock.advanceAsync(2000);
+  expect(pauses).toEqual([]);
+  pool.pause();
+  await pool.clock.advanceAsync(1500);
+  pool.resume();
+  await pool.clock.advanceAsync(1000);
+  // The first 100 ms without a check do not count as a pause.
+  expect(pauses).toEqual([1400]);
+  pool.dispatcher[Symbol.dispose]();
+});
+
 // Guards against silent workers that keep their items because the dispatcher's process is slow.
 test('an item at a silent worker is moved, though the dispatcher is paused for half of the time', async () => {
   const engines = ['w1', 'w2', 'w3'].map((id) => new FakeEngine(id, { m: 2 }));
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -38,6 +38,9 @@
 /** Interval between checks for silent and slow workers, in ms. A run produces about two events in this time. */
 export const RUN_CHECK_INTERVAL_MS = 50;
 
+/** Shortest time in which the dispatcher's process did not run that is logged, in ms: workers count as silent after about it. */
+export const MIN_REPORTED_PAUSE_MS = 250;
+
 /** Delay between attempts to load a batch while the platform does not respond, in ms. */
 export const BATCH_LOAD_RETRY_MS = 250;
 
--- a/src/node/batches/observedTime.ts
+++ b/src/node/batches/observedTime.ts
@@ -26,9 +26,15 @@
     return this.#observedMs + Math.min(this.#maxStepMs, sinceMs);
   }
 
-  /** To be called regularly, as often as the process gets to it. */
-  observe(): void {
+  /**
+   * To be called regularly, as often as the process gets to it.
+   *
+   * @returns time since the last call in which the process did not run, in ms
+   */
+  observe(): number {
+    const sinceMs = this.#clock.monotonicMs() - this.#observedAtMs;
     this.#observedMs = this.nowMs;
-    this.#observedAtMs = this.#clock.monotonicMs();
+    this.#observedAtMs += sinceMs;
+    return Math.max(0, sinceMs - this.#maxStepMs);
   }
 }
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -20,6 +20,7 @@
   CHECKPOINT_INTERVAL_MS,
   HELD_ITEMS_CHECK_INTERVAL_MS,
   ITEM_UNPROCESSABLE_STATUS,
+  MIN_REPORTED_PAUSE_MS,
   REJECTION_BACKOFF_MS,
   RUN_CHECK_INTERVAL_MS,
 } from './constants.ts';
@@ -420,10 +421,13 @@
 
   /** Stops runs on unresponsive, slow or leaving workers, so that their items continue on other workers. */
   #checkRuns(): void {
-    const { clock, weights, registry, engine } = this.#options;
+    const { clock, weights, registry, engine, logger, pool } = this.#options;
     const runs = [...this.#runs.values()];
     stopStalledRuns(runs, this.#workers.stallMs);
-    this.#observedTime.observe();
+    const pausedMs = Math.round(this.#observedTime.observe());
+    if (pausedMs >= MIN_REPORTED_PAUSE_MS) {
+      logger.warn('dispatcher-paused', { pool, pausedMs, runs: runs.length });
+    }
     stopRunsOnLeavingWorkers(runs, countByWorker(runs), {
       ...{ registry, weights, workers: this.#workers },
       tokensPerEvent: engine()?.tokensPerEvent ?? 1,
