fix(poison): workers that are lost together are judged by when they broke off, not by when probes found it

What users see: all workers of a pool are lost at once, and the last one found counts as lost alone, so that an item, a batch or a request is held for seconds. On a busy machine probes of ended workers take up to 150 ms, and ends within 30 ms count as one loss. Cause: the end of a worker was dated when its probe had ended, and ends whose probes were still in progress were not waited for. Class: the time at which this process learns something is taken for the time at which it happened, as with starved dispatchers. Change: a loss is dated by the first request that it broke off, and probes in progress of the same loss are waited for.

--- a/src/node/decisions/poisonRequests/commonLosses.ts
+++ b/src/node/decisions/poisonRequests/commonLosses.ts
@@ -13,7 +13,7 @@
 
 /**
  * Remembers for a short time which workers ended. Several workers of a pool that end at the same time are lost for another
- * reason than a request that runs at one of them as a trial. Times are monotonic and do not decrease.
+ * reason than a request that runs at one of them as a trial. Times are monotonic.
  */
 export class CommonLosses {
   #losses: Loss[] = [];
@@ -43,6 +43,11 @@
     ).size;
   }
 
+  /** When a worker ended a short time ago, by the first request that it broke off; undefined if it did not. */
+  timeOf(worker: string): number | undefined {
+    return this.#losses.find((loss) => loss.worker === worker)?.atMs;
+  }
+
   /** Whether a worker ended a short time ago, before a time. */
   hasLost(worker: string, beforeMs = Infinity): boolean {
     return this.#losses.some((loss) => loss.worker === worker && loss.atMs < beforeMs);
--- a/src/node/poison/__tests__/commonLoss.test.ts
+++ b/src/node/poison/__tests__/commonLoss.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { sleep } from '../../../shared/clock.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
 import { silentLogger } from '../../observability/logger.ts';
 import { createMetrics } from '../../observability/metrics.ts';
@@ -8,8 +9,16 @@
 /** Time between the ends of two workers that are lost together, in ms. */
 const GAP_MS = 5;
 
-/** Ends some workers of a pool during a trial on each. Returns for each end whether it counts as part of a common loss. */
-const loseWorkers = async (poolSize: number, lostCount: number): Promise<boolean[]> => {
+/**
+ * Ends some workers of a pool during a trial on each. Returns for each end whether it counts as part of a common loss.
+ *
+ * @param probeMs - time that a probe of a worker takes, by its index @default none
+ */
+const loseWorkers = async (
+  poolSize: number,
+  lostCount: number,
+  probeMs: (index: number) => number = () => 0,
+): Promise<boolean[]> => {
   const clock = new VirtualClock();
   const workers = Array.from({ length: poolSize }, (_, index) => ({
     ...{ id: `w${index}`, address: `w${index}`, pool: 'p', availabilityZone: 'z' },
@@ -18,7 +27,11 @@
   const ended = new Set<string>();
   const guard = new PoisonGuard({
     ...{ clock, logger: silentLogger, metrics: createMetrics(), workersOf: () => workers },
-    hasEnded: (address) => Promise.resolve(ended.has(address)),
+    hasEnded: async (address) => {
+      const tookMs = probeMs(Number(address.slice(1)));
+      if (tookMs > 0) await sleep(clock, tookMs);
+      return ended.has(address);
+    },
   });
   const startedMs = clock.monotonicMs();
   const verdicts: Promise<boolean>[] = [];
@@ -32,7 +45,7 @@
       guard.recordBroken(attempt).then(() => guard.isCommonLoss('p', worker, startedMs)),
     );
   }
-  await clock.advanceAsync(200);
+  await clock.advanceAsync(500);
   return Promise.all(verdicts);
 };
 
@@ -49,6 +62,12 @@
   });
 }
 
+// Guards against workers that are lost together and judged one by one, because a busy machine finds their ends at different times.
+test('workers that are lost together are a common loss though their probes take different times', async () => {
+  const verdicts = await loseWorkers(4, 4, (index) => 40 * (index + 1) - 35);
+  expect(verdicts).toEqual([true, true, true, true]);
+});
+
 test('less than half of a pool is a common loss for none of its workers', async () => {
   expect(await loseWorkers(6, 2)).toEqual([false, false]);
   expect(await loseWorkers(8, 3)).toEqual([false, false, false]);
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -68,6 +68,14 @@
   readonly hasOutlived?: boolean;
 }
 
+/** A probe in progress of a worker that broke off an attempt. */
+interface EndProbe {
+  readonly pool: string;
+  /** Monotonic time at which the attempt was broken off, in ms. */
+  readonly brokenMs: number;
+  readonly ended: Promise<unknown>;
+}
+
 /** Identifies one start of a worker. */
 export const startOf = ({ id, startedAtMs }: CalledWorker): string => `${id}@${startedAtMs}`;
 
@@ -84,6 +92,9 @@
 
   readonly #losses = new CommonLosses();
 
+  /** Probes in progress of workers that broke off attempts. Bounded by requests in progress. */
+  readonly #endProbes = new Set<EndProbe>();
+
   /** Answers while no request was suspected. */
   readonly #recentAnswers = new RecentAnswers();
 
@@ -194,15 +205,22 @@
    * Finds out whether the worker has ended, and holds that against the request. Returns whether it has. A trial counts as
    * failed unless half of the pool was lost at the same time, which has another reason.
    */
-  async recordBroken(attempt: BrokenAttempt): Promise<boolean> {
-    const { request, worker } = attempt;
-    if (this.#options.isLeaving?.(worker.id)) return false;
+  recordBroken(attempt: BrokenAttempt): Promise<boolean> {
+    const { request, worker, pool } = attempt;
+    if (this.#options.isLeaving?.(worker.id)) return Promise.resolve(false);
+    const brokenMs = this.#options.clock.monotonicMs();
     // Before the wait, because the body's memory is returned once the caller has its answer.
     const digest = this.#digestOf(request);
     this.#probed.set(digest, (this.#probed.get(digest) ?? 0) + 1);
-    const hasEnded = await this.#hasEnded(worker.address).finally(() => this.#endProbe(digest));
-    if (hasEnded) this.#recordEnd(attempt, digest);
-    return hasEnded;
+    const probe = this.#hasEnded(worker.address)
+      .then((hasEnded) => {
+        if (hasEnded) this.#recordEnd(attempt, digest, brokenMs);
+        return hasEnded;
+      })
+      .finally(() => this.#endProbe(digest));
+    const inProgress = { pool, brokenMs, ended: probe.catch(() => {}) };
+    this.#endProbes.add(inProgress);
+    return probe.finally(() => this.#endProbes.delete(inProgress));
   }
 
   /**
@@ -213,7 +231,8 @@
    */
   async isCommonLoss(pool: string, worker: CalledWorker, startedMs: number): Promise<boolean> {
     const { clock, workersOf } = this.#options;
-    const atMs = clock.monotonicMs();
+    // A busy machine finds the ends of workers that were lost together at different times.
+    const atMs = this.#losses.timeOf(startOf(worker)) ?? clock.monotonicMs();
     const others = (workersOf?.(pool) ?? []).filter(
       (other) =>
         other.id !== worker.id && !this.#losses.hasLost(startOf(other), atMs - COMMON_LOSS_MS),
@@ -225,6 +244,11 @@
       ),
       sleep(clock, COMMON_LOSS_MS),
     ]);
+    await Promise.all(
+      [...this.#endProbes]
+        .filter((probe) => probe.pool === pool && probe.brokenMs - atMs <= COMMON_LOSS_MS)
+        .map(({ ended }) => ended),
+    );
     const lost = this.#losses.countWith(pool, startOf(worker), atMs, startedMs);
     const probedLost = probes.filter(Boolean).length;
     return (lost > 0 && lost + 1 >= (others.length + 1) / 2) || probedLost > probes.length / 2;
@@ -292,14 +316,14 @@
     return true;
   }
 
-  #recordEnd(attempt: BrokenAttempt, digest: string): void {
+  #recordEnd(attempt: BrokenAttempt, digest: string, brokenMs: number): void {
     const { worker, pool, trial, startedMs, hasOutlived = false } = attempt;
     const { clock } = this.#options;
     const atMs = clock.monotonicMs();
     const end = { worker: startOf(worker), atMs };
     this.windows.reset(worker.id);
     this.#trials.reset(pool);
-    this.#losses.record(pool, startOf(worker), atMs);
+    this.#losses.record(pool, startOf(worker), brokenMs);
     if (!hasOutlived) this.requests.recordEnd(digest, { ...end, trial: false });
     if (!trial) {
       this.#reportEnd(attempt, digest);
