test(review): items stay behind when the last worker of a former service leaves

Cause: a batch stays in the pool that its route led to at its acceptance; when the route has moved and that pool loses its last worker, nothing runs the items.

--- a/review/lib-2/worker.ts
+++ b/review/lib-2/worker.ts
@@ -78,6 +78,8 @@
 
   #busy = false;
 
+  #state: 'ready' | 'draining' = 'ready';
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: WorkerOptions) {
@@ -98,6 +100,18 @@
     }, HEARTBEAT_MS);
   }
 
+  /** Reports that it is about to leave; it goes on serving. */
+  drain(): void {
+    this.#state = 'draining';
+    this.#register();
+  }
+
+  /** Leaves: its entry is removed and its process ends. */
+  leave(): void {
+    this.#options.store.remove('servers', this.id);
+    this.stop();
+  }
+
   stop(): void {
     clearInterval(this.#timer);
     this.#server.closeAllConnections();
@@ -109,7 +123,7 @@
     this.#heartbeats += 1;
     store.put('servers', this.id, {
       ...{ service, address: `${HOST}:${this.#port}`, zone: 'z', version: 'v1', slots },
-      ...{ state: 'ready', 'cold-remaining-ms': 0, sequence: this.#heartbeats },
+      ...{ state: this.#state, 'cold-remaining-ms': 0, sequence: this.#heartbeats },
       born: this.#startedAtMs,
       ...(model === undefined
         ? {}
