fix(batches): a batch whose pool has lost its workers follows its route

Cause: the pool of a batch was fixed at its acceptance, and nothing compared it with the tables again. Moving it was not possible either, since terms of two pools cannot be compared and a former dispatcher could not be fenced.

Change: the dispatcher of a pool without usable workers moves its open batches to the pools that their routes lead to now, by a conditional write of the record. The record counts the moves; log entries and checkpoints are ranked by moves first, then by terms, so that the former dispatcher stores nothing after the new one has taken over the log.

The random play of resultLog.test.ts now moves batches as well; its checks are unchanged. Tests that open a log pass a rank instead of a term.

--- a/src/node/batches/__tests__/batchNodeHarness.ts
+++ b/src/node/batches/__tests__/batchNodeHarness.ts
@@ -32,7 +32,7 @@
 import { HeldPlatform } from './heldPlatform.ts';
 
 /** Pool to which the batch route leads. */
-const POOL = 'p';
+export const POOL = 'p';
 
 /** Pool to which no route leads. */
 export const UNROUTED_POOL = 'former';
@@ -65,11 +65,16 @@
   /** Ids of the items whose runs have started. */
   readonly started: string[] = [];
 
+  /** Pools of the workers on which each item was started, by item. */
+  readonly poolsOf = new Map<string, string[]>();
+
   /** Names of the accounts that were sent with the items, by item. */
   readonly accountsSent = new Map<string, string | undefined>();
 
   readonly batches: BatchSubsystem;
 
+  readonly #registry: WorkerRegistry;
+
   /**
    * @param routes - route table @default one batch route
    * @param options - platform that other nodes use too, and the client accounts of the tables
@@ -85,15 +90,10 @@
     };
     const registry = new WorkerRegistry({
       ...common,
-      decode: ({ key }) => workerOf(key.slice('servers/'.length)),
+      decode: ({ key }) => workerOf(key.slice('servers/w-'.length)),
       onChange: () => {},
     });
-    for (const pool of [POOL, UNROUTED_POOL]) {
-      registry.applyEvent({
-        type: 'written',
-        object: { key: `servers/${pool}`, version: 1, operationId: '', value: {} },
-      });
-    }
+    this.#registry = registry;
     const engine = { slots: 8, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] };
     const pools = new Map([POOL, UNROUTED_POOL].map((pool) => [pool, { engine }]));
     const tables = { routes, pools, accounts } as unknown as GatewayTables;
@@ -119,8 +119,10 @@
       } as unknown as RequestPermits,
       adapter: {
         generationCalls: {
-          generate: (_worker, { requestId, account }) => {
+          generate: ({ id: worker }, { requestId, account }) => {
             this.started.push(requestId);
+            const former = this.poolsOf.get(requestId) ?? [];
+            this.poolsOf.set(requestId, [...former, worker.slice('w-'.length)]);
             this.accountsSent.set(requestId, account);
             return new Promise<GenerationEnd>(() => {});
           },
@@ -133,6 +135,7 @@
       } as Pick<GatewayAdapter, 'generationCalls' | 'orderCalls' | 'publishedVersions'>,
       orderRules: { fenced: true, leaseMs: 3000 },
     } as unknown as BatchSubsystemOptions);
+    for (const pool of [POOL, UNROUTED_POOL]) this.addWorker(pool);
   }
 
   /** Starts the node's part in dispatching, as the first tables do. */
@@ -140,6 +143,20 @@
     this.batches.tablesChanged();
   }
 
+  /** Registers the worker of a pool. */
+  addWorker(pool: string): void {
+    const object = { key: `servers/w-${pool}`, version: 1, operationId: '', value: {} };
+    this.#registry.applyEvent({ type: 'written', object });
+    this.batches.workersChanged();
+  }
+
+  /** Removes the registration of a pool's worker, whose runs go on. */
+  removeWorker(pool: string): void {
+    const object = { key: `servers/w-${pool}`, version: 2, operationId: '', value: {} };
+    this.#registry.applyEvent({ type: 'removed', object });
+    this.batches.workersChanged();
+  }
+
   /** Stores a record by which another node, which has ended since, dispatched the pool. */
   async addFormerDispatcher(): Promise<void> {
     const former = create(DispatcherRecordSchema, { node: 'former', incarnation: 'f', term: 1 });
@@ -149,7 +166,8 @@
   /** Stores an accepted batch whose first item is `ID-item`. */
   async addBatch(id: string, pool = POOL, itemCount = 1): Promise<BatchRecord> {
     const record = create(BatchRecordSchema, {
-      ...{ id, pool, model: 'm', itemCount, partCount: 1, maxAttempts: 3 },
+      ...{ id, pool, host: 'h', path: `/b/${id}`, model: 'm' },
+      ...{ itemCount, partCount: 1, maxAttempts: 3 },
       submittedAtMs: BigInt(this.clock.nowMs()),
     });
     const items = Array.from({ length: itemCount }, (_, index) =>
--- a/src/node/batches/__tests__/deploymentHarness.ts
+++ b/src/node/batches/__tests__/deploymentHarness.ts
@@ -40,6 +40,11 @@
   resumable: false,
 };
 
+const routesOf = (pool: string): GatewayRoute[] => [
+  { ...BATCH_ROUTE, pools: [{ pool, weight: 1 }] },
+  SCORING_ROUTE,
+];
+
 export interface WorkerFaults {
   /** Share of the runs that end early, as a broken stream does. */
   brokenRate: number;
@@ -74,6 +79,9 @@
   isolated: boolean;
   /** Whether it hears nothing of other nodes, while they hear of it. */
   deaf: boolean;
+  readonly registry: WorkerRegistry;
+  /** Pool to which the batch route leads in this node's tables. */
+  routedPool: string;
 }
 
 const count = (counts: Map<string, number>, key: string, by: 1 | -1): void => {
@@ -95,6 +103,19 @@
   readonly logger?: Logger | undefined;
 }
 
+/** The pools of a deployment. At first the batch route leads to the first one, and only that one has workers. */
+export const POOLS = ['p', 'q'] as const;
+
+type Pool = (typeof POOLS)[number];
+
+/** Longest time until a node applies a change of the tables or of the workers, in ms. */
+const MAX_CHANGE_DELAY_MS = 500;
+
+const workerIdsOf = (pool: Pool): string[] =>
+  Array.from({ length: WORKERS }, (_, index) => `${pool === POOLS[0] ? '' : `${pool}-`}w${index}`);
+
+const poolOf = (worker: string): Pool => (worker.startsWith('q-') ? 'q' : 'p');
+
 /** Nodes that share a platform and a pool of sound workers, in virtual time. */
 export class DeploymentHarness implements AsyncDisposable {
   readonly clock = new VirtualClock();
@@ -105,6 +126,12 @@
 
   readonly workerFaults: WorkerFaults = { brokenRate: 0 };
 
+  /** Pool to which the batch route leads. */
+  routedPool: Pool = POOLS[0];
+
+  /** Pools whose workers run. */
+  readonly #staffedPools = new Set<Pool>([POOLS[0]]);
+
   readonly #history = new ObjectHistory();
 
   readonly #options: DeploymentOptions;
@@ -196,6 +223,27 @@
     if (this.process(name) === run) this.kill(name, false);
   }
 
+  /** Lets the batch route lead to another pool, which gets workers if it has none. */
+  moveRoute(pool: Pool): void {
+    this.routedPool = pool;
+    this.staff(pool, true);
+    this.#changeSoon((process) => {
+      Object.assign(process, { routedPool: this.routedPool });
+      process.batches.tablesChanged();
+    });
+  }
+
+  /** Starts or ends all workers of a pool. */
+  staff(pool: Pool, isStaffed: boolean): void {
+    if (this.#staffedPools.has(pool) === isStaffed) return;
+    if (isStaffed) this.#staffedPools.add(pool);
+    else this.#staffedPools.delete(pool);
+    this.#changeSoon((process) => {
+      this.#registerWorkers(process.registry, pool);
+      process.batches.workersChanged();
+    });
+  }
+
   /** Whether a node that is in order runs or scores an item. */
   isServed(itemId: string): boolean {
     return this.processes.some(
@@ -213,6 +261,23 @@
     }
   }
 
+  #changeSoon(change: (process: ProcessRun) => void): void {
+    for (const process of this.processes) {
+      process.clock.schedule(this.#random() * MAX_CHANGE_DELAY_MS, () => {
+        if (!process.ended) change(process);
+      });
+    }
+  }
+
+  /** Tells a node which workers of a pool run now. */
+  #registerWorkers(registry: WorkerRegistry, pool: Pool): void {
+    const type = this.#staffedPools.has(pool) ? 'written' : 'removed';
+    for (const id of workerIdsOf(pool)) {
+      const object = { key: `servers/${id}`, version: 1, operationId: '', value: {} };
+      registry.applyEvent({ type, object });
+    }
+  }
+
   readonly #clients = new WeakMap<ProcessRun, BudgetedPlatformClient>();
 
   #clientOf(run: ProcessRun): BudgetedPlatformClient {
@@ -237,22 +302,19 @@
     const registry = new WorkerRegistry({
       ...common,
       decode: ({ key }) => ({
-        ...{ id: key.slice('servers/'.length), pool: 'p', address: '127.0.0.1:1' },
+        ...{ id: key.slice('servers/'.length), pool: poolOf(key.slice('servers/'.length)) },
+        address: '127.0.0.1:1',
         ...{ availabilityZone: 'z', slots: SLOTS, draining: false, startedAtMs: 1 },
         ...{ heartbeatCount: 1, models: [{ name: 'm', version: 1 }] },
       }),
       onChange: () => {},
     });
-    for (let index = 0; index < WORKERS; index += 1) {
-      const key = `servers/w${index}`;
-      const object = { key, version: 1, operationId: '', value: {} };
-      registry.applyEvent({ type: 'written', object });
-    }
+    for (const pool of this.#staffedPools) this.#registerWorkers(registry, pool);
     const engine = { slots: SLOTS, cacheTokens: 1e6, tokensPerEvent: 1, models: ['m'] };
-    const routes = [BATCH_ROUTE, SCORING_ROUTE];
     const run = { ended: false, vmGone: false, leaving: false, isolated: false, deaf: false };
     const process: ProcessRun = Object.assign(run, {
-      ...{ identity, clock, link, health, heard: new Map<string, Heard>() },
+      ...{ identity, clock, link, health, heard: new Map<string, Heard>(), registry },
+      routedPool: this.routedPool,
       ...{ running: new Map<string, number>(), scoring: new Map<string, number>() },
       batches: undefined as unknown as BatchSubsystem,
     });
@@ -272,8 +334,13 @@
         peers: () => this.#peersOf(process),
       },
       tables: {
-        tables: { routes, pools: new Map([['p', { engine }]]) },
-        routes: new RouteIndex(routes),
+        get tables() {
+          const pools = new Map(POOLS.map((pool) => [pool, { engine }]));
+          return { routes: routesOf(process.routedPool), pools };
+        },
+        get routes() {
+          return new RouteIndex(routesOf(process.routedPool));
+        },
       },
       permits: {
         obtain: () => Promise.resolve({ permits: [], retryAfterMs: 0, issuer: undefined }),
@@ -310,7 +377,7 @@
   #generationCalls(process: ProcessRun): GenerationCalls {
     const { clock, running } = process;
     return {
-      generate: async (_worker, { requestId, resumeAfter = 0 }, listener, signal) => {
+      generate: async ({ id: worker }, { requestId, resumeAfter = 0 }, listener, signal) => {
         const total = this.#options.eventsOf(requestId);
         const isBroken = this.#random() < this.workerFaults.brokenRate;
         // A second end at the same event would count as the end of the text.
@@ -324,6 +391,7 @@
           for (let number = resumeAfter + 1; number <= total; number += 1) {
             await sleep(clock, EVENT_GAP_MS, signal);
             if (signal.aborted) throw new WorkerCallError('aborted');
+            if (!this.#staffedPools.has(poolOf(worker))) throw new WorkerCallError('reset');
             if (number > breaksAfter) return { kind: 'uncertain' };
             listener.onEvent({ number, data: `${requestId}.${number}`, version: 1 });
           }
--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -318,7 +318,7 @@
   await dispatcher.add(...batchOf('a', 3));
   const formerLog = new ResultLog({
     ...{ platform, clock, random: seededRandom(1), logger: silentLogger },
-    ...{ batchId: 'a', term: 0, writer: 'former', maxValueBytes: 100_000 },
+    ...{ batchId: 'a', rank: { moves: 0, term: 0 }, writer: 'former', maxValueBytes: 100_000 },
     ...{ onAdopted() {}, onTakenOver() {} },
   });
   formerLog.append(create(ItemResultSchema, { itemId: 'a-item' }));
--- a/src/node/batches/__tests__/resultLog.test.ts
+++ b/src/node/batches/__tests__/resultLog.test.ts
@@ -11,7 +11,7 @@
 import { seededRandom } from '../../../shared/random.ts';
 import { VirtualClock } from '../../../shared/virtualClock.ts';
 import { silentLogger } from '../../observability/logger.ts';
-import { readLog, ResultLog } from '../resultLog.ts';
+import { LogTakenError, readLog, ResultLog } from '../resultLog.ts';
 
 /** Maximum size of a stored object's value, in bytes. */
 const MAX_VALUE_BYTES = 20_000;
@@ -23,11 +23,12 @@
 const createBatch = () => {
   const clock = new VirtualClock();
   const platform = new InMemoryPlatform();
-  const open = (term: number) => {
+  const open = (term: number, moves = 0) => {
     const adopted: string[] = [];
     const taken: number[] = [];
     const log = new ResultLog({
-      ...{ platform, clock, random: seededRandom(term), logger: silentLogger, batchId: 'b', term },
+      ...{ platform, clock, random: seededRandom(term), logger: silentLogger, batchId: 'b' },
+      rank: { moves, term },
       writer: `writer-${term}`,
       maxValueBytes: MAX_VALUE_BYTES,
       onAdopted: (results) => adopted.push(...idsOf(results)),
@@ -85,6 +86,23 @@
   expect(await stored()).toEqual(['a', 'b']);
 });
 
+// Guards against two dispatchers that both assign positions to a batch that was moved to a pool with a lower term, and against
+// a dispatcher that gives up its own pool because one of its batches was moved away.
+test('after a move the dispatcher of the former pool stores nothing, whatever its term', async () => {
+  const { clock, open, stored } = createBatch();
+  const former = open(7);
+  former.log.append(resultOf('a'));
+  await clock.advanceAsync(1000);
+  const next = open(2, 1);
+  await next.log.takeOver();
+  former.log.append(resultOf('late'));
+  next.log.append(resultOf('b'));
+  await clock.advanceAsync(2000);
+  expect(await stored()).toEqual(['a', 'b']);
+  expect({ closed: former.log.closed, taken: former.taken }).toEqual({ closed: true, taken: [] });
+  await expect(open(8).log.takeOver()).toBeRejectedWith(LogTakenError);
+});
+
 // Guards against results that are never listed: those that were pending at once did not fit into one object, and the refused
 // write was repeated for good (seen in a trial of the review: 1 of 96 results listed).
 test('results that do not fit into one object are stored in several', async () => {
@@ -116,11 +134,12 @@
 
 // Guards against positions that change, results that are stored twice, and stored results that a dispatcher does not
 // see, in any order of writes, lost responses, outages and take-overs.
-test('random take-overs and faults neither change positions nor give an item two of them', async () => {
+test('random take-overs, moves and faults neither change positions nor give an item two of them', async () => {
   const step = fc.oneof(
     fc.constant('append' as const),
     fc.constant('late-append' as const),
     fc.constant('take-over' as const),
+    fc.constant('move' as const),
     fc.constant('lose-response' as const),
     fc.constant('outage' as const),
   );
@@ -130,6 +149,7 @@
       let former = open(1);
       let current = former;
       let term = 1;
+      let moves = 0;
       let seen: string[] = [];
       for (const [index, action] of steps.entries()) {
         if (action === 'append') current.log.append(resultOf(`i${index}`));
@@ -139,10 +159,16 @@
           platform.outage = true;
           await clock.advanceAsync(700);
           platform.outage = false;
+        } else if (action === 'move') {
+          former = current;
+          moves += 1;
+          term = 1;
+          current = open(term, moves);
+          await current.log.takeOver();
         } else {
           former = current;
           term += 1;
-          current = open(term);
+          current = open(term, moves);
           await current.log.takeOver();
         }
         await clock.advanceAsync(index % 3 === 0 ? 500 : 10);
--- a/src/node/batches/__tests__/takeOverPlay.ts
+++ b/src/node/batches/__tests__/takeOverPlay.ts
@@ -10,7 +10,12 @@
 import type { BatchSubmission } from '../batchAcceptor.ts';
 import { readLog } from '../resultLog.ts';
 import { BATCH_ROUTE } from './batchNodeHarness.ts';
-import { DeploymentHarness, type DeploymentOptions, type ProcessRun } from './deploymentHarness.ts';
+import {
+  DeploymentHarness,
+  type DeploymentOptions,
+  POOLS,
+  type ProcessRun,
+} from './deploymentHarness.ts';
 
 const NAMES = ['a', 'b', 'c', 'd'];
 
@@ -48,14 +53,20 @@
   ...['resubmit', 'deaf-holder', 'deaf', 'clock-step', 'clock-step-holder'],
 ] as const;
 
-export const step = fc.record({
-  fault: fc.constantFrom(...FAULTS),
-  node: fc.constantFrom(...NAMES),
-  durationMs: fc.integer({ min: 100, max: 6000 }),
-  waitMs: fc.integer({ min: 0, max: 2500 }),
-});
+const stepOf = <T extends string>(...faults: readonly T[]) =>
+  fc.record({
+    fault: fc.constantFrom(...faults),
+    node: fc.constantFrom(...NAMES),
+    durationMs: fc.integer({ min: 100, max: 6000 }),
+    waitMs: fc.integer({ min: 0, max: 2500 }),
+  });
+
+export const step = stepOf(...FAULTS);
 
-export type Step = typeof step extends fc.Arbitrary<infer T> ? T : never;
+/** A step that may also move the batch route, after which the workers of the former pool end. */
+export const movingStep = fc.oneof(step, stepOf('move-route'));
+
+export type Step = typeof movingStep extends fc.Arbitrary<infer T> ? T : never;
 
 /** Submits a batch like a trainer: at another node until one accepts it. */
 const submitBatch = async (
@@ -217,6 +228,13 @@
     later(() => {
       workerFaults.brokenRate = 0;
     });
+  } else if (kind === 'move-route') {
+    const former = deployment.routedPool;
+    const [next] = POOLS.filter((pool) => pool !== former);
+    if (next !== undefined) deployment.moveRoute(next);
+    later(() => {
+      if (deployment.routedPool !== former) deployment.staff(former, false);
+    });
   } else if (kind === 'end-batch') trainers.end(node);
   else if (kind === 'resubmit') trainers.resubmit(node);
   else trainers.submit();
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -22,6 +22,7 @@
 import type { OrderCalls } from '../weights/orderCalls.ts';
 import { WeightLoads } from '../weights/weightLoads.ts';
 import type { BatchAcceptor } from './batchAcceptor.ts';
+import { BatchMover } from './moves/batchMover.ts';
 import { BatchLoader } from './batchLoader.ts';
 import {
   BATCHES_PREFIX,
@@ -33,6 +34,7 @@
 import {
   BATCHES_LONG_POLL_MS,
   BATCH_CHANGE_GRACE_MS,
+  BATCH_MOVE_CHECK_INTERVAL_MS,
   MAX_FIRST_LOAD_MS,
   MAX_ORDER_TRANSIT_MS,
   RETENTION_SWEEP_INTERVAL_MS,
@@ -75,7 +77,7 @@
   readonly followWeights: (onChange: () => void) => PublishedWeights & Disposable;
   readonly metrics: Pick<
     Metrics,
-    'itemRuns' | 'itemRunSeconds' | 'itemsHeld' | 'stepsContend' | 'weightLoads'
+    'batchMoves' | 'itemRuns' | 'itemRunSeconds' | 'itemsHeld' | 'stepsContend' | 'weightLoads'
   >;
   /** Rules for when a new dispatcher may send its first order to a worker. */
   readonly orderRules: Pick<FirstOrderConditions, 'fenced' | 'leaseMs'>;
@@ -83,6 +85,8 @@
   readonly retentionMs: number;
   /** Whether this node waits for preferred candidates before it claims the pool. @default true */
   readonly yieldsToPreferred?: boolean;
+  /** Pool that the route of a batch leads to now; undefined if there is no such route any more. */
+  readonly routedPoolOf: (record: BatchRecord) => string | undefined;
   /** Whether a batch route leads to a pool. */
   readonly isRouted: (pool: string) => boolean;
   /** Called for a batch of another pool that has not ended. */
@@ -266,6 +270,12 @@
     });
     resources.add(follower);
     this.#batchFollower = follower;
+    const mover = new BatchMover({
+      ...{ ...this.#options, dispatcher },
+      objectOf: (key) => follower.objects.get(key),
+      usableWorkers: (pool) => this.#options.registry.usable(pool).length,
+    });
+    resources.add(repeatEvery(clock, BATCH_MOVE_CHECK_INTERVAL_MS, () => void mover.moveBatches()));
     resources.add(
       repeatEvery(clock, RETENTION_SWEEP_INTERVAL_MS, () =>
         this.#removeExpired(follower, dispatcher),
@@ -314,6 +324,8 @@
     const record = tryDecodeBatch(object, this.#options.logger);
     if (record === undefined) return undefined;
     if (record.pool !== this.pool) {
+      loader.cancel(id, 'moved');
+      dispatcher.forget(id, 'batch-moved');
       if (record.endedAtMs === 0n) this.#options.onOtherOpenBatch(record);
       return undefined;
     }
@@ -323,7 +335,12 @@
       dispatcher.end(id);
       return undefined;
     }
-    return dispatcher.has(id) ? undefined : loader.load(record, takeOver, progress.get(id));
+    if (dispatcher.recordOf(id)?.moves === record.moves) return undefined;
+    if (loader.movesOf(id) === record.moves) return undefined;
+    // The batch left this pool and came back between two events.
+    loader.cancel(id, 'moved');
+    dispatcher.forget(id, 'batch-moved');
+    return loader.load(record, takeOver || record.moves > 0, progress.get(id));
   }
 
   /**
--- a/src/node/batches/batchLoader.ts
+++ b/src/node/batches/batchLoader.ts
@@ -20,9 +20,11 @@
 }
 
 /** Why a batch is no longer to be loaded. */
-export type LoadCancelReason = 'ended' | 'removed';
+export type LoadCancelReason = 'ended' | 'removed' | 'moved';
 
 interface Load {
+  /** Number of times that the batch had been moved to another pool. */
+  readonly moves: number;
   readonly abort: AbortController;
   readonly started: Stopwatch;
 }
@@ -42,6 +44,11 @@
     return this.#loads.has(batchId);
   }
 
+  /** Number of times that a batch had been moved when its load started; undefined if it is not being loaded. */
+  movesOf(batchId: string): number | undefined {
+    return this.#loads.get(batchId)?.moves;
+  }
+
   /**
    * Loads a batch. Retries while the platform does not respond, until the batch is loaded or the load is cancelled.
    *
@@ -55,7 +62,10 @@
   ): Promise<void> {
     if (this.#loads.has(record.id)) return;
     const { clock, logger, acceptor, dispatcher, onLogTaken } = this.#options;
-    const load = { abort: new AbortController(), started: new Stopwatch(clock) };
+    const load: Load = {
+      moves: record.moves,
+      ...{ abort: new AbortController(), started: new Stopwatch(clock) },
+    };
     this.#loads.set(record.id, load);
     const { signal } = load.abort;
     while (!signal.aborted && !dispatcher.closed && !dispatcher.has(record.id)) {
--- a/src/node/batches/batchObjects.ts
+++ b/src/node/batches/batchObjects.ts
@@ -16,6 +16,7 @@
   ItemResultSchema,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { messageOf } from '../../shared/errors.ts';
+import type { DispatcherRank } from '../decisions/batchMoves/dispatcherRank.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformObject } from '../platform/platformClient.ts';
 
@@ -56,9 +57,17 @@
 /** Key prefix of a batch's progress checkpoints. Each batch has its own kind, as for the log. */
 export const progressPrefix = (batchId: string): string => `batch-progress-${batchId}/`;
 
-/** Key of a progress checkpoint. Keys sort by term, then by number. */
-export const progressKey = (batchId: string, term: number, number: number): string =>
-  `${progressPrefix(batchId)}${String(term).padStart(8, '0')}.${String(number).padStart(6, '0')}`;
+/** Key of a progress checkpoint. Keys sort by the moves of the batch, then by term, then by number. */
+export const progressKey = (
+  batchId: string,
+  { moves, term }: DispatcherRank,
+  number: number,
+): string => {
+  // A letter sorts after the digits with which the keys of a batch that was never moved begin.
+  const afterMove = moves === 0 ? '' : `m${String(moves).padStart(6, '0')}.`;
+  const inTerm = `${String(term).padStart(8, '0')}.${String(number).padStart(6, '0')}`;
+  return `${progressPrefix(batchId)}${afterMove}${inTerm}`;
+};
 
 export const dispatcherKey = (pool: string): string => `${DISPATCHERS_PREFIX}${pool}`;
 
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -1,3 +1,4 @@
+import type { BatchRecord } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type Clock, sleep } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import type { Random } from '../../shared/random.ts';
@@ -225,6 +226,12 @@
     );
   }
 
+  /** Pool that the route of a batch leads to now; undefined if there is no such route any more. */
+  #routedPoolOf({ host, path }: BatchRecord): string | undefined {
+    const route = this.#options.tables.routes.find(host, path.split('?', 1)[0] ?? '/');
+    return route?.kind === 'batch' ? route.pools[0]?.pool : undefined;
+  }
+
   /**
    * Joins the dispatcher election of a pool.
    *
@@ -261,6 +268,7 @@
     return new BatchCoordinator({
       ...this.#options,
       ...{ pool, yieldsToPreferred },
+      routedPoolOf: (record) => this.#routedPoolOf(record),
       isRouted: (other) => this.#routedPools().has(other),
       onOtherOpenBatch: (record) => this.#join(record.pool, record.id),
       tables: () => tables.tables,
--- a/src/node/batches/checkpointStore.ts
+++ b/src/node/batches/checkpointStore.ts
@@ -6,7 +6,12 @@
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { newId } from '../../shared/random.ts';
-import { CheckpointTracker, mergeProgress } from '../decisions/items/checkpoints.ts';
+import type { DispatcherRank } from '../decisions/batchMoves/dispatcherRank.ts';
+import {
+  CheckpointTracker,
+  type CheckpointThresholds,
+  mergeProgress,
+} from '../decisions/items/checkpoints.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import {
@@ -23,7 +28,8 @@
   readonly platform: PlatformClient;
   readonly logger: Logger;
   readonly batchId: string;
-  readonly term: number;
+  /** Rank of this dispatcher. */
+  readonly rank: DispatcherRank;
   /** Maximum size of a stored object's value, in bytes. */
   readonly maxValueBytes: number;
 }
@@ -87,8 +93,12 @@
     return progress;
   }
 
-  /** Writes a checkpoint of the events generated since the last one, if there are enough of them. */
-  async write(items: readonly ItemState[]): Promise<void> {
+  /**
+   * Writes a checkpoint of the events generated since the last one, if there are enough of them.
+   *
+   * @param thresholds - from how many events an item is stored @default enough to be worth a periodic write
+   */
+  async write(items: readonly ItemState[], thresholds?: CheckpointThresholds): Promise<void> {
     if (this.#writing) return;
     const due = this.#tracker.due(
       items.map(({ item, text, isTextComplete }) => ({
@@ -97,9 +107,10 @@
         events: text.events.length,
         isTextComplete,
       })),
+      thresholds,
     );
     if (due.size === 0) return;
-    const { platform, logger, batchId, term, maxValueBytes } = this.#options;
+    const { platform, logger, batchId, rank, maxValueBytes } = this.#options;
     const maxBytes = maxContentBytes(maxValueBytes);
     const fitting = items
       .filter(({ item }) => due.has(item.id))
@@ -111,8 +122,8 @@
     this.#writing = true;
     this.#checkpointCount += 1;
     try {
-      const checkpoint = create(ProgressCheckpointSchema, { term, items: parts });
-      const key = progressKey(batchId, term, this.#checkpointCount);
+      const checkpoint = create(ProgressCheckpointSchema, { term: rank.term, items: parts });
+      const key = progressKey(batchId, rank, this.#checkpointCount);
       const result = await platform.write(key, toJson(ProgressCheckpointSchema, checkpoint), {
         ifVersion: 0,
         operationId: newId(),
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -106,3 +106,12 @@
 
 /** Shortest time between two reports of one batch for the same reason, in ms. */
 export const HELD_ITEMS_LOG_INTERVAL_MS = 5000;
+
+/**
+ * Interval between checks for batches whose pool has lost its last worker after their route moved, in ms. Such items run nowhere,
+ * and the users' platform counts one that is at no worker for 5 s as left.
+ */
+export const BATCH_MOVE_CHECK_INTERVAL_MS = 250;
+
+/** Time limit for moving a batch and determining the outcome, in ms; then the move is decided anew. */
+export const MOVE_WRITE_LIMIT_MS = 1000;
--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -14,7 +14,13 @@
 
 /** Why the dispatcher stopped a run before its end. */
 export type StopReason =
-  'stalled' | 'slow-worker' | 'worker-leaving' | 'batch-ended' | 'released' | 'wrong-version';
+  | 'stalled'
+  | 'slow-worker'
+  | 'worker-leaving'
+  | 'batch-ended'
+  | 'batch-moved'
+  | 'released'
+  | 'wrong-version';
 
 /** How a run ended. */
 export type RunEnd =
--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -126,7 +126,9 @@
    */
   restartText(term: number): void {
     this.#restarts += 1;
-    this.text.restart(`${term}.${this.#restarts}`);
+    const { moves } = this.batch.record;
+    const afterMove = moves === 0 ? '' : `${moves}.`;
+    this.text.restart(`${afterMove}${term}.${this.#restarts}`);
   }
 
   /**
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -9,6 +9,7 @@
 import { sleep } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
+import { EVERY_EVENT } from '../decisions/items/checkpoints.ts';
 import { accountOfItems } from '../decisions/accounts/batchOwnership.ts';
 import type { WorkerResult } from '../decisions/passiveHealthCheck.ts';
 import { REQUEST_FAILED_STATUS } from '../gateway/constants.ts';
@@ -123,6 +124,16 @@
     return this.#batches.has(batchId);
   }
 
+  /** Records of the batches with unfinished items, as they were when the batches were added. */
+  openRecords(): BatchRecord[] {
+    return this.#openBatches().map(({ record }) => record);
+  }
+
+  /** Record of a batch as it was when the batch was added. */
+  recordOf(batchId: string): BatchRecord | undefined {
+    return this.#batches.get(batchId)?.record;
+  }
+
   /** Whether the dispatcher has processed the addition of a batch or, with `ended`, its end. */
   hasProcessed(batchId: string, ended: boolean): boolean {
     const batch = this.#batches.get(batchId);
@@ -136,7 +147,8 @@
     { takeOver = false, progress = [], signal }: AddOptions = {},
   ): Promise<void> {
     const { logger, partialTexts, onSuperseded } = this.#options;
-    const stored = { ...this.#options, batchId: record.id };
+    const rank = { moves: record.moves, term: this.#options.term };
+    const stored = { ...this.#options, batchId: record.id, rank };
     const log = new ResultLog({
       ...stored,
       onAdopted: (results) => this.#batches.get(record.id)?.markStored(results),
@@ -164,7 +176,7 @@
       ended: batch.ended,
       reused,
       continued: [...batch.items.values()].filter(({ text }) => text.events.length > 0).length,
-      term: stored.term,
+      ...rank,
     });
     for (const state of batch.items.values()) {
       if (state.isTextComplete && state.phase === 'waiting') void this.#score(state);
@@ -174,26 +186,16 @@
 
   /** Ends a batch and stops its runs. Results that are already stored remain readable. */
   end(batchId: string): void {
-    const batch = this.#batches.get(batchId);
-    if (batch === undefined || batch.ended) return;
-    batch.end();
-    this.#scoring.get(batchId)?.abort();
-    let stopped = 0;
-    for (const [state, run] of this.#runs) {
-      if (state.batch === batch) {
-        run.stop('batch-ended');
-        stopped += 1;
-      }
-    }
-    this.#options.partialTexts.store(batch);
-    const listed = batch.log.results.length;
-    this.#options.logger.info('batch-ended', { batch: batchId, listed, stoppedRuns: stopped });
-    this.schedule();
+    this.#stopBatch(batchId, 'batch-ended');
   }
 
-  /** Ends a batch and drops its state, including the results. */
-  forget(batchId: string): void {
-    this.end(batchId);
+  /**
+   * Stops the runs of a batch and drops its state, including the results.
+   *
+   * @param reason - why this dispatcher has nothing more to do for it
+   */
+  forget(batchId: string, reason: 'batch-ended' | 'batch-moved' = 'batch-ended'): void {
+    this.#stopBatch(batchId, reason);
     this.#batches.get(batchId)?.log.close();
     this.#batches.delete(batchId);
     this.#suspected.retainBatches((id) => this.#batches.has(id));
@@ -201,6 +203,13 @@
     this.#scoring.delete(batchId);
   }
 
+  /** Stores all that has been generated of a batch and is not in its result log. */
+  async storeProgress(batchId: string): Promise<void> {
+    const items = [...(this.#batches.get(batchId)?.items.values() ?? [])];
+    const unlisted = items.filter(({ phase }) => phase !== 'listed');
+    await this.#checkpointStores.get(batchId)?.write(unlisted, EVERY_EVENT);
+  }
+
   /** Reads results from a position on, waiting up to `waitMs` for the first. Returns undefined for an unknown batch. */
   async read(batchId: string, after: number, waitMs: number): Promise<DispatcherRead | undefined> {
     const batch = this.#batches.get(batchId);
@@ -261,6 +270,25 @@
     for (const { log } of this.#batches.values()) log.close();
   }
 
+  #stopBatch(batchId: string, reason: 'batch-ended' | 'batch-moved'): void {
+    const batch = this.#batches.get(batchId);
+    if (batch === undefined || batch.ended) return;
+    batch.end();
+    this.#scoring.get(batchId)?.abort();
+    let stoppedRuns = 0;
+    for (const [state, run] of this.#runs) {
+      if (state.batch === batch) {
+        run.stop(reason);
+        stoppedRuns += 1;
+      }
+    }
+    this.#options.partialTexts.store(batch);
+    const { logger, pool } = this.#options;
+    const listed = batch.log.results.length;
+    logger.info(reason, { batch: batchId, pool, listed, stoppedRuns });
+    this.schedule();
+  }
+
   #openBatches(): BatchState[] {
     return [...this.#batches.values()].filter((batch) => !batch.ended && !batch.complete);
   }
--- a/src/node/batches/resultLog.ts
+++ b/src/node/batches/resultLog.ts
@@ -9,6 +9,7 @@
 import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { BaseError, messageOf } from '../../shared/errors.ts';
 import type { Random } from '../../shared/random.ts';
+import { type DispatcherRank, outranks } from '../decisions/batchMoves/dispatcherRank.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import { writeUntilResolved } from '../platform/writeUntilResolved.ts';
@@ -56,15 +57,15 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly batchId: string;
-  /** Term of this dispatcher. */
-  readonly term: number;
+  /** Rank of this dispatcher. */
+  readonly rank: DispatcherRank;
   /** Incarnation of this node. */
   readonly writer: string;
   /** Maximum size of a stored object's value, in bytes. */
   readonly maxValueBytes: number;
   /** Called with results that a former dispatcher stored after this one had read the log. */
   readonly onAdopted: (results: readonly ItemResult[]) => void;
-  /** Called when another node has taken over the log. */
+  /** Called when a dispatcher of a later term of this pool has taken over the log. */
   readonly onTakenOver: () => void;
 }
 
@@ -112,17 +113,19 @@
    * Takes over the log: reads the stored entries and appends an empty entry that fences off the former dispatcher.
    *
    * @throws PlatformError when the platform does not respond
-   * @throws LogTakenError when a dispatcher of a later term owns the log
+   * @throws LogTakenError when a dispatcher of a higher rank owns the log
    */
   async takeOver(): Promise<void> {
-    const { platform, batchId, term, writer } = this.#options;
+    const { platform, batchId, rank, writer } = this.#options;
     for (;;) {
       const entries = await readLog(platform, batchId);
       const latest = entries.at(-1);
-      if (latest !== undefined && latest.term > term) {
-        throw new LogTakenError(`log of batch ${batchId} is owned by term ${latest.term}`);
+      if (latest !== undefined && outranks(latest, rank)) {
+        const owner = `term ${latest.term} after ${latest.moves} moves`;
+        throw new LogTakenError(`log of batch ${batchId} is owned by ${owner}`);
       }
-      const isOwnEntry = latest?.term === term && latest.writer === writer;
+      const isOwnEntry =
+        latest?.term === rank.term && latest.moves === rank.moves && latest.writer === writer;
       if (
         isOwnEntry ||
         (await this.#write(entries.length, this.#createEntry([], entries))) === 'stored'
@@ -202,17 +205,21 @@
 
   /**
    * Handles an entry of another dispatcher under the number that this one wanted to write: stops when that dispatcher
-   * has a later term, otherwise adopts the entry's results.
+   * has a higher rank, otherwise adopts the entry's results.
    *
    * @returns results that remain to be stored
    */
   #handleForeignEntry(entry: BatchLogEntry, results: ItemResult[]): ItemResult[] {
-    const { logger, batchId, term, onAdopted, onTakenOver } = this.#options;
-    const fields = { batch: batchId, entry: this.#entryCount, term, foundTerm: entry.term };
-    if (entry.term > term) {
+    const { logger, batchId, rank, onAdopted, onTakenOver } = this.#options;
+    const fields = {
+      ...{ batch: batchId, entry: this.#entryCount, ...rank },
+      ...{ foundMoves: entry.moves, foundTerm: entry.term },
+    };
+    if (outranks(entry, rank)) {
       logger.warn('batch-log-taken-over', fields);
       this.close();
-      onTakenOver();
+      // The dispatcher of another pool owns a batch that was moved; this one keeps its own pool.
+      if (entry.moves === rank.moves) onTakenOver();
       return [];
     }
     logger.warn('batch-log-entry-adopted', { ...fields, results: entry.results.length });
@@ -228,12 +235,12 @@
     results: ItemResult[],
     earlier: readonly BatchLogEntry[] | undefined,
   ): BatchLogEntry {
-    const { term, writer } = this.#options;
+    const { rank, writer } = this.#options;
     const firstPosition =
       earlier === undefined
         ? this.#results.length
         : earlier.reduce((count, entry) => count + entry.results.length, 0);
-    return create(BatchLogEntrySchema, { term, writer, firstPosition, results });
+    return create(BatchLogEntrySchema, { ...rank, writer, firstPosition, results });
   }
 
   /** Creates an entry under a number. Returns the existing entry when another dispatcher has used the number. */
@@ -244,7 +251,8 @@
     const { platform, clock, random, logger, batchId } = this.#options;
     const started = new Stopwatch(clock);
     // Derived from the content, so that a retry after a lost response recognizes its own entry.
-    const operationId = `${entry.writer}-${entry.term}-${number}-${entry.results.length}`;
+    const { writer, moves, term, results } = entry;
+    const operationId = `${writer}-${moves}-${term}-${number}-${results.length}`;
     const key = logKey(batchId, number);
     const value = encodeLogEntry(entry);
     try {
--- a/src/node/decisions/items/checkpoints.ts
+++ b/src/node/decisions/items/checkpoints.ts
@@ -6,6 +6,22 @@
 /** Minimum number of events since an item's last checkpoint that justifies another. */
 export const MIN_EVENTS_SINCE_CHECKPOINT = 16;
 
+/** From how many events an item is checkpointed. */
+export interface CheckpointThresholds {
+  readonly minEvents: number;
+  /** Number of events since the item's last checkpoint. */
+  readonly minNewEvents: number;
+}
+
+/** Thresholds of the checkpoints that are written periodically. */
+const PERIODIC: CheckpointThresholds = {
+  minEvents: MIN_EVENTS_TO_CHECKPOINT,
+  minNewEvents: MIN_EVENTS_SINCE_CHECKPOINT,
+};
+
+/** Thresholds with which every event is stored. */
+export const EVERY_EVENT: CheckpointThresholds = { minEvents: 1, minNewEvents: 1 };
+
 /** An item whose text may need a checkpoint. */
 export interface CheckpointItem {
   readonly id: string;
@@ -30,17 +46,17 @@
    * Returns the items that need a checkpoint, each with the index of the first event to store: the number of events
    * stored so far, or 0 if the text was started anew or is now shorter than what was stored.
    */
-  due(items: Iterable<CheckpointItem>): Map<string, number> {
+  due(
+    items: Iterable<CheckpointItem>,
+    { minEvents, minNewEvents }: CheckpointThresholds = PERIODIC,
+  ): Map<string, number> {
     const due = new Map<string, number>();
     for (const { id, textId, events, isTextComplete } of items) {
       const stored = this.#stored.get(id);
       const storedCount = stored?.textId === textId ? stored.events : 0;
       const offset = storedCount > events ? 0 : storedCount;
       const newEvents = events - offset;
-      if (
-        events >= MIN_EVENTS_TO_CHECKPOINT &&
-        (newEvents >= MIN_EVENTS_SINCE_CHECKPOINT || (isTextComplete && newEvents > 0))
-      ) {
+      if (events >= minEvents && (newEvents >= minNewEvents || (isTextComplete && newEvents > 0))) {
         due.set(id, offset);
       }
     }
@@ -54,7 +70,7 @@
 }
 
 /**
- * Merges the checkpoints of each item. They must be ordered by dispatcher term, then by number within the term. Each
+ * Merges the checkpoints of each item. They must be ordered by dispatcher rank, then by number within it. Each
  * dispatcher continues from the checkpoints that it has read, so its events overwrite those that a predecessor stored
  * after it was replaced.
  */
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -152,6 +152,12 @@
       labelNames: ['pool', 'end'],
       registers,
     }),
+    batchMoves: new Counter({
+      name: 'hyssoppulley_batch_moves_total',
+      help: 'Moves of open batches to the pool that their route leads to now, by former pool and outcome of the write',
+      labelNames: ['pool', 'outcome'],
+      registers,
+    }),
     itemsHeld: new Gauge({
       name: 'hyssoppulley_items_held',
       help: 'Items of open batches that are at no worker for over 2 s although workers are free, by pool and reason',
