fix(gateway): a worker's refusal is passed on only if it states that it has not run

What callers saw: requests on a non-idempotent route ran at a worker that fails part of its requests, and were answered with its 503.

Cause: every complete response without the worker's statement that it has not run the request became the answer, whatever its status.

Change: such a response with a promising status is a failed attempt whose status is withheld. A request that may run once is answered 502, without the worker's stamp. Others go to the next worker: 503 did so before, 408 and 429 were passed on at once. Trials of suspected requests, usage counts and the log still count the response as an answer of the worker.

--- a/src/node/gateway/workerAttempts.ts
+++ b/src/node/gateway/workerAttempts.ts
@@ -25,6 +25,11 @@
   readonly worker: Pick<RegisteredWorker, 'id'>;
   /** The complete response; absent when there is none, or when its body was streamed to the caller. */
   readonly response?: ResponseOutcome;
+  /**
+   * Status of a complete response that is not passed on, because callers would take it as the promise that the request has not
+   * run.
+   */
+  readonly withheldStatus?: number;
   /** Whether the complete body was streamed to the caller. */
   readonly streamed?: boolean;
   /** False only when the worker is known not to have executed the request. */
@@ -86,6 +91,10 @@
 /** Part of the remaining time budget that a request may wait for a permit. */
 const MAX_PERMIT_WAIT_SHARE = 1 / 3;
 
+/** Whether the worker has answered completely. */
+const isAnswered = ({ response, withheldStatus }: AttemptResult): boolean =>
+  response !== undefined || withheldStatus !== undefined;
+
 /** Whether a worker failed the request. */
 export const is5xx = (statusCode: number): boolean => statusCode >= 500;
 
@@ -147,7 +156,7 @@
     if (slot === undefined) return { ...notSent, reason: 'the request waited for a trial in vain' };
     const trial = verdict === 'suspected';
     const result = await this.#start(request, route, { ...options, trial });
-    if (result?.response !== undefined) slot.pass();
+    if (result !== undefined && isAnswered(result)) slot.pass();
     return result ?? { ...notSent, reason: 'no worker is available for a trial' };
   }
 
@@ -262,9 +271,10 @@
       // A stream counts with its first event.
       if (!response.notRun && !isEventStream(response)) began();
       attemptResult = await read(worker, response, began);
-      if (!response.notRun && attemptResult.response !== undefined) began();
+      if (!response.notRun && isAnswered(attemptResult)) began();
+      const isFailure = is5xx(response.statusCode) || attemptResult.withheldStatus !== undefined;
       if (response.notRun) result = 'refused';
-      else if (!is5xx(response.statusCode)) result = 'answered';
+      else if (!isFailure) result = 'answered';
       if (!response.notRun && showsSurvival(response.statusCode, started.elapsedMs())) {
         poison.recordAnswer(request);
       }
@@ -284,14 +294,14 @@
       await poison.recordBroken({ request, worker, pool, trial: isTrial, startedMs, others });
     }
     passTimer[Symbol.dispose]();
-    endTrial(attemptResult.response !== undefined);
+    endTrial(isAnswered(attemptResult));
     logger.info('worker-attempt', {
       request: requestId,
       route: route.name,
       worker: worker.id,
       remainingMs: Math.round(remainingMs),
       tookMs: Math.round(started.elapsedMs()),
-      status: attemptResult.response?.statusCode,
+      status: attemptResult.response?.statusCode ?? attemptResult.withheldStatus,
       resumeAfter,
       limitPerSecond,
       ...placement.known,
