fix: no response is believed whose head HTTP does not allow

What callers saw: answers with status 600 and above, successes with the chunk framing of a coded body inside the body, and successes without the stamp of their worker, which named it in Connection.

Cause: the clients relied on Node's parser for what is a response. It leaves the status code, the version and the transfer codings to its users, and joins fields that may come once.

Change: receiveResponse hands a response on only if HTTP allows its head. The clients of workers, keyed requests, homes, job owners, scorers and the platform use it, so that plain requests, streams, items, scoring calls, orders and reports end as with a broken connection. The worker's client rejects heads that contradict themselves in the platform's own fields.

Open: the parser does not tell RTSP/1.0 and ICE/1.0 from HTTP/1.0.

--- a/src/node/dataPath/dispatchOnce.ts
+++ b/src/node/dataPath/dispatchOnce.ts
@@ -1,8 +1,8 @@
 import http, { type IncomingHttpHeaders, type OutgoingHttpHeaders } from 'node:http';
 import net from 'node:net';
 import type { Clock } from '../../shared/clock.ts';
-import { onEndWithoutResponse } from '../../shared/endWithoutResponse.ts';
 import { messageOf } from '../../shared/errors.ts';
+import { receiveResponse } from '../../shared/responseHead.ts';
 import { parseWorkerAddress } from './workerAddress.ts';
 
 /** A request to one worker with a buffered body. */
@@ -92,22 +92,19 @@
 ): Promise<DispatchOnceResult> => {
   try {
     const response = await new Promise<http.IncomingMessage>((resolve, reject) => {
-      const request = http.request(
-        {
-          createConnection: () => socket,
-          method,
-          path,
-          headers: {
-            ...headers,
-            host: address,
-            connection: 'close',
-            'content-length': body.length,
-          },
+      const request = http.request({
+        createConnection: () => socket,
+        method,
+        path,
+        headers: {
+          ...headers,
+          host: address,
+          connection: 'close',
+          'content-length': body.length,
         },
-        resolve,
-      );
+      });
       request.on('error', reject);
-      onEndWithoutResponse(request, reject);
+      receiveResponse(request, resolve, reject);
       request.end(body);
     });
     const readResult = await readResponseBody(response, maxResponseBytes);
--- a/src/node/dataPath/forwardHeaders.ts
+++ b/src/node/dataPath/forwardHeaders.ts
@@ -19,13 +19,17 @@
   OUTCOME_HEADER,
 ]);
 
-/** Removes the headers that must not be forwarded to the next hop. */
-export const forwardHeaders = (headers: IncomingHttpHeaders): OutgoingHttpHeaders => {
-  const connectionHeaders = new Set(
-    String(headers.connection ?? '')
+/** Names in the `Connection` header, such as headers that concern only this hop. */
+export const connectionOptionsOf = ({ connection }: IncomingHttpHeaders): ReadonlySet<string> =>
+  new Set(
+    String(connection ?? '')
       .split(',')
       .map((name) => name.trim().toLowerCase()),
   );
+
+/** Removes the headers that must not be forwarded to the next hop. */
+export const forwardHeaders = (headers: IncomingHttpHeaders): OutgoingHttpHeaders => {
+  const connectionHeaders = connectionOptionsOf(headers);
   return Object.fromEntries(
     Object.entries(headers).filter(
       ([name]) => !NOT_FORWARDED.has(name) && !connectionHeaders.has(name),
--- a/src/node/dataPath/workerHttpClient.ts
+++ b/src/node/dataPath/workerHttpClient.ts
@@ -1,8 +1,8 @@
 import http, { type OutgoingHttpHeaders } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { Clock } from '../../shared/clock.ts';
-import { onEndWithoutResponse } from '../../shared/endWithoutResponse.ts';
 import { BaseError, messageOf } from '../../shared/errors.ts';
+import { receiveResponse } from '../../shared/responseHead.ts';
 import type { WorkerEndpoint } from '../membership/membershipView.ts';
 import {
   CONNECT_TIMEOUT_MS,
@@ -95,7 +95,7 @@
   }
 
   /**
-   * Sends a request and resolves when the response headers have arrived. Connecting is limited to `CONNECT_TIMEOUT_MS`;
+   * Sends a request and resolves when a response head that HTTP allows has arrived. Connecting is limited to `CONNECT_TIMEOUT_MS`;
    * only `signal` limits the wait for the response.
    *
    * @throws WorkerCallError
@@ -108,22 +108,20 @@
     return new Promise((resolve, reject) => {
       let connected = false;
       let workerResponse: http.IncomingMessage | undefined;
-      const request = http.request(
-        {
-          ...parseWorkerAddress(worker.address),
-          method,
-          path,
-          headers,
-          signal,
-          agent: newConnection ? false : this.#agent,
-        },
-        (response) => {
-          workerResponse = response;
-          // A reader of the response receives the error. Without a reader, an unhandled one would end the process.
-          response.on('error', () => {});
-          resolve(response);
-        },
-      );
+      const request = http.request({
+        ...parseWorkerAddress(worker.address),
+        method,
+        path,
+        headers,
+        signal,
+        agent: newConnection ? false : this.#agent,
+      });
+      const receive = (response: http.IncomingMessage) => {
+        workerResponse = response;
+        // A reader of the response receives the error. Without a reader, an unhandled one would end the process.
+        response.on('error', () => {});
+        resolve(response);
+      };
       let informational = 0;
       request.on('information', () => {
         informational += 1;
@@ -160,7 +158,7 @@
         );
       };
       request.on('error', fail);
-      onEndWithoutResponse(request, fail, signal);
+      receiveResponse(request, receive, fail, signal);
       if (body === undefined || typeof body === 'string' || Buffer.isBuffer(body)) {
         request.end(body);
       } else {
--- a/src/node/keyed/homeClient.ts
+++ b/src/node/keyed/homeClient.ts
@@ -1,7 +1,7 @@
 import http, { type IncomingHttpHeaders } from 'node:http';
 import type { NodeIdentity } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
-import { onEndWithoutResponse } from '../../shared/endWithoutResponse.ts';
+import { receiveResponse } from '../../shared/responseHead.ts';
 import { messageOf } from '../../shared/errors.ts';
 import { FORWARD_PREFIX, HOP_HEADER } from '../constants.ts';
 import { forwardHeaders } from '../dataPath/forwardHeaders.ts';
@@ -83,8 +83,7 @@
       const response = await new Promise<http.IncomingMessage>((resolve, reject) => {
         outgoing.on('information', onActivity);
         outgoing.on('error', reject);
-        onEndWithoutResponse(outgoing, reject);
-        outgoing.on('response', resolve);
+        receiveResponse(outgoing, resolve, reject);
         outgoing.end(request.body);
       });
       return await HomeClient.#read(response, request.key.homeIncarnation, onActivity);
--- a/src/node/training/ownerForwarder.ts
+++ b/src/node/training/ownerForwarder.ts
@@ -1,6 +1,6 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
-import { onEndWithoutResponse } from '../../shared/endWithoutResponse.ts';
+import { receiveResponse } from '../../shared/responseHead.ts';
 import { FORWARD_PREFIX, HOP_HEADER } from '../constants.ts';
 import { forwardHeaders, forwardNodeHeaders } from '../dataPath/forwardHeaders.ts';
 import { requestError } from '../dataPath/problem.ts';
@@ -69,21 +69,17 @@
     span: HopSpan,
   ): Promise<IncomingMessage> {
     return new Promise((resolve, reject) => {
-      const outgoing = http.request(
-        `http://${address}${FORWARD_PREFIX}${request.url ?? '/'}`,
-        {
-          method: request.method,
-          agent: this.#agent,
-          headers: withTraceparent({ ...forwardHeaders(request.headers), [HOP_HEADER]: '1' }, span),
-          timeout: IDLE_TIMEOUT_MS,
-        },
-        resolve,
-      );
+      const outgoing = http.request(`http://${address}${FORWARD_PREFIX}${request.url ?? '/'}`, {
+        method: request.method,
+        agent: this.#agent,
+        headers: withTraceparent({ ...forwardHeaders(request.headers), [HOP_HEADER]: '1' }, span),
+        timeout: IDLE_TIMEOUT_MS,
+      });
       outgoing.on('timeout', () =>
         outgoing.destroy(new Error('the owner did not respond in time')),
       );
       outgoing.on('error', reject);
-      onEndWithoutResponse(outgoing, reject);
+      receiveResponse(outgoing, resolve, reject);
       // Cancels the request when the trainer disconnects, so that the owner does not keep the pull waiting.
       response.on('close', () => outgoing.destroy());
       request.on('error', () => outgoing.destroy());
--- a/src/node/training/scorerClient.ts
+++ b/src/node/training/scorerClient.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import { onEndWithoutResponse } from '../../shared/endWithoutResponse.ts';
+import { receiveResponse } from '../../shared/responseHead.ts';
 import type { WorkerEndpoint } from '../membership/membershipView.ts';
 import type { Scorer } from './sampleGenerator.ts';
 import { GenerationError } from './tokenCollector.ts';
@@ -63,30 +63,27 @@
     return new Promise((resolve, reject) => {
       const timeout = AbortSignal.timeout(this.#options.timeoutMs);
       const callSignal = AbortSignal.any([signal, timeout]);
-      const request = http.request(
-        `http://${scorer.address}/score`,
-        {
-          method: 'POST',
-          agent: this.#agent,
-          headers: { 'content-type': 'application/json' },
-          signal: callSignal,
-        },
-        (response) => {
-          let text = '';
-          response.setEncoding('utf8');
-          response.on('data', (chunk: string) => {
-            text += chunk;
-            if (text.length > MAX_RESPONSE_BYTES) response.destroy(new Error('response too long'));
-          });
-          response.on('error', reject);
-          response.on('end', () => {
-            if (response.statusCode === 200) resolve(text);
-            else reject(new Error(`scorer responded with status ${response.statusCode}`));
-          });
-        },
-      );
+      const request = http.request(`http://${scorer.address}/score`, {
+        method: 'POST',
+        agent: this.#agent,
+        headers: { 'content-type': 'application/json' },
+        signal: callSignal,
+      });
+      const read = (response: http.IncomingMessage) => {
+        let text = '';
+        response.setEncoding('utf8');
+        response.on('data', (chunk: string) => {
+          text += chunk;
+          if (text.length > MAX_RESPONSE_BYTES) response.destroy(new Error('response too long'));
+        });
+        response.on('error', reject);
+        response.on('end', () => {
+          if (response.statusCode === 200) resolve(text);
+          else reject(new Error(`scorer responded with status ${response.statusCode}`));
+        });
+      };
       request.on('error', reject);
-      onEndWithoutResponse(request, reject, callSignal);
+      receiveResponse(request, read, reject, callSignal);
       request.end(body);
     });
   }
