fix(batches): an open batch is not removed for its age

Cause: a batch that was never ended counted as over at that age, as a bound for trainers that never come back.

Change: the dispatcher abandons a batch only if its items may no longer run and nobody has read it for gateway.unreadBatchRetentionMs (6 h), or if batches that nobody reads take over 1 GiB. It keeps the time without a read on its own clock, so that take-overs and steps of clocks can only delay it. The retention of an ended batch counts from when its end was seen, not by the wall clocks of two nodes, and its record is removed last, so that an interrupted removal leaves nothing behind.

--- a/src/node/batches/__tests__/batchNodeHarness.ts
+++ b/src/node/batches/__tests__/batchNodeHarness.ts
@@ -40,6 +40,9 @@
 /** Time for which results stay readable, in ms. */
 export const RETENTION_MS = 120_000;
 
+/** Time without a read after which a batch is abandoned, in ms. */
+export const UNREAD_RETENTION_MS = 600_000;
+
 const workerOf = (pool: string): RegisteredWorker => ({
   ...{ id: `w-${pool}`, pool, address: '127.0.0.1:1', availabilityZone: 'z', slots: 8 },
   ...{ draining: false, startedAtMs: 1, heartbeatCount: 1, models: [{ name: 'm', version: 1 }] },
@@ -102,6 +105,7 @@
       ...{ registry, limits: new RequestLimits(), metrics: createMetrics() },
       poison: new PoisonGuard({ ...common, metrics: createMetrics() }),
       ...{ maxValueBytes: 100_000, retentionMs: RETENTION_MS, weightsLongPollMs: 1000 },
+      unreadRetentionMs: UNREAD_RETENTION_MS,
       view: {
         self: create(NodeIdentitySchema, {
           ...{ name: 'n', incarnation: 'n-1', capacityMillicores: 675 },
--- a/src/node/batches/__tests__/deploymentHarness.ts
+++ b/src/node/batches/__tests__/deploymentHarness.ts
@@ -326,6 +326,7 @@
         ...{ ...common, metrics: createMetrics(), hasEnded: () => Promise.resolve(false) },
       }),
       ...{ maxValueBytes: 100_000, retentionMs: 600_000, weightsLongPollMs: 1000 },
+      unreadRetentionMs: 6_000_000,
       view: {
         self: identity,
         get leaving() {
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -5,7 +5,6 @@
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
-import { messageOf } from '../../shared/errors.ts';
 import type { Random } from '../../shared/random.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import { firstOrderDelayMs, type FirstOrderConditions } from '../decisions/firstOrderDelay.ts';
@@ -23,20 +22,17 @@
 import { WeightLoads } from '../weights/weightLoads.ts';
 import type { BatchAcceptor } from './batchAcceptor.ts';
 import { BatchMover } from './moves/batchMover.ts';
+import { BatchRetention } from './retention/batchRetention.ts';
 import { BatchLoader } from './batchLoader.ts';
-import {
-  BATCHES_PREFIX,
-  itemsKey,
-  logPrefix,
-  progressPrefix,
-  tryDecodeBatch,
-} from './batchObjects.ts';
+import { BATCHES_PREFIX, tryDecodeBatch } from './batchObjects.ts';
 import {
   BATCHES_LONG_POLL_MS,
   BATCH_CHANGE_GRACE_MS,
   BATCH_MOVE_CHECK_INTERVAL_MS,
   MAX_FIRST_LOAD_MS,
   MAX_ORDER_TRANSIT_MS,
+  MAX_UNREAD_BATCH_BYTES,
+  MIN_UNREAD_MS,
   RETENTION_SWEEP_INTERVAL_MS,
 } from './constants.ts';
 import { type ElectionView, VERIFICATION_TTL_MS } from '../election/holderElection.ts';
@@ -77,12 +73,20 @@
   readonly followWeights: (onChange: () => void) => PublishedWeights & Disposable;
   readonly metrics: Pick<
     Metrics,
-    'batchMoves' | 'itemRuns' | 'itemRunSeconds' | 'itemsHeld' | 'stepsContend' | 'weightLoads'
+    | 'batchesRemoved'
+    | 'batchMoves'
+    | 'itemRuns'
+    | 'itemRunSeconds'
+    | 'itemsHeld'
+    | 'stepsContend'
+    | 'weightLoads'
   >;
   /** Rules for when a new dispatcher may send its first order to a worker. */
   readonly orderRules: Pick<FirstOrderConditions, 'fenced' | 'leaseMs'>;
-  /** How long results stay readable after the submission, in ms. */
+  /** How long an ended batch is kept, in ms. */
   readonly retentionMs: number;
+  /** Time without a read after which an open batch whose items may no longer run is abandoned, in ms. */
+  readonly unreadRetentionMs: number;
   /** Whether this node waits for preferred candidates before it claims the pool. @default true */
   readonly yieldsToPreferred?: boolean;
   /** Pool that the route of a batch leads to now; undefined if there is no such route any more. */
@@ -204,6 +208,7 @@
    */
   batchChanged(batchId: string, ended: boolean): void {
     const { clock, logger } = this.#options;
+    this.#dispatcher?.recordContact(batchId);
     clock.schedule(BATCH_CHANGE_GRACE_MS, () => {
       const dispatcher = this.#dispatcher;
       if (dispatcher === undefined) return;
@@ -270,17 +275,21 @@
     });
     resources.add(follower);
     this.#batchFollower = follower;
+    const retention = new BatchRetention({
+      ...{ ...this.#options, dispatcher },
+      objects: () => follower.objects,
+      abandonment: {
+        maxUnreadMs: this.#options.unreadRetentionMs,
+        ...{ maxUnreadBytes: MAX_UNREAD_BATCH_BYTES, minUnreadMs: MIN_UNREAD_MS },
+      },
+    });
     const mover = new BatchMover({
       ...{ ...this.#options, dispatcher },
       objectOf: (key) => follower.objects.get(key),
       usableWorkers: (pool) => this.#options.registry.usable(pool).length,
     });
     resources.add(repeatEvery(clock, BATCH_MOVE_CHECK_INTERVAL_MS, () => void mover.moveBatches()));
-    resources.add(
-      repeatEvery(clock, RETENTION_SWEEP_INTERVAL_MS, () =>
-        this.#removeExpired(follower, dispatcher),
-      ),
-    );
+    resources.add(repeatEvery(clock, RETENTION_SWEEP_INTERVAL_MS, () => retention.sweep()));
     await follower.start();
   }
 
@@ -342,35 +351,4 @@
     dispatcher.forget(id, 'batch-moved');
     return loader.load(record, takeOver || record.moves > 0, progress.get(id));
   }
-
-  /**
-   * Removes batches that are past their retention, also those of pools that no route leads to. A batch that was never
-   * ended is kept for twice as long.
-   */
-  async #removeExpired(follower: ObjectFollower, dispatcher: PoolDispatcher): Promise<void> {
-    const { clock, retentionMs, platform, logger } = this.#options;
-    for (const object of follower.objects.values()) {
-      const { key, version } = object;
-      const record = tryDecodeBatch(object, logger);
-      if (record === undefined) continue;
-      if (record.pool !== this.pool && this.#options.isRouted(record.pool)) continue;
-      const ageMs = clock.nowMs() - Number(record.submittedAtMs);
-      const isOver = record.endedAtMs > 0n || ageMs > 2 * retentionMs;
-      if (ageMs < retentionMs || !isOver) continue;
-      try {
-        await platform.remove(key, { ifVersion: version });
-        dispatcher.forget(record.id);
-        for (const prefix of [logPrefix(record.id), progressPrefix(record.id)]) {
-          for (const entry of await platform.list(prefix)) await platform.remove(entry.key);
-        }
-        for (let part = 0; part < record.partCount; part += 1) {
-          await platform.remove(itemsKey(record, part));
-        }
-        logger.info('batch-removed', { batch: record.id, ageMs });
-      } catch (error) {
-        logger.warn('batch-removal-failed', { batch: record.id, message: messageOf(error) });
-        return;
-      }
-    }
-  }
 }
--- a/src/node/batches/batchObjects.ts
+++ b/src/node/batches/batchObjects.ts
@@ -127,7 +127,7 @@
 const ENVELOPE_BYTES = 4096;
 
 /** Upper estimate of an item's stored size, in bytes. Binary fields are stored as base64. */
-const storedSizeBytes = (item: BatchItem): number =>
+export const storedSizeBytes = (item: BatchItem): number =>
   1024 +
   item.headers.reduce((sum, { name, value }) => sum + name.length + value.length + 32, 0) +
   Math.ceil(((item.body.length + (item.scoring?.body.length ?? 0)) * 4) / 3);
--- a/src/node/batches/batchReader.ts
+++ b/src/node/batches/batchReader.ts
@@ -20,14 +20,21 @@
 } from './constants.ts';
 import { limitReadSize, readLog } from './resultLog.ts';
 
+/** A batch that was removed because its trainer had not read it for long. */
+interface AbandonedBatch {
+  readonly kind: 'abandoned';
+}
+
 /** Results of a batch from a position on. `unavailable`: neither a dispatcher nor the platform could be read. */
 export type BatchRead =
+  | AbandonedBatch
   | { readonly kind: 'found'; readonly total: number; readonly results: readonly ItemResult[] }
   | { readonly kind: 'no-such-batch'; readonly reason?: 'other-account' }
   | { readonly kind: 'unavailable' };
 
 /** Body of an item of a batch that has not ended. */
 export type ItemRead =
+  | AbandonedBatch
   | { readonly kind: 'found'; readonly body: Uint8Array }
   | { readonly kind: 'no-such-item'; readonly reason?: 'other-account' }
   | { readonly kind: 'unavailable' };
@@ -103,6 +110,7 @@
       const record = await this.#readRecord(batchId);
       if (record === undefined) return { kind: 'no-such-item' };
       if (!mayAccessBatch(record.account, caller)) return ITEM_OF_OTHER_ACCOUNT;
+      if (record.abandonedAtMs > 0n) return { kind: 'abandoned' };
       if (record.endedAtMs > 0n) return { kind: 'no-such-item' };
       const items = await this.#itemsOf(record);
       const item = items.find(({ id }) => id === itemId);
@@ -199,6 +207,7 @@
       const record = await this.#readRecord(batchId);
       if (record === undefined) return { kind: 'no-such-batch' };
       if (!mayAccessBatch(record.account, caller)) return BATCH_OF_OTHER_ACCOUNT;
+      if (record.abandonedAtMs > 0n) return { kind: 'abandoned' };
       const entries = await readLog(platform, batchId);
       const results = entries.flatMap((entry) => entry.results).slice(after);
       return { kind: 'found', total: record.itemCount, results: limitReadSize(results) };
--- a/src/node/batches/batchState.ts
+++ b/src/node/batches/batchState.ts
@@ -4,6 +4,7 @@
   type ItemProgress,
   type ItemResult,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { storedSizeBytes } from './batchObjects.ts';
 import { ItemState } from './itemState.ts';
 import type { ResultLog } from './resultLog.ts';
 
@@ -21,6 +22,9 @@
 
   readonly items: ReadonlyMap<string, ItemState>;
 
+  /** Stored size of the items, in bytes. */
+  readonly storedBytes: number;
+
   /** Number of unfinished items of each group. */
   readonly #unfinishedByGroup = new Map<string, number>();
 
@@ -31,6 +35,7 @@
   constructor(record: BatchRecord, items: readonly BatchItem[], log: ResultLog) {
     this.record = record;
     this.log = log;
+    this.storedBytes = items.reduce((sum, item) => sum + storedSizeBytes(item), 0);
     this.items = new Map(items.map((item) => [item.id, new ItemState(this, item, record)]));
     for (const { group } of items) {
       this.#unfinishedByGroup.set(group, this.unfinishedInGroup(group) + 1);
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -59,6 +59,7 @@
   readonly maxValueBytes: number;
   readonly maxLoading?: number;
   readonly retentionMs: number;
+  readonly unreadRetentionMs: number;
   readonly orderRules: BatchCoordinatorOptions['orderRules'];
   /** Long-poll time of calls for published weight versions, in ms. */
   readonly weightsLongPollMs: number;
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -65,6 +65,15 @@
 /** Interval between sweeps that remove batches past their result retention, in ms. */
 export const RETENTION_SWEEP_INTERVAL_MS = 30_000;
 
+/** Largest size of the items of all batches that have not been read for `MIN_UNREAD_MS`, in bytes. */
+export const MAX_UNREAD_BATCH_BYTES = 1024 ** 3;
+
+/** Time without a read from which the size of an open batch counts, in ms: longer than a restart of its trainer takes. */
+export const MIN_UNREAD_MS = 1_800_000;
+
+/** How long the record of an abandoned batch is kept, so that its trainer learns what happened, in ms. */
+export const ABANDONED_RECORD_RETENTION_MS = 7 * 24 * 3_600_000;
+
 /** Time allowed for a peer's response in addition to the requested wait, in ms. */
 export const PEER_READ_MARGIN_MS = 400;
 
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -1,14 +1,8 @@
-import { create } from '@bufbuild/protobuf';
-import {
-  type BatchItem,
-  type BatchRecord,
-  type ItemProgress,
-  ItemResultSchema,
-  ItemState as ResultState,
-} from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import type { BatchItem, BatchRecord, ItemProgress } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { sleep } from '../../shared/clock.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
+import type { OpenBatch } from '../decisions/batchRetention/abandonment.ts';
 import { EVERY_EVENT } from '../decisions/items/checkpoints.ts';
 import { accountOfItems } from '../decisions/accounts/batchOwnership.ts';
 import type { WorkerResult } from '../decisions/passiveHealthCheck.ts';
@@ -30,8 +24,10 @@
 import { HeldItems } from './heldItems.ts';
 import { runLogFields, ItemRun, type RunEnd } from './itemRun.ts';
 import { ItemPlacer } from './itemPlacer.ts';
+import { ItemResults } from './itemResults.ts';
 import type { ItemState } from './itemState.ts';
 import type { AddOptions, PoolDispatcherOptions } from './poolDispatcherOptions.ts';
+import { BatchContacts } from './retention/batchContacts.ts';
 import { StaleViewGuard } from './staleViewGuard.ts';
 import { unstoredProgress, CheckpointStore } from './checkpointStore.ts';
 import { ObservedTime } from './observedTime.ts';
@@ -54,8 +50,9 @@
   /** Checkpoint stores by batch. */
   readonly #checkpointStores = new Map<string, CheckpointStore>();
 
-  /** Aborts the scoring calls of a batch, by batch. */
-  readonly #scoring = new Map<string, AbortController>();
+  readonly #results: ItemResults;
+
+  readonly #contacts: BatchContacts;
 
   readonly #workers: EngineWorkers;
 
@@ -82,6 +79,8 @@
   constructor(options: PoolDispatcherOptions) {
     this.#options = options;
     this.#observedTime = new ObservedTime(options.clock, 2 * RUN_CHECK_INTERVAL_MS);
+    this.#contacts = new BatchContacts(options.clock);
+    this.#results = new ItemResults({ ...options, schedule: () => this.schedule() });
     this.#permits = new EnginePermits(options);
     this.#workers = new EngineWorkers({
       ...options,
@@ -124,6 +123,20 @@
     return this.#batches.has(batchId);
   }
 
+  /** Records that the trainer of a batch has given a sign of itself. */
+  recordContact(batchId: string): void {
+    this.#contacts.record(batchId);
+  }
+
+  /** The batches that have not ended, as far as their retention depends on them. */
+  openBatches(): OpenBatch[] {
+    return [...this.#batches.values()]
+      .filter(({ ended }) => !ended)
+      .map(({ record: { id, itemTtlMs }, storedBytes, complete }) => ({
+        ...{ id, itemTtlMs, complete, bytes: storedBytes, ...this.#contacts.of(id) },
+      }));
+  }
+
   /** Records of the batches with unfinished items, as they were when the batches were added. */
   openRecords(): BatchRecord[] {
     return this.#openBatches().map(({ record }) => record);
@@ -160,9 +173,10 @@
     const batch = new BatchState(record, items, log);
     this.#checkpointStores.set(record.id, checkpoints);
     this.#batches.set(record.id, batch);
+    this.#contacts.add(record.id);
     this.#refresher.recordBatch(batch);
     this.#suspected.recordBatch(batch, !takeOver);
-    this.#scoring.set(record.id, new AbortController());
+    this.#results.addBatch(record.id);
     // Progress handed over by the former dispatcher is applied first, because it is newer than its checkpoints.
     for (const item of [...progress, ...restored]) batch.restoreProgress(item);
     const reused = partialTexts.restoreInto(batch);
@@ -179,7 +193,7 @@
       ...rank,
     });
     for (const state of batch.items.values()) {
-      if (state.isTextComplete && state.phase === 'waiting') void this.#score(state);
+      if (state.isTextComplete && state.phase === 'waiting') void this.#results.score(state);
     }
     this.schedule();
   }
@@ -200,7 +214,8 @@
     this.#batches.delete(batchId);
     this.#suspected.retainBatches((id) => this.#batches.has(id));
     this.#checkpointStores.delete(batchId);
-    this.#scoring.delete(batchId);
+    this.#contacts.remove(batchId);
+    this.#results.removeBatch(batchId);
   }
 
   /** Stores all that has been generated of a batch and is not in its result log. */
@@ -214,6 +229,7 @@
   async read(batchId: string, after: number, waitMs: number): Promise<DispatcherRead | undefined> {
     const batch = this.#batches.get(batchId);
     if (batch === undefined) return undefined;
+    this.#contacts.record(batchId);
     const { log } = batch;
     if (log.results.length <= after && !batch.ended && waitMs > 0) await log.changes.wait(waitMs);
     return { total: batch.items.size, results: limitReadSize(log.results.slice(after)) };
@@ -222,6 +238,7 @@
   /** Finds an item of a batch that has not ended. */
   findItem(batchId: string, itemId: string): BatchItem | undefined {
     const batch = this.#batches.get(batchId);
+    this.#contacts.record(batchId);
     return batch === undefined || batch.ended ? undefined : batch.items.get(itemId)?.item;
   }
 
@@ -266,7 +283,7 @@
     this.#held[Symbol.dispose]();
     this.#options.weights.close();
     for (const run of this.#runs.values()) run.stop('released');
-    for (const abort of this.#scoring.values()) abort.abort();
+    this.#results[Symbol.dispose]();
     for (const { log } of this.#batches.values()) log.close();
   }
 
@@ -274,7 +291,7 @@
     const batch = this.#batches.get(batchId);
     if (batch === undefined || batch.ended) return;
     batch.end();
-    this.#scoring.get(batchId)?.abort();
+    this.#results.endBatch(batchId);
     let stoppedRuns = 0;
     for (const [state, run] of this.#runs) {
       if (state.batch === batch) {
@@ -358,7 +375,7 @@
     else if (isStopped && end.reason === 'stalled') state.recordStalledRun();
     if (end.kind === 'complete' || (end.kind === 'uncertain' && state.confirmEnd())) {
       this.#recordResult(worker, 'answered');
-      void this.#score(state);
+      void this.#results.score(state);
     } else if (end.kind === 'uncertain') {
       if (run.events === 0) this.#pauseWorker(worker, BROKEN_STREAM_BACKOFF_MS);
     } else if (end.kind === 'failed') {
@@ -389,49 +406,10 @@
   #handleItemFailure({ state, worker }: ItemRun, statusCode: number): void {
     if (statusCode === REQUEST_FAILED_STATUS) state.recordFailure();
     const exhausted = state.failedAttempts >= state.batch.record.maxAttempts;
-    if (statusCode === ITEM_UNPROCESSABLE_STATUS || exhausted) this.#finish(state, undefined);
+    if (statusCode === ITEM_UNPROCESSABLE_STATUS || exhausted) this.#results.giveUp(state);
     else this.#pauseWorker(worker, REJECTION_BACKOFF_MS);
   }
 
-  async #score(state: ItemState): Promise<void> {
-    const { scorer } = this.#options;
-    const { batch, item } = state;
-    state.startScoring();
-    const signal = this.#scoring.get(batch.record.id)?.signal;
-    const score =
-      item.scoring === undefined || signal === undefined
-        ? ''
-        : await scorer.score(item.scoring, signal);
-    if (signal?.aborted || this.#closed) return;
-    this.#finish(state, score);
-  }
-
-  /** @param score - undefined to give up the item */
-  #finish(state: ItemState, score: string | undefined): void {
-    const { batch, item, text } = state;
-    if (batch.ended || state.closed) return;
-    if (score === undefined) {
-      this.#options.logger.info('item-given-up', {
-        batch: batch.record.id,
-        item: item.id,
-        scoring: state.isTextComplete ? item.scoring?.id : undefined,
-        failedRuns: state.failedAttempts,
-      });
-    }
-    const isGroupDone = batch.finish(state);
-    batch.log.append(
-      create(ItemResultSchema, {
-        itemId: item.id,
-        state: score === undefined ? ResultState.DEAD : ResultState.COMPLETED,
-        events: score === undefined ? [] : [...text.events],
-        versions: score === undefined ? [] : text.versions,
-        score: score ?? '',
-      }),
-    );
-    if (isGroupDone && batch.missingGroups <= 0) batch.log.flush();
-    this.schedule();
-  }
-
   /** Whether a worker has started again since a run began there, so that the run says nothing of it. */
   #hasRestarted({ id, startedAtMs }: RegisteredWorker): boolean {
     return (this.#options.registry.find(id)?.startedAtMs ?? startedAtMs) !== startedAtMs;
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -283,6 +283,7 @@
       orderRules: { fenced: gateway.ordersFenced, leaseMs: gateway.orderLeaseMs },
       maxLoading: gateway.maxLoadingWorkers,
       retentionMs: gateway.resultRetentionMs,
+      unreadRetentionMs: gateway.unreadBatchRetentionMs,
       weightsLongPollMs: DISPATCHER_LONG_POLL_MS,
     }),
   );
--- a/src/node/observability/metrics.ts
+++ b/src/node/observability/metrics.ts
@@ -152,6 +152,12 @@
       labelNames: ['pool', 'end'],
       registers,
     }),
+    batchesRemoved: new Counter({
+      name: 'hyssoppulley_batches_removed_total',
+      help: 'Batches removed after their end (ended) or because their trainers did not come back (unread, bytes)',
+      labelNames: ['reason'],
+      registers,
+    }),
     batchMoves: new Counter({
       name: 'hyssoppulley_batch_moves_total',
       help: 'Moves of open batches to the pool that their route leads to now, by former pool and outcome of the write',
--- a/src/node/settings/resolveSettings.ts
+++ b/src/node/settings/resolveSettings.ts
@@ -54,6 +54,7 @@
   orderLeaseMs: gateway.orderLeaseMs ?? 3000,
   ordersFenced: gateway.ordersFenced ?? false,
   resultRetentionMs: gateway.resultRetentionMs ?? 120_000,
+  unreadBatchRetentionMs: gateway.unreadBatchRetentionMs ?? 21_600_000,
   maxLoadingWorkers: gateway.maxLoadingWorkers,
   metricsAddress: gateway.metricsAddress,
   datagramAddress: gateway.datagramAddress,
