fix(membership): heartbeats carry revisions of the platform beyond 2^32

What was seen: from the first change of the tables or of a registration at a revision beyond 2^32 on, no node got heartbeats.

Cause: accepted_revision and workers_version were 32 bits wide, but carry revisions of the platform. The error of the encoder was caught where the silence of a peer is, so that each node doubted all others.

Change: both fields, and the revision of ListAccountsResponse, have 64 bits, which is compatible in binary form. A heartbeat that cannot be encoded is reported as a violated invariant and raises no doubt; one in answer to a datagram no longer throws outside of any handler.

--- a/bench/heartbeats.ts
+++ b/bench/heartbeats.ts
@@ -27,8 +27,8 @@
     ...{ callerPort: 8161, region: 'pl-central', availabilityZone: 'pl-central-a' },
   },
   heartbeatCount: 1000,
-  acceptedRevision: 4000,
-  workersVersion: 4000,
+  acceptedRevision: 4000n,
+  workersVersion: 4000n,
 });
 const request = create(HeartbeatRequestSchema, {
   sender: digest('front-pl-central-a-1'),
--- a/src/node/accounts/__tests__/accountServices.test.ts
+++ b/src/node/accounts/__tests__/accountServices.test.ts
@@ -101,7 +101,10 @@
   expect(authenticate('key-0')).toEqual('stale');
   const respond = (acceptedRevision: number, tablesAgeMs: number) =>
     services.peerResponded(
-      create(HeartbeatResponseSchema, { responder: { acceptedRevision }, tablesAgeMs }),
+      create(HeartbeatResponseSchema, {
+        responder: { acceptedRevision: BigInt(acceptedRevision) },
+        tablesAgeMs,
+      }),
       new Stopwatch(clock),
     );
   respond(11, 0);
--- a/src/node/accounts/accountServices.ts
+++ b/src/node/accounts/accountServices.ts
@@ -71,7 +71,7 @@
 
   /** Learns from the response to a heartbeat whether the tables are current. */
   peerResponded({ responder, tablesAgeMs }: HeartbeatResponse, sentAt: Stopwatch): void {
-    const peer = { version: responder?.acceptedRevision ?? 0, ageMs: tablesAgeMs };
+    const peer = { version: Number(responder?.acceptedRevision ?? 0), ageMs: tablesAgeMs };
     this.#confirmation.recordPeer(peer, this.#options.tables.version, sentAt);
   }
 
--- a/src/node/decisions/__tests__/membershipDecisions.test.ts
+++ b/src/node/decisions/__tests__/membershipDecisions.test.ts
@@ -73,14 +73,14 @@
   const names = Array.from({ length: 164 }, (_, index) => `n${index}`);
   for (const name of names) table.mergeDigest(digest(name, name, 1, 1), 0, 'list');
   for (const name of names) {
-    const workers = { ...digest(name, name, 1, 2), workersVersion: 7 };
+    const workers = { ...digest(name, name, 1, 2), workersVersion: 7n };
     expect(table.mergeDigest(workers, 10, 'direct')).toEqual('grown');
   }
   expect(table.changesToSend(10, 2)).toEqual([]);
   expect(table.hasChangesToBroadcast).toEqual(false);
   table.mergeDigest({ ...digest('n5', 'n5', 1, 3), platformLost: true }, 20, 'direct');
   for (const name of names.slice(6)) {
-    table.mergeDigest({ ...digest(name, name, 1, 3), acceptedRevision: 9 }, 30, 'direct');
+    table.mergeDigest({ ...digest(name, name, 1, 3), acceptedRevision: 9n }, 30, 'direct');
   }
   expect(table.hasChangesToBroadcast).toEqual(true);
   expect(table.changesToSend(40, 2)[0]?.identity?.name).toEqual('n5');
--- a/src/node/gateway/gatewayOperator.ts
+++ b/src/node/gateway/gatewayOperator.ts
@@ -36,7 +36,7 @@
 ): ServiceImpl<typeof GatewayOperatorService> => ({
   listAccounts: () =>
     create(ListAccountsResponseSchema, {
-      revision: views.revision(),
+      revision: BigInt(views.revision()),
       accounts: [...views.accounts()],
     }),
   listUsage: () => create(ListUsageResponseSchema, { windows: [...views.usage()] }),
--- a/src/node/membership/heartbeatDatagrams.ts
+++ b/src/node/membership/heartbeatDatagrams.ts
@@ -9,6 +9,7 @@
 } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import type { Clock } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
+import { reportViolation } from '../../shared/invariants.ts';
 import type { Random } from '../../shared/random.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { HeartbeatTarget, SendHeartbeat } from './heartbeats.ts';
@@ -135,12 +136,8 @@
     const { sequence, content } = datagram;
     if (content.case === 'request') {
       const response = this.#options.handleRequest(content.value);
-      const encoded = encode(sequence, { case: 'response', value: response });
-      const responseBytes =
-        encoded.length > MAX_DATAGRAM_BYTES
-          ? encode(sequence, { case: 'tooLarge', value: true })
-          : encoded;
-      this.#transmit(responseBytes, from.port, from.address);
+      const encoded = HeartbeatDatagrams.#encodeResponse(sequence, response);
+      if (encoded !== undefined) this.#transmit(encoded, from.port, from.address);
       return;
     }
     const pending = this.#pending.get(sequence);
@@ -148,6 +145,19 @@
     pending.settle(content.case === 'response' ? content.value : undefined);
   }
 
+  /** Encodes a response; undefined for one that cannot be encoded, which is a fault of this program. */
+  static #encodeResponse(sequence: number, response: HeartbeatResponse): Uint8Array | undefined {
+    try {
+      const encoded = encode(sequence, { case: 'response', value: response });
+      return encoded.length > MAX_DATAGRAM_BYTES
+        ? encode(sequence, { case: 'tooLarge', value: true })
+        : encoded;
+    } catch (error) {
+      reportViolation('heartbeat-encodable', { message: messageOf(error) });
+      return undefined;
+    }
+  }
+
   #decode(bytes: Buffer, { address }: RemoteInfo): HeartbeatDatagram | undefined {
     try {
       return fromBinary(HeartbeatDatagramSchema, bytes);
--- a/src/node/membership/heartbeats.ts
+++ b/src/node/membership/heartbeats.ts
@@ -1,4 +1,4 @@
-import { create } from '@bufbuild/protobuf';
+import { create, toBinary } from '@bufbuild/protobuf';
 import {
   type HeartbeatRequest,
   HeartbeatRequestSchema,
@@ -9,6 +9,8 @@
   PeerDigestSchema,
 } from '../../gen/hyssoppulley/v1/peer_pb.ts';
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
+import { reportViolation } from '../../shared/invariants.ts';
 import type { Random } from '../../shared/random.ts';
 import { gossipTargets } from '../decisions/gossipTargets.ts';
 import {
@@ -69,6 +71,9 @@
   readonly tablesAgeMs: () => number;
 }
 
+/** Result of one heartbeat. `not-sent`: it could not be encoded. */
+type ExchangeResult = 'responded' | 'silent' | 'not-sent';
+
 export interface HeartbeatsOptions {
   readonly self: NodeIdentity;
   readonly state: SelfState;
@@ -116,6 +121,17 @@
   return { live, doubted, suspected, successor: successor ?? first };
 };
 
+/** Whether a heartbeat can be encoded. One that cannot is a fault of this program and says nothing of the peer. */
+const isEncodable = (request: HeartbeatRequest): boolean => {
+  try {
+    toBinary(HeartbeatRequestSchema, request);
+    return true;
+  } catch (error) {
+    reportViolation('heartbeat-encodable', { message: messageOf(error) });
+    return false;
+  }
+};
+
 /** Exchanges heartbeats with peers: sends those of each period and responds to those of other nodes. */
 export class Heartbeats {
   readonly #options: HeartbeatsOptions;
@@ -191,14 +207,15 @@
     if (this.#inProgress.has(incarnation) && !evenIfInProgress) return;
     this.#inProgress.add(incarnation);
     const sentMs = clock.monotonicMs();
-    const responded = await this.#sendAndLearn(identity, { ...this.request(), wantsAllPeers });
+    const result = await this.#sendAndLearn(identity, { ...this.request(), wantsAllPeers });
     this.#inProgress.delete(incarnation);
-    if (!responded) table.recordFailedExchange(incarnation, sentMs, clock.monotonicMs());
+    if (result === 'silent') table.recordFailedExchange(incarnation, sentMs, clock.monotonicMs());
   }
 
   /** Joins through the address of a node whose identity is not known yet. Returns whether the node responded. */
-  join(address: Pick<NodeIdentity, 'host' | 'peerPort'>): Promise<boolean> {
-    return this.#sendAndLearn(address, { ...this.request(), wantsAllPeers: true });
+  async join(address: Pick<NodeIdentity, 'host' | 'peerPort'>): Promise<boolean> {
+    const result = await this.#sendAndLearn(address, { ...this.request(), wantsAllPeers: true });
+    return result === 'responded';
   }
 
   /** Builds the heartbeat of this period. */
@@ -244,10 +261,10 @@
       identity: self,
       heartbeatCount: this.#heartbeatCount,
       leaving: state.leaving(),
-      acceptedRevision: state.acceptedRevision(),
+      acceptedRevision: BigInt(state.acceptedRevision()),
       leases: [...state.heldLeases()],
       platformLost: state.platformLost(),
-      workersVersion: state.workersVersion(),
+      workersVersion: BigInt(state.workersVersion()),
     });
   }
 
@@ -270,21 +287,21 @@
     return this.#heartbeatCount < this.#broadcastUntil;
   }
 
-  async #sendAndLearn(target: HeartbeatTarget, request: HeartbeatRequest): Promise<boolean> {
+  async #sendAndLearn(target: HeartbeatTarget, request: HeartbeatRequest): Promise<ExchangeResult> {
     const { self, send, clock, drains, onResponse } = this.#options;
     const sentAt = new Stopwatch(clock);
     try {
       const response = await send(target, request);
       // Another deployment may have been given the address of a node that is gone.
-      if (response.responder?.identity?.deployment !== self.deployment) return false;
+      if (response.responder?.identity?.deployment !== self.deployment) return 'silent';
       this.#learn(response.responder, 'direct');
       this.#learnGossip(response, request.wantsAllPeers ? 'list' : 'gossip');
       if (request.wantsAllPeers) this.#lastFullSyncAt = this.#heartbeatCount;
       drains.mergeResponse(response.drains);
       onResponse(response, sentAt);
-      return true;
+      return 'responded';
     } catch {
-      return false;
+      return isEncodable(request) ? 'silent' : 'not-sent';
     }
   }
 
--- a/src/node/membership/membership.ts
+++ b/src/node/membership/membership.ts
@@ -397,10 +397,10 @@
       suspected: this.#table.isSuspected(record, nowMs),
       leaving: digest.leaving,
       lastHeardMs: lastDirectMs === undefined ? undefined : nowMs - lastDirectMs,
-      acceptedRevision: digest.acceptedRevision,
+      acceptedRevision: Number(digest.acceptedRevision),
       leases: digest.leases,
       platformLost: digest.platformLost,
-      workersVersion: digest.workersVersion,
+      workersVersion: Number(digest.workersVersion),
     };
   }
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -110,7 +110,7 @@
     preparedRevision: () => configuration.revisions().preparedRevision,
     renewsLease: ({ responder, preparedRevision }) =>
       configuration.peerRenewsLease({
-        acceptedRevision: responder?.acceptedRevision ?? 0,
+        acceptedRevision: Number(responder?.acceptedRevision ?? 0),
         preparedRevision,
       }),
     onPeerAhead: ({ identity }) => {
--- a/src/node/operator/cliGatewayViews.ts
+++ b/src/node/operator/cliGatewayViews.ts
@@ -42,7 +42,8 @@
     ({ revision, accounts }) =>
       accounts.map(({ name, keys, priority, requests, waiting, refused }) => ({
         ...{ name, keys, priority: priority ?? 'of the route' },
-        ...{ requests: String(requests), waiting, refused: String(refused), revision },
+        ...{ requests: String(requests), waiting, refused: String(refused) },
+        revision: String(revision),
       })),
   ),
   usage: viewOf(
--- a/src/node/operator/cliViews.ts
+++ b/src/node/operator/cliViews.ts
@@ -39,7 +39,7 @@
     name: digest?.identity?.name ?? '',
     zone: digest?.identity?.availabilityZone ?? '',
     address: `${digest?.identity?.host}:${digest?.identity?.peerPort}`,
-    revision: digest?.acceptedRevision ?? 0,
+    revision: Number(digest?.acceptedRevision ?? 0),
     state: [digest?.leaving && 'leaving', suspected && 'suspected'].find(Boolean) || 'live',
     'heard ms ago': lastHeardMs,
   }));
--- a/src/node/operatorViews.ts
+++ b/src/node/operatorViews.ts
@@ -26,7 +26,7 @@
       digest: {
         identity: membership.self,
         leaving: membership.leaving,
-        acceptedRevision: configuration.revisions().acceptedRevision,
+        acceptedRevision: BigInt(configuration.revisions().acceptedRevision),
       },
       suspected: false,
       lastHeardMs: 0,
@@ -35,7 +35,7 @@
       digest: {
         identity: peer.identity,
         leaving: peer.leaving,
-        acceptedRevision: peer.acceptedRevision,
+        acceptedRevision: BigInt(peer.acceptedRevision),
         leases: [...peer.leases],
       },
       suspected: peer.suspected,
--- a/src/shared/invariants.ts
+++ b/src/shared/invariants.ts
@@ -13,6 +13,10 @@
   listener = next;
 };
 
+/** Reports a violated condition where the program can go on, without throwing. */
+export const reportViolation = (name: string, details: Record<string, unknown> = {}): void =>
+  listener(name, details);
+
 /** Number of invariant checks that this process has performed. */
 export const invariantCheckCount = (): number => checksMade;
 
