--- a/src/shared/__tests__/clock.test.ts
+++ b/src/shared/__tests__/clock.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { Stopwatch } from '../clock.ts';
+import { sleep, Stopwatch, systemClock } from '../clock.ts';
 import { VirtualClock } from '../virtualClock.ts';
 
 // Guards against a lease or key that appears younger than it is because one of the two clocks is wrong.
@@ -28,3 +28,14 @@
   clock.advance(30);
   expect(order).toEqual(['first', 'nested', 'second']);
 });
+
+// Guards against time limits of over 24.8 days that expire at once: Node's timers take 31 bits.
+test('a delay beyond 31 bits does not expire at once', async () => {
+  const expired: number[] = [];
+  const timers = [2 ** 31, 2 ** 40, Infinity].map((delayMs) =>
+    systemClock.schedule(delayMs, () => expired.push(delayMs)),
+  );
+  await sleep(systemClock, 30);
+  for (const timer of timers) timer[Symbol.dispose]();
+  expect(expired).toEqual([]);
+});
--- a/src/shared/clock.ts
+++ b/src/shared/clock.ts
@@ -8,12 +8,22 @@
   schedule(delayMs: number, callback: () => void): Disposable;
 }
 
+/** Longest delay of a timer of Node, in ms. A longer one would expire at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** The clock of the running process. */
 export const systemClock: Clock = {
   nowMs: () => Date.now(),
   monotonicMs: () => performance.now(),
   schedule(delayMs, callback) {
-    const timer = setTimeout(callback, delayMs);
+    let timer: NodeJS.Timeout;
+    const start = (leftMs: number) => {
+      timer =
+        leftMs > MAX_TIMER_MS
+          ? setTimeout(() => start(leftMs - MAX_TIMER_MS), MAX_TIMER_MS)
+          : setTimeout(callback, leftMs);
+    };
+    start(delayMs);
     return { [Symbol.dispose]: () => clearTimeout(timer) };
   },
 };
