fix(cli): signals that arrive while a process starts are handled

Cause: the handlers of SIGHUP and SIGTERM were installed after the start had returned, which waits for the platform.

Change: the node and storage commands receive signals from the program's first instruction on. A change of settings waits for the start; a stop uses the planned stop from before the node listens. A repeated SIGTERM no longer forces the end of a stop, which cut off requests; SIGINT does.

--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -81,6 +81,8 @@
   readonly random?: Random;
   /** @default a logger that writes to standard output */
   readonly logger?: Logger;
+  /** Called before the node listens and calls the platform, so that it can be stopped from then on. */
+  readonly onStarting?: ((shutdown: Shutdown, logger: Logger) => void) | undefined;
 }
 
 /** Handle of a started gateway. */
@@ -372,6 +374,7 @@
     dispose: () => store[Symbol.asyncDispose](),
   });
 
+  dependencies.onStarting?.(shutdown, logger);
   const started = new Stopwatch(clock);
   await peerServer.listen(peerAddress);
   if (gateway.datagramAddress !== undefined) {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -39,6 +39,8 @@
   readonly random?: Random;
   /** @default a logger that writes to standard output */
   readonly logger?: Logger;
+  /** Called before the node listens and calls the platform, so that it can be stopped from then on. */
+  readonly onStarting?: (shutdown: Shutdown, logger: Logger) => void;
 }
 
 /** A running node. Disposing of it closes everything immediately; `shutdown` stops it without aborting requests. */
@@ -207,6 +209,7 @@
     dispose: () => store[Symbol.asyncDispose](),
   });
 
+  dependencies.onStarting?.(shutdown, logger);
   const { callerPort, peerPort } = await servers.listen(settings);
   Object.assign(self, { callerPort, peerPort });
   // Registers before the first read of the head, so that this node is either asked to confirm a current proposal or
--- a/src/node/settings/settingsReload.ts
+++ b/src/node/settings/settingsReload.ts
@@ -1,5 +1,6 @@
 import { messageOf } from '../../shared/errors.ts';
 import type { Logger } from '../observability/logger.ts';
+import type { ProcessSignals } from '../processSignals.ts';
 import { loadSettings, type ResolvedSettings } from './resolveSettings.ts';
 
 /** Paths of the fields that differ between two settings objects, such as `timing.peerTimeoutMs`. */
@@ -23,9 +24,13 @@
 }
 
 /**
- * Reloads the settings on SIGHUP. An unusable file changes nothing. Requests in progress continue in either case.
+ * Reloads the settings on SIGHUP, also on one that arrived during the start. An unusable file changes nothing. Requests in
+ * progress continue in either case.
  */
-export const reloadOnSighup = ({ file, settings, logger, apply }: SettingsReloadOptions): void => {
+export const reloadOnSighup = (
+  signals: ProcessSignals,
+  { file, settings, logger, apply }: SettingsReloadOptions,
+): void => {
   let current = settings;
   const reload = async () => {
     try {
@@ -41,5 +46,5 @@
       logger.error('settings-reload-failed', { file, message: messageOf(error) });
     }
   };
-  process.on('SIGHUP', () => void reload());
+  signals.handle('SIGHUP', () => void reload());
 };
--- a/src/node/shutdown.ts
+++ b/src/node/shutdown.ts
@@ -6,6 +6,7 @@
   type ShutdownAction,
 } from './decisions/gracefulShutdown.ts';
 import type { Logger } from './observability/logger.ts';
+import type { ProcessSignals } from './processSignals.ts';
 import type { RequestTracker } from './requestTracker.ts';
 
 /** Result of a graceful shutdown. */
@@ -66,6 +67,11 @@
     return this.#stateMachine.admits(budgetMs, this.#options.clock.monotonicMs());
   }
 
+  /** Whether the shutdown has been started. */
+  get isStarted(): boolean {
+    return this.#stateMachine.phase !== 'serving';
+  }
+
   /** Starts the shutdown; the second call forces it to end immediately. */
   signal(): void {
     const { clock, logger, requests, keepServingMs, deadlineMs } = this.#options;
@@ -142,9 +148,21 @@
 /** Longest wait for the last log lines before the process exits, in ms. A stalled log reader must not keep it alive. */
 const LOG_DRAIN_TIMEOUT_MS = 200;
 
-/** Starts the shutdown on SIGTERM or SIGINT, and exits the process with the resulting exit code. */
-export const stopOnSignals = (shutdown: Shutdown, logger: Logger, clock: Clock): void => {
-  for (const name of ['SIGTERM', 'SIGINT'] as const) process.on(name, () => shutdown.signal());
+/**
+ * Starts the shutdown on SIGTERM or SIGINT, and exits the process with the resulting exit code. Only SIGINT, as a person sends it
+ * from a terminal, forces the end of a shutdown in progress: a platform that repeats SIGTERM must not cut off requests.
+ */
+export const stopOnSignals = (
+  signals: ProcessSignals,
+  shutdown: Shutdown,
+  logger: Logger,
+  clock: Clock,
+): void => {
+  signals.handle('SIGTERM', () => {
+    if (shutdown.isStarted) logger.info('stop-signal-repeated', {});
+    else shutdown.signal();
+  });
+  signals.handle('SIGINT', () => shutdown.signal());
   void shutdown.finished.then(async ({ exitCode }) => {
     await Promise.race([logger.drained(), sleep(clock, LOG_DRAIN_TIMEOUT_MS)]);
     // eslint-disable-next-line n/no-process-exit
