fix(deploy): the platform's grace time and retention reach the nodes

Cause: the template did not pass on bounds.grace-s and bounds.status-s. They are in seconds, and the settings had fields in ms only.

--- a/src/node/settings/resolveSettings.ts
+++ b/src/node/settings/resolveSettings.ts
@@ -42,6 +42,9 @@
   maxPipelinedRequests: limits?.maxPipelinedRequests ?? 32,
 });
 
+const toMs = (seconds: number | undefined): number | undefined =>
+  seconds === undefined ? undefined : Math.round(seconds * 1000);
+
 const resolveGateway = (gateway: GatewaySettings) => ({
   frontAddress: gateway.frontAddress,
   readyAddress: gateway.readyAddress,
@@ -49,11 +52,11 @@
   peerAddress: gateway.peerAddress,
   capacityMillicores: Math.round(1000 * (gateway.cpuShare ?? 1) * (gateway.cores ?? 1)),
   maxValueBytes: gateway.maxValueBytes ?? 1_000_000,
-  graceMs: gateway.graceMs ?? 8000,
+  graceMs: gateway.graceMs ?? toMs(gateway.graceS) ?? 8000,
   directoryTtlMs: gateway.directoryTtlMs ?? 2000,
   orderLeaseMs: gateway.orderLeaseMs ?? 3000,
   ordersFenced: gateway.ordersFenced ?? false,
-  resultRetentionMs: gateway.resultRetentionMs ?? 120_000,
+  resultRetentionMs: gateway.resultRetentionMs ?? toMs(gateway.resultRetentionS) ?? 120_000,
   unreadBatchRetentionMs: gateway.unreadBatchRetentionMs ?? 21_600_000,
   maxLoadingWorkers: gateway.maxLoadingWorkers,
   metricsAddress: gateway.metricsAddress,
