fix(batches): a new dispatcher loads batches of many parts within its call budget

Cause: all parts of all open batches were read at the same time. One read that the budget of 60 calls a second refused failed its whole batch, which forgot what it had read and began anew after 250 ms, so that the batches used up each other's calls. The log had batch-load-failed 498 times in 65 s, each time for the budget. Ruled out: refusals of the store, the election (50 ms), memory.

Change: calls have a priority. Bulk calls wait for the budget, leave a quarter of it to others and are sent in the order of the batches, so that one is complete before the next is read; parts that were read are kept. Calls of elections and leases have 15% of the budget to themselves. batch-load-failed names the parts.

--- a/src/node/batches/__tests__/batchNodeHarness.ts
+++ b/src/node/batches/__tests__/batchNodeHarness.ts
@@ -17,6 +17,7 @@
 import { type RegisteredWorker, WorkerRegistry } from '../../gateway/workerRegistry.ts';
 import type { RequestPermits } from '../../limits/requestPermits.ts';
 import { silentLogger } from '../../observability/logger.ts';
+import { BudgetedPlatformClient } from '../../platform/budgetedPlatformClient.ts';
 import { createMetrics } from '../../observability/metrics.ts';
 import {
   batchKey,
@@ -57,6 +58,8 @@
 export interface BatchNodeOptions {
   readonly platform?: HeldPlatform;
   readonly accounts?: readonly Account[];
+  /** Call budget of the node. @default unlimited */
+  readonly callsPerSecond?: number;
 }
 
 /** One node, alone in its deployment, with a worker in each of two pools. The runs of the workers never end. */
@@ -84,12 +87,17 @@
    */
   constructor(
     routes: readonly GatewayRoute[] = [BATCH_ROUTE],
-    { platform = new HeldPlatform(), accounts }: BatchNodeOptions = {},
+    { platform = new HeldPlatform(), accounts, callsPerSecond }: BatchNodeOptions = {},
   ) {
     this.platform = platform;
+    const { clock } = this;
+    const random = seededRandom(1);
     const common = {
-      ...{ clock: this.clock, platform: this.platform, logger: silentLogger },
-      random: seededRandom(1),
+      ...{ clock, random, logger: silentLogger },
+      platform:
+        callsPerSecond === undefined
+          ? platform
+          : new BudgetedPlatformClient({ platform, clock, random, callsPerSecond }),
     };
     const registry = new WorkerRegistry({
       ...common,
@@ -167,17 +175,20 @@
     await this.platform.write(dispatcherKey(POOL), encodeDispatcher(former));
   }
 
-  /** Stores an accepted batch whose first item is `ID-item`. */
-  async addBatch(id: string, pool = POOL, itemCount = 1): Promise<BatchRecord> {
+  /** Stores an accepted batch whose first item is `ID-item`, in parts of the same number of items. */
+  async addBatch(id: string, pool = POOL, itemCount = 1, partCount = 1): Promise<BatchRecord> {
     const record = create(BatchRecordSchema, {
       ...{ id, pool, host: 'h', path: `/b/${id}`, model: 'm' },
-      ...{ itemCount, partCount: 1, maxAttempts: 3 },
+      ...{ itemCount, partCount, maxAttempts: 3 },
       submittedAtMs: BigInt(this.clock.nowMs()),
     });
     const items = Array.from({ length: itemCount }, (_, index) =>
       create(BatchItemSchema, { id: `${id}-item${index === 0 ? '' : index}`, group: `g${index}` }),
     );
-    await this.platform.write(itemsKey(record, 0), encodeItems(items));
+    for (let part = 0; part < partCount; part += 1) {
+      const ofPart = items.filter((_, index) => index % partCount === part);
+      await this.platform.write(itemsKey(record, part), encodeItems(ofPart));
+    }
     await this.platform.write(batchKey(id), encodeBatch(record));
     return record;
   }
--- a/src/node/batches/batchLoader.ts
+++ b/src/node/batches/batchLoader.ts
@@ -1,13 +1,14 @@
-import type { BatchItem, BatchRecord, ItemProgress } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import type { BatchRecord, ItemProgress } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { BatchAcceptor } from './batchAcceptor.ts';
-import { decodeItems, itemsKey } from './batchObjects.ts';
 import { BATCH_LOAD_RETRY_MS } from './constants.ts';
+import { StoredParts } from './contents/storedParts.ts';
 import type { PoolDispatcher } from './poolDispatcher.ts';
 import { LogTakenError } from './resultLog.ts';
+import { batchRankOf } from './waitingItem.ts';
 
 export interface BatchLoaderOptions {
   readonly clock: Clock;
@@ -50,7 +51,8 @@
   }
 
   /**
-   * Loads a batch. Retries while the platform does not respond, until the batch is loaded or the load is cancelled.
+   * Loads a batch. Retries while the platform does not respond, until the batch is loaded or the load is cancelled. Batches that
+   * were submitted earlier, or are more urgent, are read first, so that each is complete before the next one is read.
    *
    * @param takeOver - whether a former dispatcher may have run items of the batch
    * @param progress - progress that the former dispatcher handed over
@@ -68,13 +70,19 @@
     };
     this.#loads.set(record.id, load);
     const { signal } = load.abort;
+    const parts = new StoredParts(this.#options.platform, record);
+    const priority = { kind: 'bulk', order: batchRankOf(record), signal } as const;
     while (!signal.aborted && !dispatcher.closed && !dispatcher.has(record.id)) {
       try {
-        const items = acceptor.itemsOf(record.id) ?? (await this.#readItems(record));
+        const items = acceptor.itemsOf(record.id) ?? (await parts.read(priority));
         if (signal.aborted) break;
-        await dispatcher.add(record, items, { takeOver, progress, signal });
+        await dispatcher.add(record, items, { takeOver, progress, signal, priority });
       } catch (error) {
-        logger.warn('batch-load-failed', { batch: record.id, message: messageOf(error) });
+        if (signal.aborted) break;
+        logger.warn('batch-load-failed', {
+          ...{ batch: record.id, partsRead: parts.readCount, parts: parts.count },
+          ...{ loadingMs: Math.round(load.started.elapsedMs()), message: messageOf(error) },
+        });
         if (error instanceof LogTakenError) {
           onLogTaken();
           break;
@@ -94,12 +102,4 @@
     const loadingMs = Math.round(load.started.elapsedMs());
     this.#options.logger.info('batch-load-cancelled', { batch: batchId, reason, loadingMs });
   }
-
-  async #readItems(record: BatchRecord): Promise<BatchItem[]> {
-    const { platform } = this.#options;
-    const parts = await Promise.all(
-      Array.from({ length: record.partCount }, (_, part) => platform.read(itemsKey(record, part))),
-    );
-    return parts.flatMap((object) => decodeItems(object?.value));
-  }
 }
--- a/src/node/batches/checkpointStore.ts
+++ b/src/node/batches/checkpointStore.ts
@@ -13,7 +13,7 @@
   mergeProgress,
 } from '../decisions/items/checkpoints.ts';
 import type { Logger } from '../observability/logger.ts';
-import type { PlatformClient } from '../platform/platformClient.ts';
+import type { CallPriority, PlatformClient } from '../platform/platformClient.ts';
 import {
   maxContentBytes,
   progressKey,
@@ -76,9 +76,9 @@
   }
 
   /** Reads the checkpoints of former dispatchers. @throws PlatformError when the platform does not respond */
-  async read(): Promise<ItemProgress[]> {
+  async read(priority?: CallPriority): Promise<ItemProgress[]> {
     const { platform, batchId } = this.#options;
-    const objects = await platform.list(progressPrefix(batchId));
+    const objects = await platform.list(progressPrefix(batchId), { priority });
     const parts = [...objects]
       .sort((left, right) => (left.key < right.key ? -1 : 1))
       .flatMap(
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -157,7 +157,7 @@
   async add(
     record: BatchRecord,
     items: readonly BatchItem[],
-    { takeOver = false, progress = [], signal }: AddOptions = {},
+    { takeOver = false, progress = [], signal, priority }: AddOptions = {},
   ): Promise<void> {
     const { logger, partialTexts, onSuperseded } = this.#options;
     const rank = { moves: record.moves, term: this.#options.term };
@@ -168,7 +168,9 @@
       onTakenOver: onSuperseded,
     });
     const checkpoints = new CheckpointStore(stored);
-    const restored = takeOver ? (await Promise.all([checkpoints.read(), log.takeOver()]))[0] : [];
+    const restored = takeOver
+      ? (await Promise.all([checkpoints.read(priority), log.takeOver(priority)]))[0]
+      : [];
     if (signal?.aborted || this.#closed || this.#batches.has(record.id)) return;
     const batch = new BatchState(record, items, log);
     this.#checkpointStores.set(record.id, checkpoints);
--- a/src/node/batches/poolDispatcherOptions.ts
+++ b/src/node/batches/poolDispatcherOptions.ts
@@ -7,7 +7,7 @@
 import type { RequestPermits } from '../limits/requestPermits.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
-import type { PlatformClient } from '../platform/platformClient.ts';
+import type { CallPriority, PlatformClient } from '../platform/platformClient.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
 import type { GenerationCalls } from './generationCalls.ts';
 import type { ItemScorer } from './itemScorer.ts';
@@ -59,4 +59,6 @@
   readonly progress?: readonly ItemProgress[] | undefined;
   /** Aborted when the batch must not be added any more. */
   readonly signal?: AbortSignal;
+  /** Priority of the calls that read what former dispatchers have stored. @default normal */
+  readonly priority?: CallPriority;
 }
--- a/src/node/batches/resultLog.ts
+++ b/src/node/batches/resultLog.ts
@@ -11,7 +11,7 @@
 import type { Random } from '../../shared/random.ts';
 import { type DispatcherRank, outranks } from '../decisions/batchMoves/dispatcherRank.ts';
 import type { Logger } from '../observability/logger.ts';
-import type { PlatformClient } from '../platform/platformClient.ts';
+import type { CallPriority, PlatformClient } from '../platform/platformClient.ts';
 import { writeUntilResolved } from '../platform/writeUntilResolved.ts';
 import { Notifier } from '../../shared/notifier.ts';
 import {
@@ -32,8 +32,9 @@
 export const readLog = async (
   platform: PlatformClient,
   batchId: string,
+  priority?: CallPriority,
 ): Promise<BatchLogEntry[]> => {
-  const objects = await platform.list(logPrefix(batchId));
+  const objects = await platform.list(logPrefix(batchId), { priority });
   return [...objects]
     .sort((left, right) => (left.key < right.key ? -1 : 1))
     .map(({ value }) => decodeLogEntry(value));
@@ -115,10 +116,10 @@
    * @throws PlatformError when the platform does not respond
    * @throws LogTakenError when a dispatcher of a higher rank owns the log
    */
-  async takeOver(): Promise<void> {
+  async takeOver(priority?: CallPriority): Promise<void> {
     const { platform, batchId, rank, writer } = this.#options;
     for (;;) {
-      const entries = await readLog(platform, batchId);
+      const entries = await readLog(platform, batchId, priority);
       const latest = entries.at(-1);
       if (latest !== undefined && outranks(latest, rank)) {
         const owner = `term ${latest.term} after ${latest.moves} moves`;
--- a/src/node/election/holderElection.ts
+++ b/src/node/election/holderElection.ts
@@ -8,6 +8,7 @@
 import type { LogFields, Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { PlatformHealth } from '../platform/platformHealth.ts';
+import { withPriority } from '../platform/withPriority.ts';
 import { writeUntilResolved } from '../platform/writeUntilResolved.ts';
 import { HolderFailureDetector } from './holderFailureDetector.ts';
 import type { ElectionSubject, HolderRecord } from './electionSubject.ts';
@@ -111,6 +112,8 @@
 export class HolderElection<R extends HolderRecord> implements Disposable {
   readonly #options: HolderElectionOptions<R>;
 
+  readonly #platform: ReturnType<typeof withPriority>;
+
   readonly #started: Stopwatch;
 
   readonly #timer: Disposable;
@@ -148,6 +151,7 @@
 
   constructor(options: HolderElectionOptions<R>) {
     this.#options = options;
+    this.#platform = withPriority(options.platform, { kind: 'lease' });
     this.#started = new Stopwatch(options.clock);
     this.#unresolvedClaim = new UnresolvedClaim(options.clock);
     const { checkIntervalMs = CHECK_INTERVAL_MS } = options.subject;
@@ -212,14 +216,15 @@
    * @returns whether the record was written
    */
   async release(): Promise<boolean> {
-    const { platform, clock, random, subject } = this.#options;
+    const { clock, random, subject } = this.#options;
     const { record, version } = this.#known ?? {};
     if (this.#heldTerm === undefined || record === undefined || version === undefined) return false;
     const { heldTerm: term } = this;
     this.resign('released in a planned stop');
     const released = subject.create({ ...record, released: true });
     const result = await writeUntilResolved({
-      ...{ platform, clock, random, key: subject.key, value: subject.encode(released) },
+      ...{ platform: this.#platform, clock, random },
+      ...{ key: subject.key, value: subject.encode(released) },
       ...{ ifVersion: version, operationId: newId() },
       ...{ started: new Stopwatch(clock), limitMs: CLAIM_WRITE_LIMIT_MS },
     });
@@ -286,12 +291,12 @@
    * is.
    */
   async #findSuccessor(): Promise<void> {
-    const { platform, subject, clock } = this.#options;
+    const { subject, clock } = this.#options;
     const sinceCheckMs = this.#successorCheckedAt?.elapsedMs() ?? Infinity;
     const sinceReadMs = this.#readAt?.elapsedMs() ?? Infinity;
     if (Math.min(sinceCheckMs, sinceReadMs) < SUCCESSOR_CHECK_INTERVAL_MS) return;
     this.#successorCheckedAt = new Stopwatch(clock);
-    const object = await platform.read(subject.key, { allowStale: true });
+    const object = await this.#platform.read(subject.key, { allowStale: true });
     const record = object && subject.decode(object.value);
     if (record === undefined || record.term <= (this.#heldTerm ?? Infinity)) return;
     this.#setKnown(record, 0);
@@ -390,9 +395,9 @@
    * @returns whether the response was used
    */
   async #readRecord(): Promise<boolean> {
-    const { platform, subject, view } = this.#options;
+    const { subject, view } = this.#options;
     const sentAt = new Stopwatch(this.#options.clock);
-    const object = await platform.read(subject.key);
+    const object = await this.#platform.read(subject.key);
     if (object !== undefined && object.version < this.#latestVersion) return false;
     this.#readAt = sentAt;
     this.#mustReread = false;
@@ -417,7 +422,7 @@
   }
 
   async #claim(): Promise<void> {
-    const { platform, clock, random, subject, view, onElected } = this.#options;
+    const { clock, random, subject, view, onElected } = this.#options;
     const isRead = await this.#readRecord();
     if (!isRead || this.#holderState() === 'able' || this.#known === undefined) return;
     if (this.#unableSince === undefined) return;
@@ -428,7 +433,7 @@
     const record = subject.create({ node: name, incarnation, host, peerPort, term });
     const startedAt = new Stopwatch(clock);
     const result = await writeUntilResolved({
-      ...{ platform, clock, random },
+      ...{ platform: this.#platform, clock, random },
       key: subject.key,
       value: subject.encode(record),
       ifVersion: version,
--- a/src/node/platform/budgetedPlatformClient.ts
+++ b/src/node/platform/budgetedPlatformClient.ts
@@ -1,9 +1,11 @@
 import { type Clock, sleep } from '../../shared/clock.ts';
 import type { Random } from '../../shared/random.ts';
 import { backoffMs } from './backoff.ts';
+import { BulkCalls } from './bulkCalls.ts';
 import { CallBudget } from './callBudget.ts';
 import type { PlatformHealth } from './platformHealth.ts';
 import {
+  type CallPriority,
   type ChangesOptions,
   type PlatformChanges,
   PlatformError,
@@ -38,7 +40,18 @@
   readonly health?: Pick<PlatformHealth, 'begin' | 'end' | 'record'>;
 }
 
-const NO_BUDGET_LEFT = 'the call budget of this node is exhausted (platform.callsPerSecond)';
+/** Part of the budget that is kept for calls for leases, and part of it that bulk calls leave to all others. */
+const LEASE_SHARE = 0.15;
+const BULK_SHARE = 0.25;
+
+/** A call that may start and that no other call waits for. */
+const UNQUEUED: Disposable = { [Symbol.dispose]() {} };
+
+/** Why a call was not sent. */
+const notSentReason = (priority: CallPriority | undefined): string =>
+  priority?.kind === 'bulk'
+    ? 'the call was cancelled'
+    : 'the call budget of this node is exhausted (platform.callsPerSecond)';
 
 /** Keeps the calls of a node within its call budget and retries failed reads. Writes are never retried here. */
 export class BudgetedPlatformClient implements PlatformObjects {
@@ -46,9 +59,17 @@
 
   readonly #budget: CallBudget;
 
+  readonly #bulkCalls: BulkCalls;
+
   constructor(options: BudgetedPlatformClientOptions) {
     this.#options = options;
-    this.#budget = new CallBudget(options.clock, options);
+    const { clock, callsPerSecond } = options;
+    this.#budget = new CallBudget(clock, {
+      callsPerSecond,
+      leaseReserve: Math.floor(callsPerSecond * LEASE_SHARE),
+      bulkReserve: Math.floor(callsPerSecond * BULK_SHARE),
+    });
+    this.#bulkCalls = new BulkCalls(clock, this.#budget);
   }
 
   /** Calls that may start now without waiting. */
@@ -57,11 +78,19 @@
   }
 
   read(key: string, options?: ReadOptions): Promise<PlatformObject | undefined> {
-    return this.#readWithRetry('read', () => this.#options.platform.read(key, options));
+    return this.#readWithRetry(
+      'read',
+      () => this.#options.platform.read(key, options),
+      options?.priority,
+    );
   }
 
   list(prefix: string, options?: ReadOptions): Promise<readonly PlatformObject[]> {
-    return this.#readWithRetry('list', () => this.#options.platform.list(prefix, options));
+    return this.#readWithRetry(
+      'list',
+      () => this.#options.platform.list(prefix, options),
+      options?.priority,
+    );
   }
 
   listVms(): Promise<readonly VmEntry[]> {
@@ -77,22 +106,34 @@
     version: number,
     options: ChangesOptions,
   ): Promise<PlatformChanges> {
-    if (!(await this.#acquire('changes'))) throw new PlatformError(NO_BUDGET_LEFT);
+    if ((await this.#acquire('changes')) === undefined) {
+      throw new PlatformError(notSentReason(undefined));
+    }
     return this.#recordOutcome(() => this.#options.platform.changesSince(prefix, version, options));
   }
 
   write(key: string, value: unknown, options?: WriteOptions): Promise<WriteResult> {
-    return this.#sendWrite('write', () => this.#options.platform.write(key, value, options));
+    return this.#sendWrite(
+      'write',
+      () => this.#options.platform.write(key, value, options),
+      options?.priority,
+    );
   }
 
   writeStatus(key: string, status: unknown, options?: WriteOptions): Promise<WriteResult> {
-    return this.#sendWrite('status', () =>
-      this.#options.platform.writeStatus(key, status, options),
+    return this.#sendWrite(
+      'status',
+      () => this.#options.platform.writeStatus(key, status, options),
+      options?.priority,
     );
   }
 
   remove(key: string, options?: WriteOptions): Promise<WriteResult> {
-    return this.#sendWrite('remove', () => this.#options.platform.remove(key, options));
+    return this.#sendWrite(
+      'remove',
+      () => this.#options.platform.remove(key, options),
+      options?.priority,
+    );
   }
 
   watch(prefix: string, onEvent: (event: PlatformEvent) => void): Disposable {
@@ -101,24 +142,33 @@
     return this.#options.platform.watch(prefix, onEvent);
   }
 
-  async #readWithRetry<T>(operation: PlatformOperation, call: () => Promise<T>): Promise<T> {
+  async #readWithRetry<T>(
+    operation: PlatformOperation,
+    call: () => Promise<T>,
+    priority?: CallPriority,
+  ): Promise<T> {
     const { clock, random, readAttempts = 2 } = this.#options;
     for (let attempt = 1; ; attempt += 1) {
-      if (!(await this.#acquire(operation))) throw new PlatformError(NO_BUDGET_LEFT);
+      const acquired = await this.#acquire(operation, priority);
+      if (acquired === undefined) throw new PlatformError(notSentReason(priority));
       try {
         return await this.#countPending(() => this.#recordOutcome(call));
       } catch (error) {
         if (attempt >= readAttempts) throw error;
-        await sleep(clock, backoffMs(attempt, random));
+      } finally {
+        acquired[Symbol.dispose]();
       }
+      await sleep(clock, backoffMs(attempt, random));
     }
   }
 
   async #sendWrite(
     operation: PlatformOperation,
     call: () => Promise<WriteResult>,
+    priority?: CallPriority,
   ): Promise<WriteResult> {
-    if (!(await this.#acquire(operation))) return { status: 'unavailable', reason: NO_BUDGET_LEFT };
+    using acquired = await this.#acquire(operation, priority);
+    if (acquired === undefined) return { status: 'unavailable', reason: notSentReason(priority) };
     const result = await this.#countPending(call);
     // The response to a write may get lost although the platform is reachable. Whether it is reachable is decided by
     // reads and long polls.
@@ -148,15 +198,25 @@
     }
   }
 
-  async #acquire(operation: PlatformOperation): Promise<boolean> {
+  /** Waits until a call may start; undefined if it would have to wait too long or was cancelled. */
+  async #acquire(
+    operation: PlatformOperation,
+    priority?: CallPriority,
+  ): Promise<Disposable | undefined> {
     const { clock, onCall, onRefused } = this.#options;
-    const waitMs = this.#budget.reserve();
+    if (priority?.kind === 'bulk') {
+      const acquired = await this.#bulkCalls.acquire(priority.order, priority.signal);
+      if (acquired !== undefined) onCall?.(operation);
+      return acquired;
+    }
+    const waitMs =
+      priority?.kind === 'lease' ? this.#budget.reserveForLease() : this.#budget.reserve();
     if (waitMs === undefined) {
       onRefused?.(operation);
-      return false;
+      return undefined;
     }
     if (waitMs > 0) await sleep(clock, waitMs);
     onCall?.(operation);
-    return true;
+    return UNQUEUED;
   }
 }
--- a/src/node/platform/callBudget.ts
+++ b/src/node/platform/callBudget.ts
@@ -4,9 +4,16 @@
   readonly callsPerSecond: number;
   /** Maximum time that a call waits for a token, in ms. @default 1000 */
   readonly maxWaitMs?: number;
+  /** Calls that only those for leases may use. @default 0 */
+  readonly leaseReserve?: number;
+  /** Calls that bulk calls leave to all others. @default 0 */
+  readonly bulkReserve?: number;
 }
 
-/** Token bucket that limits the rate of platform calls. Its capacity is the number of calls of one second. */
+/**
+ * Token bucket that limits the rate of platform calls. Its capacity is the number of calls of one second. Calls for leases have a
+ * part of it to themselves, so that they never wait behind others; bulk calls start only while enough is left for the rest.
+ */
 export class CallBudget {
   readonly #clock: Clock;
 
@@ -14,16 +21,27 @@
 
   readonly #maxWaitMs: number;
 
+  readonly #leaseReserve: number;
+
+  readonly #bulkReserve: number;
+
   /** Calls that may start now; negative while calls wait for a token. */
   #tokens: number;
 
+  /** Further calls that may start now if they are for leases. */
+  #leaseTokens: number;
+
   #refilledAtMs: number;
 
-  constructor(clock: Clock, { callsPerSecond, maxWaitMs = 1000 }: CallBudgetOptions) {
+  constructor(clock: Clock, options: CallBudgetOptions) {
+    const { callsPerSecond, maxWaitMs = 1000, leaseReserve = 0, bulkReserve = 0 } = options;
     this.#clock = clock;
     this.#callsPerSecond = callsPerSecond;
     this.#maxWaitMs = maxWaitMs;
-    this.#tokens = callsPerSecond;
+    this.#leaseReserve = leaseReserve;
+    this.#bulkReserve = bulkReserve;
+    this.#tokens = callsPerSecond - leaseReserve;
+    this.#leaseTokens = leaseReserve;
     this.#refilledAtMs = clock.monotonicMs();
   }
 
@@ -40,16 +58,44 @@
    */
   reserve(): number | undefined {
     this.#refill();
-    const waitMs = this.#tokens >= 1 ? 0 : ((1 - this.#tokens) * 1000) / this.#callsPerSecond;
+    const waitMs = this.#tokens >= 1 ? 0 : this.#refillMs(1 - this.#tokens);
     if (waitMs > this.#maxWaitMs) return undefined;
     this.#tokens -= 1;
     return waitMs;
   }
 
+  /** Takes a token for one call for a lease, as `reserve` does. */
+  reserveForLease(): number | undefined {
+    this.#refill();
+    if (this.#leaseTokens < 1) return this.reserve();
+    this.#leaseTokens -= 1;
+    return 0;
+  }
+
+  /**
+   * Takes a token for one bulk call if enough are left for other calls.
+   *
+   * @returns 0 if a token was taken; otherwise the time after which to try again, in whole ms
+   */
+  tryReserveBulk(): number {
+    this.#refill();
+    const missing = 1 + this.#bulkReserve - this.#tokens;
+    if (missing > 0) return Math.ceil(this.#refillMs(missing));
+    this.#tokens -= 1;
+    return 0;
+  }
+
+  #refillMs(tokens: number): number {
+    return (tokens * 1000) / this.#callsPerSecond;
+  }
+
   #refill(): void {
     const nowMs = this.#clock.monotonicMs();
-    const refilledTokens = ((nowMs - this.#refilledAtMs) * this.#callsPerSecond) / 1000;
-    this.#tokens = Math.min(this.#callsPerSecond, this.#tokens + refilledTokens);
+    const refilled = ((nowMs - this.#refilledAtMs) * this.#callsPerSecond) / 1000;
+    const forLeases = Math.min(refilled, this.#leaseReserve - this.#leaseTokens);
+    this.#leaseTokens += forLeases;
+    const capacity = this.#callsPerSecond - this.#leaseReserve;
+    this.#tokens = Math.min(capacity, this.#tokens + refilled - forLeases);
     this.#refilledAtMs = nowMs;
   }
 }
--- a/src/node/platform/platformClient.ts
+++ b/src/node/platform/platformClient.ts
@@ -28,7 +28,24 @@
   /** The write definitely did not take effect. */
   | { readonly status: 'unavailable'; readonly reason: string };
 
-export interface WriteOptions {
+/** How urgent a call is when the call budget of the node is short. */
+export type CallPriority =
+  /** Concerns a lease, which is lost if it comes late; has a part of the budget to itself. */
+  | { readonly kind: 'lease' }
+  /** Fails when it would have to wait for long. */
+  | { readonly kind: 'normal' }
+  /**
+   * One of many that read or remove what is stored: leaves room for other calls, and waits as long as it takes or until `signal`
+   * is aborted. Those of lower orders go first.
+   */
+  | { readonly kind: 'bulk'; readonly order: number; readonly signal?: AbortSignal };
+
+export interface CallOptions {
+  /** @default normal */
+  readonly priority?: CallPriority;
+}
+
+export interface WriteOptions extends CallOptions {
   /** Version that the object must have, 0 when it must not exist; absent for an unconditional write. */
   readonly ifVersion?: number;
   /** Identifies the write. @default a new id */
@@ -51,7 +68,7 @@
   readonly object: PlatformObject;
 }
 
-export interface ReadOptions {
+export interface ReadOptions extends CallOptions {
   /** Whether the response may be seconds old, which is cheaper for the platform. @default false */
   readonly allowStale?: boolean;
 }
--- a/src/node/platform/writeUntilResolved.ts
+++ b/src/node/platform/writeUntilResolved.ts
@@ -24,7 +24,7 @@
  * @throws PlatformError when the platform does not respond
  */
 export const readBackWrite = async (
-  platform: PlatformClient,
+  platform: Pick<PlatformClient, 'read'>,
   key: string,
   operationId: string,
 ): Promise<ReadBackResult> => {
@@ -35,7 +35,7 @@
 };
 
 export interface ResolvedWriteOptions {
-  readonly platform: PlatformClient;
+  readonly platform: Pick<PlatformClient, 'read' | 'write'>;
   readonly clock: Clock;
   readonly random: Random;
   readonly key: string;
--- a/src/node/training/leaseManager.ts
+++ b/src/node/training/leaseManager.ts
@@ -34,6 +34,8 @@
 }
 
 /** Platform key of the object that stores a lease. */
+const LEASE = { kind: 'lease' } as const;
+
 export const leaseKey = (name: string): string => `leases/${name}`;
 
 /** Contends for one lease, renews it and releases it. */
@@ -118,14 +120,16 @@
     this.#state.recordSend(step);
     if (step.kind === 'read') {
       try {
-        this.#state.observe(await platform.read(leaseKey(name)));
+        this.#state.observe(await platform.read(leaseKey(name), { priority: LEASE }));
       } catch (error) {
         this.#options.logger.debug('lease-read-failed', { lease: name, message: String(error) });
       }
       return;
     }
     const { value, ifVersion, operationId } = step;
-    const result = await platform.write(leaseKey(name), value, { ifVersion, operationId });
+    const result = await platform.write(leaseKey(name), value, {
+      ...{ ifVersion, operationId, priority: LEASE },
+    });
     this.#state.recordWriteResult(step, result);
   }
 
