fix(batches): bodies of items of large batches can be read

What callers would see: 503 for each body of a batch of more than about 120 parts, again and again.

Change: the parts that were read are kept, and missing ones are bulk calls.

Evidence: the new test of batchReader.test.ts (150 parts, 60 calls a second) failed before and passes.

--- a/src/node/batches/__tests__/batchReader.test.ts
+++ b/src/node/batches/__tests__/batchReader.test.ts
@@ -14,6 +14,7 @@
 import { PlatformError } from '../../platform/platformClient.ts';
 import type { BatchCoordinator } from '../batchCoordinator.ts';
 import { BatchReader, type BatchReaderOptions } from '../batchReader.ts';
+import { BatchNodeHarness, POOL } from './batchNodeHarness.ts';
 
 /** Time after which a read of the platform fails, in ms. */
 const PLATFORM_TIMEOUT_MS = 2400;
@@ -73,3 +74,17 @@
   await clock.advanceAsync(2000);
   expect(successor.calls).toEqual(calls);
 });
+
+const CALLS_PER_SECOND = 60;
+
+/** More parts than the calls that a node can make or let wait at once. */
+const PARTS = 150;
+
+// Guards against bodies that can never be read: the reads of all parts exceed the call budget, and each attempt starts anew.
+test('the body of an item of a batch of many parts is read within the call budget', async () => {
+  await using harness = new BatchNodeHarness(undefined, { callsPerSecond: CALLS_PER_SECOND });
+  await harness.addBatch('b', POOL, PARTS, PARTS);
+  const read = harness.batches.readItem('b', `b-item${PARTS - 1}`, undefined);
+  await harness.clock.advanceAsync((2 * PARTS * 1000) / CALLS_PER_SECOND);
+  expect((await read).kind).toEqual('found');
+});
--- a/src/node/batches/batchReader.ts
+++ b/src/node/batches/batchReader.ts
@@ -12,12 +12,13 @@
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { BatchCoordinator } from './batchCoordinator.ts';
-import { batchKey, decodeBatch, decodeItems, isBatchId, itemsKey } from './batchObjects.ts';
+import { batchKey, decodeBatch, isBatchId } from './batchObjects.ts';
 import {
   DISPATCHER_READ_RETRY_MS,
   MAX_CACHED_ITEM_BATCHES,
   PEER_READ_MARGIN_MS,
 } from './constants.ts';
+import { StoredParts } from './contents/storedParts.ts';
 import { limitReadSize, readLog } from './resultLog.ts';
 
 /** A batch that was removed because its trainer had not read it for long. */
@@ -62,7 +63,7 @@
   readonly #options: BatchReaderOptions;
 
   /** Cache of items read from the platform, by batch id, in insertion order. */
-  readonly #itemCache = new Map<string, Promise<BatchItem[]>>();
+  readonly #itemCache = new Map<string, StoredParts>();
 
   constructor(options: BatchReaderOptions) {
     this.#options = options;
@@ -223,20 +224,14 @@
   }
 
   #itemsOf(record: BatchRecord): Promise<BatchItem[]> {
-    const { id, partCount } = record;
-    const known = this.#itemCache.get(id);
-    if (known) return known;
-    const { platform } = this.#options;
-    const read = Promise.all(
-      Array.from({ length: partCount }, (_, part) => platform.read(itemsKey(record, part))),
-    ).then((parts) => parts.flatMap((object) => decodeItems(object?.value)));
-    read.catch(() => this.#itemCache.delete(id));
-    this.#itemCache.set(id, read);
+    const parts = this.#itemCache.get(record.id) ?? new StoredParts(this.#options.platform, record);
+    this.#itemCache.set(record.id, parts);
     const [oldest] = this.#itemCache.keys();
     if (this.#itemCache.size > MAX_CACHED_ITEM_BATCHES && oldest !== undefined) {
       this.#itemCache.delete(oldest);
     }
-    return read;
+    // Reads of a dispatcher that takes over go first.
+    return parts.read({ kind: 'bulk', order: Infinity });
   }
 
   #logFailure(event: string, batchId: string, error: unknown): void {
