fix(batches): the record of a removed batch stays until its content is gone

What operators would see: objects of batches without a record, which nothing removes any more.

Cause: the outcome of each removal was ignored, so one that the call budget or the platform refused left its object behind when the record was removed.

Removals are bulk calls.

Evidence: the new test of batchRetention.test.ts failed before and passes.

--- a/src/node/batches/__tests__/heldPlatform.ts
+++ b/src/node/batches/__tests__/heldPlatform.ts
@@ -1,12 +1,14 @@
 import { InMemoryPlatform } from '../../../../playground/inMemoryPlatform.ts';
-import type { PlatformObject } from '../../platform/platformClient.ts';
+import type { PlatformObject, WriteOptions, WriteResult } from '../../platform/platformClient.ts';
 
-/** A platform that answers reads and lists of some objects only when they are released. */
+/** A platform that answers reads and lists of some objects only when they are released, and refuses some removals. */
 export class HeldPlatform extends InMemoryPlatform {
   #heldPrefix: string | undefined;
 
   #waiting: (() => void)[] = [];
 
+  #refusedRemovals = 0;
+
   /** Number of calls that wait to be released. */
   get heldCount(): number {
     return this.#waiting.length;
@@ -17,6 +19,17 @@
     this.#heldPrefix = prefix;
   }
 
+  /** Refuses the next removals. */
+  refuseRemovals(count: number): void {
+    this.#refusedRemovals = count;
+  }
+
+  override async remove(key: string, options?: WriteOptions): Promise<WriteResult> {
+    if (this.#refusedRemovals === 0) return super.remove(key, options);
+    this.#refusedRemovals -= 1;
+    return { status: 'unavailable', reason: 'refused' };
+  }
+
   release(): void {
     this.#heldPrefix = undefined;
     for (const resolve of this.#waiting) resolve();
--- a/src/node/batches/retention/__tests__/batchRetention.test.ts
+++ b/src/node/batches/retention/__tests__/batchRetention.test.ts
@@ -75,3 +75,14 @@
   await harness.clock.advanceAsync(3 * SWEEP_MS);
   expect(storedKeys(harness)).toEqual([]);
 });
+
+// Guards against items that stay in the store for good: their removal failed, and the record that names them was removed.
+test('the record of an ended batch stays until all of its content is removed', async () => {
+  await using harness = new BatchNodeHarness();
+  const record = await harness.addBatch('b', undefined, 6, 3);
+  await harness.endBatch(record);
+  harness.platform.refuseRemovals(2);
+  harness.start();
+  await harness.clock.advanceAsync(RETENTION_MS + 5 * SWEEP_MS);
+  expect(storedKeys(harness)).toEqual([]);
+});
--- a/src/node/batches/retention/batchRetention.ts
+++ b/src/node/batches/retention/batchRetention.ts
@@ -9,7 +9,12 @@
 } from '../../decisions/batchRetention/abandonment.ts';
 import type { Logger } from '../../observability/logger.ts';
 import type { Metrics } from '../../observability/metrics.ts';
-import type { PlatformClient, PlatformObject } from '../../platform/platformClient.ts';
+import {
+  type PlatformClient,
+  PlatformError,
+  type PlatformObject,
+} from '../../platform/platformClient.ts';
+import { withPriority } from '../../platform/withPriority.ts';
 import { writeUntilResolved } from '../../platform/writeUntilResolved.ts';
 import {
   batchKey,
@@ -145,12 +150,17 @@
   }
 
   async #removeContent(record: BatchRecord): Promise<void> {
-    const { platform } = this.#options;
+    const platform = withPriority(this.#options.platform, { kind: 'bulk', order: Infinity });
+    const remove = async (key: string): Promise<void> => {
+      const { status } = await platform.remove(key);
+      // What is left would not be found again without the record.
+      if (status === 'unavailable' || status === 'unknown') {
+        throw new PlatformError(`${key} may not have been removed: ${status}`);
+      }
+    };
     for (const prefix of [logPrefix(record.id), progressPrefix(record.id)]) {
-      for (const entry of await platform.list(prefix)) await platform.remove(entry.key);
-    }
-    for (let part = 0; part < record.partCount; part += 1) {
-      await platform.remove(itemsKey(record, part));
+      for (const { key } of await platform.list(prefix)) await remove(key);
     }
+    for (let part = 0; part < record.partCount; part += 1) await remove(itemsKey(record, part));
   }
 }
