--- a/playground/inMemoryPlatform.ts
+++ b/playground/inMemoryPlatform.ts
@@ -1,4 +1,5 @@
 import { newId } from '../src/shared/random.ts';
+import { JsonText } from '../src/node/platform/jsonText.ts';
 import {
   type ChangesOptions,
   type PlatformChanges,
@@ -92,7 +93,8 @@
   write(key: string, value: unknown, options: WriteOptions = {}): Promise<WriteResult> {
     return this.#applyWrite(key, options, (version, operationId) => {
       const { status } = this.objects.get(key) ?? {};
-      const object = { key, version, operationId, value: structuredClone(value), status };
+      const stored = value instanceof JsonText ? value.toJSON() : structuredClone(value);
+      const object = { key, version, operationId, value: stored, status };
       this.objects.set(key, object);
       return { type: 'written', object };
     });
--- a/src/node/batches/__tests__/batchReader.test.ts
+++ b/src/node/batches/__tests__/batchReader.test.ts
@@ -34,6 +34,7 @@
   const reader = new BatchReader({
     ...{ clock, logger: silentLogger, incarnation: 'former-1' },
     platform: { read: fail, list: fail } as unknown as BatchReaderOptions['platform'],
+    parts: { read: fail },
     coordinators: () => [{ dispatcher: undefined, election } as unknown as BatchCoordinator],
     client: () =>
       ({
--- a/src/node/batches/__tests__/dispatcherHarness.ts
+++ b/src/node/batches/__tests__/dispatcherHarness.ts
@@ -16,6 +16,11 @@
 import { silentLogger } from '../../observability/logger.ts';
 import { createMetrics } from '../../observability/metrics.ts';
 import { PoisonGuard } from '../../poison/poisonGuard.ts';
+import { encodeItems, itemsKey } from '../batchObjects.ts';
+import { ContentMemory } from '../contents/contentMemory.ts';
+import { ItemBodies } from '../contents/itemBodies.ts';
+import { PartCache } from '../contents/partCache.ts';
+import { toStoredPart } from '../contents/storedPart.ts';
 import { WeightLoads } from '../../weights/weightLoads.ts';
 import type { GenerationCalls, GenerationEnd } from '../generationCalls.ts';
 import type { ItemScorer } from '../itemScorer.ts';
@@ -61,8 +66,12 @@
   readonly eventGapMs?: number;
   /** Time that a probe of a worker takes, in ms. @default 0 */
   readonly probeMs?: number;
-  /** Path of an item's request; its body is empty. @default its own */
+  /** Path of an item's request. @default its own */
   readonly pathOf?: (item: string) => string;
+  /** Size of the body of an item's request, in bytes. @default 0 */
+  readonly bodyBytes?: number;
+  /** Memory for the contents of batches, in bytes. @default unlimited */
+  readonly roomBytes?: number;
 }
 
 /** A dispatcher on a virtual clock with workers whose processes end and start again. Items have no scores. */
@@ -81,6 +90,13 @@
 
   readonly metrics = createMetrics();
 
+  readonly platform = new InMemoryPlatform();
+
+  readonly memory: ContentMemory;
+
+  /** Items that were run with another body than their own. */
+  readonly wrongBodies: string[] = [];
+
   /** Number of ended worker processes. */
   endedWorkers = 0;
 
@@ -92,6 +108,12 @@
 
   readonly #registry: WorkerRegistry;
 
+  readonly #parts: PartCache;
+
+  readonly #createBodies: () => ItemBodies;
+
+  #bodies: ItemBodies;
+
   readonly #createDispatcher: (term: number) => PoolDispatcher;
 
   readonly #batches: { readonly record: BatchRecord; readonly items: BatchItem[] }[] = [];
@@ -104,7 +126,12 @@
       this.logged.set(event, [...(this.logged.get(event) ?? []), fields]);
     };
     const logger: Logger = { ...silentLogger, info: log, warn: log };
-    const common = { clock: this.clock, platform: new InMemoryPlatform(), logger };
+    const common = { clock: this.clock, platform: this.platform, logger };
+    const { clock } = this;
+    const memory = new ContentMemory(() => options.roomBytes ?? Infinity);
+    const parts = new PartCache(this.platform, memory);
+    this.memory = memory;
+    this.#parts = parts;
     const random = seededRandom(1);
     this.#registry = new WorkerRegistry({
       ...common,
@@ -126,6 +153,8 @@
         return hasEnded;
       },
     });
+    this.#createBodies = () => new ItemBodies({ clock, memory, parts });
+    this.#bodies = this.#createBodies();
     this.#createDispatcher = (term) =>
       new PoolDispatcher({
         ...{ ...common, random, weights, registry: this.#registry },
@@ -141,6 +170,7 @@
         scorer: {} as ItemScorer,
         newestVersion: () => 1,
         partialTexts: new PartialTextCache(),
+        ...{ memory, bodies: this.#bodies },
         batchView: () => ({ ageMs: 0, platformLost: false }),
         onSuperseded: () => {},
       });
@@ -164,8 +194,14 @@
         ...{ id: `${id}-${index}`, group: `g${index}` },
         path: this.#options.pathOf?.(`${id}-${index}`) ?? `/${id}-${index}`,
         maxOutputTokens: this.#eventsOf(`${id}-${index}`),
+        body: new Uint8Array(this.#options.bodyBytes ?? 0).fill(index % 256),
       }),
     );
+    // One item a part.
+    for (const [part, item] of items.entries()) {
+      await this.platform.write(itemsKey(record, part), encodeItems([item]));
+      this.#bodies.add(record, part, toStoredPart([item]));
+    }
     this.#batches.push({ record, items });
     await this.dispatcher.add(record, items);
   }
@@ -179,9 +215,15 @@
     const released = this.dispatcher.release();
     const progress = isKilled ? [] : released;
     this.#term += 1;
+    this.#bodies[Symbol.dispose]();
+    this.#bodies = this.#createBodies();
     this.dispatcher = this.#createDispatcher(this.#term);
     for (const { record, items } of this.#batches) {
       const ofBatch = progress.filter(({ itemId }) => items.some(({ id }) => id === itemId));
+      for (const part of items.keys()) {
+        const stored = await this.#parts.take(record, part, { kind: 'normal' });
+        this.#bodies.add(record, part, stored);
+      }
       await this.dispatcher.add(record, items, { takeOver: true, progress: ofBatch });
     }
   }
@@ -263,10 +305,12 @@
   }
 
   #generate(
-    ...[{ id: worker }, { requestId: item, resumeAfter }, listener, signal]: Parameters<
-      GenerationCalls['generate']
-    >
+    ...[{ id: worker }, request, listener, signal]: Parameters<GenerationCalls['generate']>
   ): Promise<GenerationEnd> {
+    const { requestId: item, resumeAfter, body, onBodySent } = request;
+    const bodyBytes = this.#options.bodyBytes ?? 0;
+    const isOwnBody = body.every((byte) => byte === Number(item.split('-').at(-1)) % 256);
+    if (body.length !== bodyBytes || !isOwnBody) this.wrongBodies.push(item);
     const state = this.#workers.get(worker);
     if (state?.isUp !== true) {
       const props = { notConnected: true };
@@ -309,6 +353,7 @@
         });
       }
       this.clock.schedule(EVENT_GAP_MS, () => {
+        onBodySent?.();
         if (isRunning()) listener.onResponseStart(1, undefined);
       });
       this.clock.schedule(firstEventMs, generate);
--- a/src/node/batches/__tests__/fakeEnginePool.ts
+++ b/src/node/batches/__tests__/fakeEnginePool.ts
@@ -18,6 +18,7 @@
 import type { ItemScorer } from '../itemScorer.ts';
 import { PartialTextCache } from '../partialTextCache.ts';
 import { PoolDispatcher } from '../poolDispatcher.ts';
+import { unboundedContents } from './unboundedContents.ts';
 import { noSuspicion } from './noSuspicion.ts';
 
 export const SLOTS = 8;
@@ -239,6 +240,7 @@
     scorer: {} as ItemScorer,
     newestVersion: (model) => published.get(model) ?? 0,
     partialTexts: new PartialTextCache(),
+    ...unboundedContents(clock, common.platform),
     batchView: () => ({ ageMs: 0, platformLost: false }),
     onSuperseded: () => {},
   });
--- a/src/node/batches/__tests__/itemRun.test.ts
+++ b/src/node/batches/__tests__/itemRun.test.ts
@@ -28,6 +28,7 @@
     },
   };
   const run = new ItemRun({
+    acquireBody: () => Promise.reject(new Error('the item has no large body')),
     ...{ clock: systemClock, observedTime: { nowMs: 0 }, calls, state },
     worker: { id: 'w' } as RegisteredWorker,
     onVersion: () => {},
--- a/src/node/batches/__tests__/poolDispatcher.test.ts
+++ b/src/node/batches/__tests__/poolDispatcher.test.ts
@@ -25,6 +25,7 @@
 import type { GenerationEnd, GenerationListener } from '../generationCalls.ts';
 import type { ItemScorer } from '../itemScorer.ts';
 import { PoolDispatcher } from '../poolDispatcher.ts';
+import { unboundedContents } from './unboundedContents.ts';
 import { ResultLog } from '../resultLog.ts';
 
 const WORKER: RegisteredWorker = {
@@ -110,6 +111,7 @@
     scorer: {} as ItemScorer,
     newestVersion: () => 1,
     partialTexts: new PartialTextCache(),
+    ...unboundedContents(clock, platform),
     batchView: () => view,
     onSuperseded: () => {},
   });
--- a/src/node/batches/batchAcceptor.ts
+++ b/src/node/batches/batchAcceptor.ts
@@ -6,6 +6,7 @@
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
+import { forEachLimited } from '../../shared/forEachLimited.ts';
 import { newId, type Random } from '../../shared/random.ts';
 import { mayAccessBatch } from '../decisions/accounts/batchOwnership.ts';
 import { priorityOf } from '../decisions/accounts/mostUrgentPriority.ts';
@@ -23,7 +24,14 @@
   itemsKey,
   splitItems,
 } from './batchObjects.ts';
-import { RECORD_WRITE_LIMIT_MS, MAX_KEPT_SUBMISSIONS, ITEMS_WRITE_LIMIT_MS } from './constants.ts';
+import {
+  ITEMS_WRITE_LIMIT_MS,
+  MAX_KEPT_SUBMISSION_BYTES,
+  MAX_PART_WRITES,
+  RECORD_WRITE_LIMIT_MS,
+} from './constants.ts';
+import type { PartCache } from './contents/partCache.ts';
+import { dropPart, freeBodies, partBytes, toStoredPart } from './contents/storedPart.ts';
 
 /** A batch as submitted by a trainer. */
 export interface BatchSubmission {
@@ -60,6 +68,10 @@
   readonly tables: Pick<TablesFollower, 'accounts'>;
   /** Maximum size of a stored object's value, in bytes. */
   readonly maxValueBytes: number;
+  /** Receives the parts of accepted batches. */
+  readonly parts: Pick<PartCache, 'put' | 'discard'>;
+  /** Whether this node dispatches a pool. */
+  readonly dispatches: (pool: string) => boolean;
 }
 
 /** Why a submission is invalid, undefined when it is not. Does not depend on the bodies of the items. */
@@ -100,9 +112,6 @@
   /** Submissions in progress by batch id. A repeated submission at this node shares the result of the first. */
   readonly #inProgress = new Map<string, RunningSubmission>();
 
-  /** Items of batches accepted here, so that a dispatcher on this node need not read them from the platform. */
-  readonly #items = new Map<string, readonly BatchItem[]>();
-
   constructor(options: BatchAcceptorOptions) {
     this.#options = options;
   }
@@ -119,23 +128,13 @@
     return result;
   }
 
-  /** Cached items of a batch that this node accepted recently. */
-  itemsOf(batchId: string): readonly BatchItem[] | undefined {
-    return this.#items.get(batchId);
-  }
-
   async #accept(submission: BatchSubmission, route: GatewayRoute): Promise<AcceptResult> {
     const { clock, maxValueBytes, logger } = this.#options;
     const started = new Stopwatch(clock);
     const parts = splitItems(submission.items, maxValueBytes);
-    const written = await Promise.all(
-      parts.map((items, part) =>
-        this.#create(itemsKey(submission, part), encodeItems(items), started, ITEMS_WRITE_LIMIT_MS),
-      ),
-    );
-    // Items without a record form no batch, so an item write with an unknown outcome is reported as a refusal, too.
-    const failed = written.find(({ status }) => status !== 'written' && status !== 'conflict');
+    const { failed, isOwn } = await this.#writeParts(submission, parts, started);
     let result: AcceptResult;
+    // Items without a record form no batch, so an item write with an unknown outcome is reported as a refusal, too.
     if (failed !== undefined) {
       result = {
         kind: 'refused',
@@ -143,6 +142,8 @@
       };
     } else {
       const record = this.#recordOf(submission, route, parts.length);
+      // The dispatcher may see the record before the response to its write arrives.
+      if (isOwn) this.#keepParts(record, parts);
       const stored = await this.#create(
         batchKey(submission.id),
         encodeBatch(record),
@@ -151,8 +152,10 @@
       );
       result =
         stored.status === 'conflict' ? await this.#checkOwner(submission) : toAcceptResult(stored);
+      const isStored = stored.status === 'written' || stored.status === 'unknown';
+      if (!isStored) this.#options.parts.discard(record);
+      if (result.kind === 'accepted' && !isOwn) freeBodies(submission.items);
     }
-    if (result.kind === 'accepted') this.#cacheItems(submission);
     logger.info('batch-submitted', {
       batch: submission.id,
       route: route.name,
@@ -167,6 +170,28 @@
     return result;
   }
 
+  /**
+   * Writes the parts until one is not written.
+   *
+   * @returns the outcome of the one that is not written, and whether all stored parts are those of this submission
+   */
+  async #writeParts(
+    submission: BatchSubmission,
+    parts: readonly (readonly BatchItem[])[],
+    started: Stopwatch,
+  ): Promise<{ readonly failed: WriteResult | undefined; readonly isOwn: boolean }> {
+    let failed: WriteResult | undefined;
+    let isOwn = true;
+    await forEachLimited([...parts.entries()], MAX_PART_WRITES, async ([part, items]) => {
+      if (failed !== undefined) return;
+      const key = itemsKey(submission, part);
+      const written = await this.#create(key, encodeItems(items), started, ITEMS_WRITE_LIMIT_MS);
+      if (written.status === 'conflict') isOwn = false;
+      else if (written.status !== 'written') failed = written;
+    });
+    return { failed, isOwn };
+  }
+
   /** An earlier submission has already stored a batch with this id. Tells whether it is of the same account. */
   async #checkOwner({ id, account }: BatchSubmission): Promise<AcceptResult> {
     const { platform, tables } = this.#options;
@@ -220,9 +245,15 @@
     });
   }
 
-  #cacheItems({ id, items }: BatchSubmission): void {
-    this.#items.set(id, items);
-    const [oldest] = this.#items.keys();
-    if (this.#items.size > MAX_KEPT_SUBMISSIONS && oldest !== undefined) this.#items.delete(oldest);
+  /** Keeps the parts for a dispatcher on this node, which then need not read them. */
+  #keepParts(record: BatchRecord, items: readonly (readonly BatchItem[])[]): void {
+    const { parts, dispatches } = this.#options;
+    const stored = items.map(toStoredPart);
+    const sizeBytes = stored.reduce((sum, part) => sum + partBytes(part), 0);
+    const isKept = sizeBytes <= MAX_KEPT_SUBMISSION_BYTES || dispatches(record.pool);
+    for (const [index, part] of stored.entries()) {
+      if (isKept) parts.put(record, index, part);
+      else dropPart(part);
+    }
   }
 }
--- a/src/node/batches/batchCoordinator.ts
+++ b/src/node/batches/batchCoordinator.ts
@@ -20,10 +20,12 @@
 import type { PlatformHealth } from '../platform/platformHealth.ts';
 import type { OrderCalls } from '../weights/orderCalls.ts';
 import { WeightLoads } from '../weights/weightLoads.ts';
-import type { BatchAcceptor } from './batchAcceptor.ts';
 import { BatchMover } from './moves/batchMover.ts';
 import { BatchRetention } from './retention/batchRetention.ts';
 import { BatchLoader } from './batchLoader.ts';
+import type { ContentMemory } from './contents/contentMemory.ts';
+import { ItemBodies } from './contents/itemBodies.ts';
+import type { PartCache } from './contents/partCache.ts';
 import { BATCHES_PREFIX, tryDecodeBatch } from './batchObjects.ts';
 import {
   BATCHES_LONG_POLL_MS,
@@ -67,7 +69,9 @@
   readonly generations: GenerationCalls;
   readonly orders: OrderCalls;
   readonly scorer: ItemScorer;
-  readonly acceptor: BatchAcceptor;
+  /** Bounds what batches make this node hold. */
+  readonly memory: ContentMemory;
+  readonly parts: PartCache;
   readonly maxLoading?: number;
   /** Follows published weights until disposed. */
   readonly followWeights: (onChange: () => void) => PublishedWeights & Disposable;
@@ -120,8 +124,11 @@
   /** Follows the batch records while this node is elected. */
   #batchFollower: ObjectFollower | undefined;
 
+  readonly #countedTexts: Disposable;
+
   constructor(options: BatchCoordinatorOptions) {
     this.#options = options;
+    this.#countedTexts = options.memory.add(this.#partialTexts);
     this.election = new DispatcherElection({
       ...options,
       onElected: (term, former) => this.#startDispatching(term, former),
@@ -149,6 +156,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.election[Symbol.dispose]();
+    this.#countedTexts[Symbol.dispose]();
     await this.#stopDispatching();
   }
 
@@ -174,9 +182,10 @@
       onLoad: (outcome) => metrics.weightLoads.inc({ pool, outcome }),
     });
     const published = resources.add(followWeights(() => this.#dispatcher?.schedule()));
+    const bodies = resources.add(new ItemBodies(this.#options));
     const dispatcher = new PoolDispatcher({
       ...this.#options,
-      term,
+      ...{ term, bodies },
       weights,
       writer: view.self.incarnation,
       engine: () => this.#options.tables()?.pools.get(pool)?.engine,
@@ -194,7 +203,7 @@
     this.#dispatcher = dispatcher;
     const loader = new BatchLoader({
       ...this.#options,
-      dispatcher,
+      ...{ dispatcher, bodies },
       onLogTaken: () => this.election.recheck(),
     });
     this.#loader = loader;
--- a/src/node/batches/batchLoader.ts
+++ b/src/node/batches/batchLoader.ts
@@ -1,10 +1,12 @@
-import type { BatchRecord, ItemProgress } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import type { BatchItem, BatchRecord, ItemProgress } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import type { Logger } from '../observability/logger.ts';
-import type { PlatformClient } from '../platform/platformClient.ts';
-import type { BatchAcceptor } from './batchAcceptor.ts';
+import type { CallPriority } from '../platform/platformClient.ts';
 import { BATCH_LOAD_RETRY_MS } from './constants.ts';
+import type { ItemBodies } from './contents/itemBodies.ts';
+import type { PartCache } from './contents/partCache.ts';
+import { dropPart } from './contents/storedPart.ts';
 import { StoredParts } from './contents/storedParts.ts';
 import type { PoolDispatcher } from './poolDispatcher.ts';
 import { LogTakenError } from './resultLog.ts';
@@ -13,8 +15,8 @@
 export interface BatchLoaderOptions {
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly platform: PlatformClient;
-  readonly acceptor: Pick<BatchAcceptor, 'itemsOf'>;
+  readonly parts: Pick<PartCache, 'take'>;
+  readonly bodies: Pick<ItemBodies, 'add' | 'dropBatch'>;
   readonly dispatcher: Pick<PoolDispatcher, 'add' | 'closed' | 'has'>;
   /** Called when a dispatcher of a later term owns the result log of a batch. */
   readonly onLogTaken: () => void;
@@ -63,18 +65,20 @@
     progress: readonly ItemProgress[] | undefined,
   ): Promise<void> {
     if (this.#loads.has(record.id)) return;
-    const { clock, logger, acceptor, dispatcher, onLogTaken } = this.#options;
+    const { clock, logger, bodies, dispatcher, onLogTaken } = this.#options;
     const load: Load = {
       moves: record.moves,
       ...{ abort: new AbortController(), started: new Stopwatch(clock) },
     };
     this.#loads.set(record.id, load);
     const { signal } = load.abort;
-    const parts = new StoredParts(this.#options.platform, record);
     const priority = { kind: 'bulk', order: batchRankOf(record), signal } as const;
+    const parts = new StoredParts(record.partCount, (part) =>
+      this.#readPart(record, part, priority),
+    );
     while (!signal.aborted && !dispatcher.closed && !dispatcher.has(record.id)) {
       try {
-        const items = acceptor.itemsOf(record.id) ?? (await parts.read(priority));
+        const items = await parts.read();
         if (signal.aborted) break;
         await dispatcher.add(record, items, { takeOver, progress, signal, priority });
       } catch (error) {
@@ -90,9 +94,22 @@
         await sleep(clock, BATCH_LOAD_RETRY_MS, signal);
       }
     }
+    if (!dispatcher.has(record.id)) bodies.dropBatch(record.id);
     if (this.#loads.get(record.id) === load) this.#loads.delete(record.id);
   }
 
+  async #readPart(
+    record: BatchRecord,
+    part: number,
+    priority: CallPriority & { readonly signal: AbortSignal },
+  ): Promise<readonly BatchItem[]> {
+    const { parts, bodies } = this.#options;
+    const stored = await parts.take(record, part, priority);
+    if (priority.signal.aborted) dropPart(stored);
+    else bodies.add(record, part, stored);
+    return stored.items;
+  }
+
   /** Stops loading a batch, so that it is not added from a record that is out of date. */
   cancel(batchId: string, reason: LoadCancelReason): void {
     const load = this.#loads.get(batchId);
--- a/src/node/batches/batchObjects.ts
+++ b/src/node/batches/batchObjects.ts
@@ -3,7 +3,6 @@
 import {
   type BatchItem,
   BatchItemSchema,
-  BatchItemsSchema,
   type BatchLogEntry,
   BatchLogEntrySchema,
   type BatchRecord,
@@ -15,9 +14,12 @@
   type ItemResult,
   ItemResultSchema,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { base64Length, decodeBase64, writeBase64 } from '../../shared/base64.ts';
 import { messageOf } from '../../shared/errors.ts';
+import type { LongStrings } from '../../shared/longStrings.ts';
 import type { DispatcherRank } from '../decisions/batchMoves/dispatcherRank.ts';
 import type { Logger } from '../observability/logger.ts';
+import { JsonText } from '../platform/jsonText.ts';
 import type { PlatformObject } from '../platform/platformClient.ts';
 
 /** Key prefixes (object kinds) under which batches are stored at the platform. */
@@ -25,6 +27,9 @@
 export const ITEMS_PREFIX = 'batch-items/';
 export const DISPATCHERS_PREFIX = 'dispatchers/';
 
+/** The value of an object, and the strings that were left out of it. */
+type StoredValue = Pick<PlatformObject, 'value' | 'strings'>;
+
 const READ_OPTIONS = { ignoreUnknownFields: true };
 
 /** Restricts batch ids to characters that are valid in object names. */
@@ -90,12 +95,17 @@
 
 const NO_BYTES = new Uint8Array();
 
-const encodeBytes = (bytes: Uint8Array): { readonly body?: string } =>
-  bytes.length === 0
-    ? {}
-    : { body: Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString('base64') };
+/** A part of a JSON text: text, or bytes that are written as base64. */
+type TextPart = string | Uint8Array;
+
+/** The JSON of an object with a field `body` beside the others. */
+const withBody = (json: JsonObject, body: Uint8Array): TextPart[] => {
+  const text = JSON.stringify(json);
+  if (body.length === 0) return [text];
+  return [`${text.slice(0, -1)}${text === '{}' ? '' : ','}"body":"`, body, '"}'];
+};
 
-const encodeItem = (item: BatchItem): JsonObject => {
+const encodeItem = (item: BatchItem): TextPart[] => {
   const { body, scoring } = item;
   // protobuf-es builds base64 character by character, which takes about 50 bytes of heap for each.
   const json = toJson(BatchItemSchema, {
@@ -103,15 +113,67 @@
     body: NO_BYTES,
     scoring: scoring && { ...scoring, body: NO_BYTES },
   }) as JsonObject;
-  if (scoring === undefined) return { ...json, ...encodeBytes(body) };
-  const scoringJson = { ...(json.scoring as JsonObject), ...encodeBytes(scoring.body) };
-  return { ...json, ...encodeBytes(body), scoring: scoringJson };
+  if (scoring === undefined) return withBody(json, body);
+  const { scoring: scoringJson, ...others } = json;
+  const [first = '', ...rest] = withBody(others, body);
+  const scoringText = withBody(scoringJson as JsonObject, scoring.body);
+  const separator = first === '{}' ? '' : ',';
+  return ['{"scoring":', ...scoringText, `${separator}${String(first).slice(1)}`, ...rest];
 };
 
-export const encodeItems = (items: BatchItem[]): JsonValue =>
-  items.length === 0 ? {} : { items: items.map(encodeItem) };
-export const decodeItems = (value: unknown): BatchItem[] =>
-  fromJson(BatchItemsSchema, value as JsonValue, READ_OPTIONS).items;
+/** Encodes items in the JSON form of `BatchItems`. */
+export const encodeItems = (items: readonly BatchItem[]): JsonText => {
+  if (items.length === 0) return new JsonText(Buffer.from('{}'));
+  const parts: TextPart[] = items.flatMap((item, index) => [
+    index === 0 ? '{"items":[' : ',',
+    ...encodeItem(item),
+  ]);
+  parts.push(']}');
+  const sizeBytes = parts.reduce(
+    (sum, part) =>
+      sum + (typeof part === 'string' ? Buffer.byteLength(part) : base64Length(part.length)),
+    0,
+  );
+  const bytes = Buffer.allocUnsafeSlow(sizeBytes);
+  let offset = 0;
+  for (const part of parts) {
+    offset +=
+      typeof part === 'string' ? bytes.write(part, offset) : writeBase64(part, bytes, offset);
+  }
+  return new JsonText(bytes);
+};
+
+/** Field of stored items whose values may be long. */
+export const BODY_FIELD = 'body';
+
+/** A JSON object without its body, and the bytes of the body. */
+const takeBody = (
+  { body = '', ...others }: JsonObject,
+  strings: LongStrings | undefined,
+): { readonly others: JsonObject; readonly body: Uint8Array } => {
+  if (typeof body !== 'string') throw new TypeError('the body of a stored item is no string');
+  return { others, body: strings?.decodeBase64(body) ?? decodeBase64(Buffer.from(body)) };
+};
+
+const decodeItem = (json: JsonObject, strings: LongStrings | undefined): BatchItem => {
+  const { others, body } = takeBody(json, strings);
+  const { scoring } = others;
+  if (scoring === undefined) {
+    return Object.assign(fromJson(BatchItemSchema, others, READ_OPTIONS), { body });
+  }
+  const scoringCall = takeBody(scoring as JsonObject, strings);
+  const item = fromJson(BatchItemSchema, { ...others, scoring: scoringCall.others }, READ_OPTIONS);
+  Object.assign(item.scoring ?? {}, { body: scoringCall.body });
+  return Object.assign(item, { body });
+};
+
+/** Decodes the items of a part. Returns the memory of the strings that were left out of its value. */
+export const decodeItems = ({ value, strings }: StoredValue): BatchItem[] => {
+  const { items = [] } = value as { readonly items?: readonly JsonObject[] };
+  const decoded = items.map((item) => decodeItem(item, strings));
+  strings?.release();
+  return decoded;
+};
 
 export const encodeLogEntry = (entry: BatchLogEntry): JsonValue =>
   toJson(BatchLogEntrySchema, entry);
--- a/src/node/batches/batchReader.ts
+++ b/src/node/batches/batchReader.ts
@@ -1,5 +1,4 @@
 import {
-  type BatchItem,
   type BatchRecord,
   type DispatcherRecord,
   type ItemResult,
@@ -7,18 +6,17 @@
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
+import { forEachLimited } from '../../shared/forEachLimited.ts';
 import { type BatchCaller, mayAccessBatch } from '../decisions/accounts/batchOwnership.ts';
 import type { BatchClient, PeerAddress } from '../membership/peerClients.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { PlatformClient } from '../platform/platformClient.ts';
 import type { BatchCoordinator } from './batchCoordinator.ts';
 import { batchKey, decodeBatch, isBatchId } from './batchObjects.ts';
-import {
-  DISPATCHER_READ_RETRY_MS,
-  MAX_CACHED_ITEM_BATCHES,
-  PEER_READ_MARGIN_MS,
-} from './constants.ts';
-import { StoredParts } from './contents/storedParts.ts';
+import { DISPATCHER_READ_RETRY_MS, MAX_PART_READS, PEER_READ_MARGIN_MS } from './constants.ts';
+import { ItemIndex } from './contents/itemIndex.ts';
+import type { PartCache } from './contents/partCache.ts';
+import { type HeldBytes, holdInline } from './contents/sharedBytes.ts';
 import { limitReadSize, readLog } from './resultLog.ts';
 
 /** A batch that was removed because its trainer had not read it for long. */
@@ -36,7 +34,8 @@
 /** Body of an item of a batch that has not ended. */
 export type ItemRead =
   | AbandonedBatch
-  | { readonly kind: 'found'; readonly body: Uint8Array }
+  /** The body must be disposed of when it has been sent. */
+  | { readonly kind: 'found'; readonly body: HeldBytes }
   | { readonly kind: 'no-such-item'; readonly reason?: 'other-account' }
   | { readonly kind: 'unavailable' };
 
@@ -48,6 +47,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly platform: PlatformClient;
+  readonly parts: Pick<PartCache, 'read'>;
   /** Coordinators of all pools that may contain the batch. */
   readonly coordinators: () => readonly BatchCoordinator[];
   /** Incarnation of this node. */
@@ -62,8 +62,7 @@
 export class BatchReader {
   readonly #options: BatchReaderOptions;
 
-  /** Cache of items read from the platform, by batch id, in insertion order. */
-  readonly #itemCache = new Map<string, StoredParts>();
+  readonly #index = new ItemIndex();
 
   constructor(options: BatchReaderOptions) {
     this.#options = options;
@@ -104,8 +103,8 @@
     for (const { dispatcher } of this.#options.coordinators()) {
       const owner = dispatcher?.ownerOf(batchId);
       if (owner !== undefined && !mayAccessBatch(owner, caller)) return ITEM_OF_OTHER_ACCOUNT;
-      const item = dispatcher?.findItem(batchId, itemId);
-      if (item !== undefined) return { kind: 'found', body: item.body };
+      const body = await dispatcher?.holdBody(batchId, itemId);
+      if (body !== undefined) return { kind: 'found', body };
     }
     try {
       const record = await this.#readRecord(batchId);
@@ -113,9 +112,8 @@
       if (!mayAccessBatch(record.account, caller)) return ITEM_OF_OTHER_ACCOUNT;
       if (record.abandonedAtMs > 0n) return { kind: 'abandoned' };
       if (record.endedAtMs > 0n) return { kind: 'no-such-item' };
-      const items = await this.#itemsOf(record);
-      const item = items.find(({ id }) => id === itemId);
-      return item === undefined ? { kind: 'no-such-item' } : { kind: 'found', body: item.body };
+      const body = await this.#findBody(record, itemId);
+      return body === undefined ? { kind: 'no-such-item' } : { kind: 'found', body };
     } catch (error) {
       this.#logFailure('item-read-failed', batchId, error);
       return { kind: 'unavailable' };
@@ -223,15 +221,27 @@
     return object && decodeBatch(object.value);
   }
 
-  #itemsOf(record: BatchRecord): Promise<BatchItem[]> {
-    const parts = this.#itemCache.get(record.id) ?? new StoredParts(this.#options.platform, record);
-    this.#itemCache.set(record.id, parts);
-    const [oldest] = this.#itemCache.keys();
-    if (this.#itemCache.size > MAX_CACHED_ITEM_BATCHES && oldest !== undefined) {
-      this.#itemCache.delete(oldest);
-    }
-    // Reads of a dispatcher that takes over go first.
-    return parts.read({ kind: 'bulk', order: Infinity });
+  /** Reads the parts that may contain an item until one does. @throws PlatformError */
+  async #findBody(record: BatchRecord, itemId: string): Promise<HeldBytes | undefined> {
+    const { parts } = this.#options;
+    const indexes = this.#index.partsOf(record.id, itemId, record.partCount);
+    let found: HeldBytes | undefined;
+    let failure: Error | undefined;
+    await forEachLimited(indexes, MAX_PART_READS, async (part) => {
+      if (found !== undefined) return;
+      try {
+        // Reads of a dispatcher that takes over go first.
+        const stored = await parts.read(record, part, { kind: 'bulk', order: Infinity });
+        this.#index.record(record.id, part, stored.items);
+        const item = stored.items.find(({ id }) => id === itemId);
+        if (item === undefined) return;
+        found = stored.bodies.get(itemId)?.holdRequest() ?? holdInline(item.body);
+      } catch (error) {
+        failure = error as Error;
+      }
+    });
+    if (found === undefined && failure !== undefined) throw failure;
+    return found;
   }
 
   #logFailure(event: string, batchId: string, error: unknown): void {
--- a/src/node/batches/batchState.ts
+++ b/src/node/batches/batchState.ts
@@ -4,7 +4,10 @@
   type ItemProgress,
   type ItemResult,
 } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { base64Length } from '../../shared/base64.ts';
 import { storedSizeBytes } from './batchObjects.ts';
+import type { ItemBodies } from './contents/itemBodies.ts';
+import { itemBytes } from './contents/storedPart.ts';
 import { ItemState } from './itemState.ts';
 import type { ResultLog } from './resultLog.ts';
 
@@ -14,17 +17,34 @@
   readonly results: ResultLog['results'];
 }
 
+/** The large bodies of a dispatcher's items, as a batch needs them. */
+export type BatchBodies = Pick<ItemBodies, 'digestOf' | 'sizeBytesOf' | 'drop' | 'dropBatch'>;
+
+const NO_LARGE_BODIES: BatchBodies = {
+  digestOf: () => undefined,
+  sizeBytesOf: () => 0,
+  drop() {},
+  dropBatch() {},
+};
+
 /** State of a batch and its items at the dispatcher. */
 export class BatchState {
   readonly record: BatchRecord;
 
   readonly log: ResultLog;
 
-  readonly items: ReadonlyMap<string, ItemState>;
+  readonly itemCount: number;
 
   /** Stored size of the items, in bytes. */
   readonly storedBytes: number;
 
+  readonly #bodies: BatchBodies;
+
+  #items: ReadonlyMap<string, ItemState>;
+
+  /** Memory of the items without their large bodies, in bytes. */
+  #itemsBytes: number;
+
   /** Number of unfinished items of each group. */
   readonly #unfinishedByGroup = new Map<string, number>();
 
@@ -32,11 +52,28 @@
 
   #ended: boolean;
 
-  constructor(record: BatchRecord, items: readonly BatchItem[], log: ResultLog) {
+  /** @param bodies - the large bodies of the items @default none has any */
+  constructor(
+    record: BatchRecord,
+    items: readonly BatchItem[],
+    log: ResultLog,
+    bodies: BatchBodies = NO_LARGE_BODIES,
+  ) {
     this.record = record;
     this.log = log;
-    this.storedBytes = items.reduce((sum, item) => sum + storedSizeBytes(item), 0);
-    this.items = new Map(items.map((item) => [item.id, new ItemState(this, item, record)]));
+    this.#bodies = bodies;
+    this.itemCount = items.length;
+    this.storedBytes = items.reduce(
+      (sum, item) => sum + storedSizeBytes(item),
+      base64Length(bodies.sizeBytesOf(record.id)),
+    );
+    this.#itemsBytes = items.reduce((sum, item) => sum + itemBytes(item), 0);
+    this.#items = new Map(
+      items.map((item) => [
+        item.id,
+        new ItemState(this, item, record, bodies.digestOf(record.id, item.id)),
+      ]),
+    );
     for (const { group } of items) {
       this.#unfinishedByGroup.set(group, this.unfinishedInGroup(group) + 1);
     }
@@ -44,12 +81,35 @@
     this.markStored(log.results);
   }
 
+  /** The items by id; none once all results are stored or the batch has ended. */
+  get items(): ReadonlyMap<string, ItemState> {
+    return this.#items;
+  }
+
+  /** Memory of the items without their large bodies, in bytes. */
+  get itemsBytes(): number {
+    return this.#itemsBytes;
+  }
+
+  /** Whether what is left of the batch in memory can be read from the platform. */
+  get isStored(): boolean {
+    return this.#ended || (this.complete && this.log.isFlushed);
+  }
+
   get ended(): boolean {
     return this.#ended;
   }
 
   end(): void {
     this.#ended = true;
+    this.dropItems();
+  }
+
+  /** Drops the items, which nothing needs any more. */
+  dropItems(): void {
+    this.#items = new Map();
+    this.#itemsBytes = 0;
+    this.#bodies.dropBatch(this.record.id);
   }
 
   /** Whether every item is finished. */
@@ -90,6 +150,7 @@
   }
 
   #closeItem({ item }: ItemState): boolean {
+    this.#bodies.drop(this.record.id, item.id);
     const open = this.unfinishedInGroup(item.group) - 1;
     this.#unfinishedByGroup.set(item.group, open);
     if (open === 0) this.#finishedGroups += 1;
--- a/src/node/batches/batchSubsystem.ts
+++ b/src/node/batches/batchSubsystem.ts
@@ -36,6 +36,9 @@
 import { BATCHES_PREFIX, tryDecodeBatch } from './batchObjects.ts';
 import { OPEN_BATCHES_BACKOFF } from './constants.ts';
 import type { ElectionView } from '../election/holderElection.ts';
+import { ContentMemory } from './contents/contentMemory.ts';
+import { PartCache } from './contents/partCache.ts';
+import { freeBodies } from './contents/storedPart.ts';
 import { dispatcherLease } from './dispatcherElection.ts';
 import { ItemScorer } from './itemScorer.ts';
 
@@ -57,6 +60,8 @@
   readonly poison: PoisonGuard;
   readonly peerClients: PeerClients;
   readonly maxValueBytes: number;
+  /** Bounds what batches make this node hold. @default unbounded */
+  readonly contentMemory?: ContentMemory;
   readonly maxLoading?: number;
   readonly retentionMs: number;
   readonly unreadRetentionMs: number;
@@ -69,6 +74,10 @@
 export class BatchSubsystem implements AsyncDisposable {
   readonly #options: BatchSubsystemOptions;
 
+  readonly #memory: ContentMemory;
+
+  readonly #parts: PartCache;
+
   readonly #acceptor: BatchAcceptor;
 
   readonly #reader: BatchReader;
@@ -86,13 +95,20 @@
   constructor(options: BatchSubsystemOptions) {
     this.#options = options;
     const { clock, logger, platform, forwarder, tables, view, peerClients } = options;
-    this.#acceptor = new BatchAcceptor(options);
+    this.#memory = options.contentMemory ?? new ContentMemory(() => Infinity);
+    this.#parts = new PartCache(platform, this.#memory);
+    this.#memory.add(this.#parts);
+    this.#acceptor = new BatchAcceptor({
+      ...options,
+      parts: this.#parts,
+      dispatches: (pool) => this.#coordinators.get(pool)?.dispatcher !== undefined,
+    });
     this.#scorer = new ItemScorer({
       ...{ clock, logger, forwarder },
       findRoute: (host, path) => tables.routes.find(host, path),
     });
     this.#reader = new BatchReader({
-      ...{ clock, logger, platform },
+      ...{ clock, logger, platform, parts: this.#parts },
       coordinators: () => this.coordinators(),
       incarnation: view.self.incarnation,
       client: (address) => peerClients.batch(address),
@@ -188,6 +204,7 @@
     // No other node is available, so the batch is submitted from here.
     if (peer === undefined) return this.#accept(submission, route);
     const result = await acceptViaPeer(peerClients.batch(peer), submission);
+    if (result.kind === 'accepted') freeBodies(submission.items);
     logger.info('batch-submitted-via-peer', {
       batch: submission.id,
       peer: peer.name,
@@ -276,7 +293,7 @@
       generations: adapter.generationCalls,
       orders: adapter.orderCalls,
       scorer: this.#scorer,
-      acceptor: this.#acceptor,
+      ...{ memory: this.#memory, parts: this.#parts },
       followWeights: (onChange) => this.#followWeights(onChange),
       release: (former, term) =>
         releaseFormerDispatcher(
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -4,8 +4,11 @@
 /** Time limit for writing the batch record and determining the outcome, in ms from the start of the submission. */
 export const RECORD_WRITE_LIMIT_MS = 1500;
 
-/** Maximum number of submissions whose items a node caches for a dispatcher on the same node. */
-export const MAX_KEPT_SUBMISSIONS = 16;
+/** Largest submission, in bytes, that is kept in memory for a dispatcher that this node may become. */
+export const MAX_KEPT_SUBMISSION_BYTES = 4 * 1024 * 1024;
+
+/** Parts of a submission that are encoded and written at the same time. */
+export const MAX_PART_WRITES = 8;
 
 /**
  * Minimum interval between two entries of a result log, in ms. Does not apply while a trainer waits for the results.
@@ -80,8 +83,8 @@
 /** Interval between reads from the dispatcher while the platform has not responded, in ms. It usually takes under 100 ms. */
 export const DISPATCHER_READ_RETRY_MS = 200;
 
-/** Maximum number of batches whose items a node caches after reading them from the platform. */
-export const MAX_CACHED_ITEM_BATCHES = 8;
+/** Parts that are read at the same time in search of an item. */
+export const MAX_PART_READS = 4;
 
 /** Time limit for determining whether a batch was marked as ended, in ms. Shorter than the trainer's own timeout. */
 export const END_WRITE_LIMIT_MS = 2000;
@@ -92,6 +95,12 @@
 /** Maximum size of the results in one response, in bytes. */
 export const MAX_READ_BYTES = 900_000;
 
+/** Time after a failed read of a body before it is read again, in ms. */
+export const BODY_RETRY_MS = 250;
+
+/** Method of the requests by which items are run. */
+export const ITEM_REQUEST_METHOD = 'POST';
+
 /** Status code by which a worker reports that the item can never be completed. */
 export const ITEM_UNPROCESSABLE_STATUS = 422;
 
--- /dev/null
+++ b/src/node/batches/contents/storedPart.ts
@@ -0,0 +1,90 @@
+import type { BatchItem } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
+import { freeChunk } from '../../../shared/byteCollector.ts';
+import { type HeldBytes, SharedBytes } from './sharedBytes.ts';
+
+/**
+ * Bodies up to this size, in bytes, stay with their items. Larger ones are counted one by one and can be read from the platform
+ * again.
+ */
+export const MAX_INLINE_BODY_BYTES = 16 * 1024;
+
+const NO_BYTES = new Uint8Array();
+
+/** Memory of an item without its body, in bytes: its message, its state and an entry of each map that it is in. */
+const ITEM_BYTES = 1700;
+
+/** The bodies of an item's request and of its scoring call, of which at least one is large. */
+export class ItemBody {
+  readonly sizeBytes: number;
+
+  readonly #request: SharedBytes;
+
+  readonly #scoring: SharedBytes | undefined;
+
+  constructor(request: Uint8Array, scoring: Uint8Array | undefined) {
+    this.#request = new SharedBytes(request);
+    this.#scoring = scoring && new SharedBytes(scoring);
+    this.sizeBytes = request.length + (scoring?.length ?? 0);
+  }
+
+  /** Holds the body of the request. */
+  holdRequest(): HeldBytes {
+    return this.#request.hold();
+  }
+
+  /** Holds the body of the scoring call; empty if there is none. */
+  holdScoring(): HeldBytes {
+    return (this.#scoring ?? new SharedBytes(NO_BYTES)).hold();
+  }
+
+  /** Gives up the bodies, whose memory is returned once nobody holds them. */
+  drop(): void {
+    this.#request.drop();
+    this.#scoring?.drop();
+  }
+}
+
+/** The items of a part, without their large bodies. */
+export interface StoredPart {
+  readonly items: readonly BatchItem[];
+  /** Large bodies by item. */
+  readonly bodies: ReadonlyMap<string, ItemBody>;
+}
+
+/** Memory of an item without its large bodies, in bytes. */
+export const itemBytes = ({ headers, body, scoring }: BatchItem): number =>
+  ITEM_BYTES +
+  headers.reduce((sum, { name, value }) => sum + name.length + value.length, 0) +
+  body.length +
+  (scoring?.body.length ?? 0);
+
+/** Memory of a part, in bytes. */
+export const partBytes = ({ items, bodies }: StoredPart): number =>
+  items.reduce((sum, item) => sum + itemBytes(item), 0) +
+  [...bodies.values()].reduce((sum, { sizeBytes }) => sum + sizeBytes, 0);
+
+/** Takes the large bodies out of items. Bodies that stay with their items are left to the garbage collector. */
+export const toStoredPart = (items: readonly BatchItem[]): StoredPart => {
+  const bodies = new Map<string, ItemBody>();
+  for (const item of items) {
+    const { body, scoring } = item;
+    if (Math.max(body.length, scoring?.body.length ?? 0) <= MAX_INLINE_BODY_BYTES) continue;
+    bodies.set(item.id, new ItemBody(body, scoring?.body));
+    item.body = NO_BYTES;
+    if (scoring !== undefined) scoring.body = NO_BYTES;
+  }
+  return { items, bodies };
+};
+
+/** Returns the memory of the large bodies of a part that nobody needs any more. */
+export const dropPart = ({ bodies }: StoredPart): void => {
+  for (const body of bodies.values()) body.drop();
+};
+
+/** Returns the memory of the bodies of items that nothing uses any more. */
+export const freeBodies = (items: readonly BatchItem[]): void => {
+  for (const { body, scoring } of items) {
+    freeChunk(body);
+    if (scoring !== undefined) freeChunk(scoring.body);
+  }
+};
--- a/src/node/batches/itemResults.ts
+++ b/src/node/batches/itemResults.ts
@@ -1,11 +1,21 @@
 import { create } from '@bufbuild/protobuf';
-import { ItemResultSchema, ItemState as ResultState } from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import {
+  ItemResultSchema,
+  ItemState as ResultState,
+  type ScoringCall,
+} from '../../gen/hyssoppulley/v1/batch_pb.ts';
+import { type Clock, sleep } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
 import type { Logger } from '../observability/logger.ts';
+import { BODY_RETRY_MS } from './constants.ts';
+import type { ItemBodies } from './contents/itemBodies.ts';
 import type { ItemScorer } from './itemScorer.ts';
 import type { ItemState } from './itemState.ts';
 
 export interface ItemResultsOptions {
+  readonly clock: Clock;
   readonly scorer: ItemScorer;
+  readonly bodies: Pick<ItemBodies, 'acquire'>;
   readonly logger: Logger;
   /** Schedules a placement of waiting items. */
   readonly schedule: () => void;
@@ -45,7 +55,7 @@
     const score =
       item.scoring === undefined || signal === undefined
         ? ''
-        : await this.#options.scorer.score(item.scoring, signal);
+        : await this.#score(state, item.scoring, signal);
     if (signal?.aborted || this.#closed) return;
     this.#finish(state, score);
   }
@@ -60,6 +70,29 @@
     for (const abort of this.#scoring.values()) abort.abort();
   }
 
+  /** Returns the score; undefined if the item must be given up, or `signal` is aborted. */
+  async #score(
+    state: ItemState,
+    scoring: ScoringCall,
+    signal: AbortSignal,
+  ): Promise<string | undefined> {
+    const { scorer, bodies, clock, logger } = this.#options;
+    const { batch, item, hasLargeBody } = state;
+    if (!hasLargeBody) return scorer.score(scoring, signal);
+    while (!signal.aborted) {
+      try {
+        using held = await bodies.acquire(batch.record.id, item.id, signal);
+        // A late attempt may still send the body when the score has arrived.
+        const body = new Uint8Array(held.scoring.bytes);
+        return await scorer.score({ ...scoring, body }, signal);
+      } catch (error) {
+        logger.info('scoring-body-unread', { item: item.id, message: messageOf(error) });
+        await sleep(clock, BODY_RETRY_MS, signal);
+      }
+    }
+    return undefined;
+  }
+
   /** @param score - undefined to give up the item */
   #finish(state: ItemState, score: string | undefined): void {
     const { batch, item, text } = state;
--- a/src/node/batches/itemRun.ts
+++ b/src/node/batches/itemRun.ts
@@ -1,17 +1,21 @@
-import { type Clock, Stopwatch } from '../../shared/clock.ts';
+import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { messageOf } from '../../shared/errors.ts';
 import type { EventOutcome } from '../decisions/items/itemText.ts';
 import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
 import type { LogFields } from '../observability/logger.ts';
 import { WorkerCallError } from '../dataPath/workerHttpClient.ts';
+import type { HeldBody } from './contents/itemBodies.ts';
 import type { ItemState } from './itemState.ts';
-import { ITEM_ENGINE_PRIORITY } from './constants.ts';
+import { BODY_RETRY_MS, ITEM_ENGINE_PRIORITY } from './constants.ts';
 import type { GenerationCalls, GenerationEnd } from './generationCalls.ts';
 import type { ObservedTime } from './observedTime.ts';
 
 /** Time from the first event of a run in which further events count as read together with it, in ms. */
 const READ_TOGETHER_MS = 1;
 
+const viewOf = ({ buffer, byteOffset, length }: Uint8Array): Buffer =>
+  Buffer.from(buffer, byteOffset, length);
+
 /** Why the dispatcher stopped a run before its end. */
 export type StopReason =
   | 'stalled'
@@ -26,6 +30,8 @@
 export type RunEnd =
   | GenerationEnd
   | { readonly kind: 'stopped'; readonly reason: StopReason }
+  /** The body of the request could not be read, so that nothing was sent. */
+  | { readonly kind: 'not-sent'; readonly reason: string }
   | { readonly kind: 'broken'; readonly notConnected: boolean; readonly reason: string };
 
 /** Time and number of events from which a run is steady: its worker's speed is measured by the gaps between them. */
@@ -38,6 +44,8 @@
   readonly calls: GenerationCalls;
   readonly state: ItemState;
   readonly worker: RegisteredWorker;
+  /** Holds the large body of the item. */
+  readonly acquireBody: (signal: AbortSignal) => Promise<HeldBody>;
   /** Name of the client account as sent with the item. @default what the trainer set */
   readonly account?: string;
   /** Called when the response starts, with the weight version that generates it. */
@@ -71,6 +79,8 @@
 
   #stopReason: StopReason | undefined;
 
+  #isWaitingForBody = false;
+
   constructor(options: ItemRunOptions) {
     this.#options = options;
     this.state = options.state;
@@ -101,6 +111,7 @@
 
   /** Time since the last progress in which this process ran, in ms. */
   get silentMs(): number {
+    if (this.#isWaitingForBody) return 0;
     return this.#options.observedTime.nowMs - this.#progressObservedMs;
   }
 
@@ -112,6 +123,27 @@
 
   /** Runs the item until the run ends or is stopped. Does not throw. */
   async execute(): Promise<RunEnd> {
+    if (!this.state.hasLargeBody) return this.#generate(undefined);
+    const { clock, acquireBody } = this.#options;
+    const { signal } = this.#abort;
+    this.#isWaitingForBody = true;
+    try {
+      const body = await acquireBody(signal);
+      this.#recordProgress();
+      if (this.#stopReason === undefined) return await this.#generate(body);
+      body[Symbol.dispose]();
+    } catch (error) {
+      await sleep(clock, BODY_RETRY_MS, signal);
+      if (this.#stopReason === undefined) return { kind: 'not-sent', reason: messageOf(error) };
+    } finally {
+      this.#isWaitingForBody = false;
+    }
+    return { kind: 'stopped', reason: this.#stopReason };
+  }
+
+  /** @param held - the body if it is kept apart from the item */
+  async #generate(held: HeldBody | undefined): Promise<RunEnd> {
+    this.#isWaitingForBody = false;
     const { calls, onVersion, account } = this.#options;
     const { item, text, batch } = this.state;
     const resumeAfter = text.events.length > 0 ? text.events.length : undefined;
@@ -124,7 +156,8 @@
           path: item.path,
           host: batch.record.host,
           headers: item.headers.map(({ name, value }) => [name.toLowerCase(), value] as const),
-          body: Buffer.from(item.body),
+          body: held?.request.bytes ?? viewOf(item.body),
+          onBodySent: () => held?.[Symbol.dispose](),
           account,
           resumeAfter,
           priority: ITEM_ENGINE_PRIORITY,
@@ -149,6 +182,8 @@
       );
       return this.#stopReason === undefined ? end : { kind: 'stopped', reason: this.#stopReason };
     } catch (error) {
+      // The connection is closed, or was never opened.
+      held?.[Symbol.dispose]();
       if (this.#stopReason !== undefined) return { kind: 'stopped', reason: this.#stopReason };
       const notConnected = error instanceof WorkerCallError && error.notConnected;
       return { kind: 'broken', notConnected, reason: messageOf(error) };
--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -3,6 +3,7 @@
 import { UncertainEnd } from '../decisions/streams/uncertainEnd.ts';
 import type { DigestedRequest } from '../poison/requestDigest.ts';
 import type { BatchState } from './batchState.ts';
+import { ITEM_REQUEST_METHOD } from './constants.ts';
 
 /** Phase of an item. `finished`: its result is not stored yet; `listed`: its result is stored and readable. */
 export type ItemPhase = 'waiting' | 'running' | 'scoring' | 'finished' | 'listed';
@@ -31,12 +32,19 @@
 
   readonly #uncertainEnd = new UncertainEnd();
 
-  constructor(batch: BatchState, item: BatchItem, rules: VersionRules) {
+  /** @param digest - digest of the item's request if its body is kept apart */
+  constructor(batch: BatchState, item: BatchItem, rules: VersionRules, digest?: string) {
     this.batch = batch;
     this.item = item;
     this.text = new ItemText(rules);
     const { id, path, body } = item;
-    this.#request = { id, method: 'POST', host: batch.record.host, path, body };
+    const { host } = batch.record;
+    this.#request = { ...{ id, method: ITEM_REQUEST_METHOD, host, path, body }, digest };
+  }
+
+  /** Whether the bodies of the item are kept apart because they are large. */
+  get hasLargeBody(): boolean {
+    return this.#request.digest !== undefined;
   }
 
   get phase(): ItemPhase {
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -1,5 +1,6 @@
 import type { BatchItem, BatchRecord, ItemProgress } from '../../gen/hyssoppulley/v1/batch_pb.ts';
 import { sleep } from '../../shared/clock.ts';
+import { messageOf } from '../../shared/errors.ts';
 import { DisposableStore } from '../../shared/disposableStore.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
 import type { OpenBatch } from '../decisions/batchRetention/abandonment.ts';
@@ -10,6 +11,7 @@
 import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
 import { batchDemands, type DispatcherDemand } from './batchDemand.ts';
 import { BatchState, type DispatcherRead } from './batchState.ts';
+import { type HeldBytes, holdInline } from './contents/sharedBytes.ts';
 import {
   BROKEN_STREAM_BACKOFF_MS,
   CHECKPOINT_INTERVAL_MS,
@@ -19,6 +21,7 @@
   REJECTION_BACKOFF_MS,
   RUN_CHECK_INTERVAL_MS,
 } from './constants.ts';
+import { DispatchedBatches } from './dispatchedBatches.ts';
 import { EnginePermits } from './enginePermits.ts';
 import { EngineWorkers } from './engineWorkers.ts';
 import { HeldItems } from './heldItems.ts';
@@ -42,7 +45,7 @@
 export class PoolDispatcher implements Disposable {
   readonly #options: PoolDispatcherOptions;
 
-  readonly #batches = new Map<string, BatchState>();
+  readonly #batches = new DispatchedBatches((batchId) => this.forget(batchId));
 
   /** Runs in progress by item. */
   readonly #runs = new Map<ItemState, ItemRun>();
@@ -80,6 +83,7 @@
     this.#options = options;
     this.#observedTime = new ObservedTime(options.clock, 2 * RUN_CHECK_INTERVAL_MS);
     this.#contacts = new BatchContacts(options.clock);
+    this.#timers.add(options.memory.add(this.#batches));
     this.#results = new ItemResults({ ...options, schedule: () => this.schedule() });
     this.#permits = new EnginePermits(options);
     this.#workers = new EngineWorkers({
@@ -103,7 +107,7 @@
     });
     this.#timers.add(
       repeatEvery(options.clock, HELD_ITEMS_CHECK_INTERVAL_MS, () =>
-        this.#held.report(this.#openBatches(), this.#runs),
+        this.#held.report(this.#batches.open(), this.#runs),
       ),
     );
     this.#timers.add(repeatEvery(options.clock, RUN_CHECK_INTERVAL_MS, () => this.#checkRuns()));
@@ -114,6 +118,11 @@
     return this.#closed;
   }
 
+  /** Number of batches whose items are in memory. */
+  get loadedCount(): number {
+    return this.#batches.loadedCount;
+  }
+
   /** Account to which a batch belongs; undefined for an unknown batch. */
   ownerOf(batchId: string): string | undefined {
     return this.#batches.get(batchId)?.record.account;
@@ -130,7 +139,8 @@
 
   /** The batches that have not ended, as far as their retention depends on them. */
   openBatches(): OpenBatch[] {
-    return [...this.#batches.values()]
+    return this.#batches
+      .all()
       .filter(({ ended }) => !ended)
       .map(({ record: { id, itemTtlMs }, storedBytes, complete }) => ({
         ...{ id, itemTtlMs, complete, bytes: storedBytes, ...this.#contacts.of(id) },
@@ -139,7 +149,7 @@
 
   /** Records of the batches with unfinished items, as they were when the batches were added. */
   openRecords(): BatchRecord[] {
-    return this.#openBatches().map(({ record }) => record);
+    return this.#batches.openRecords();
   }
 
   /** Record of a batch as it was when the batch was added. */
@@ -172,9 +182,9 @@
       ? (await Promise.all([checkpoints.read(priority), log.takeOver(priority)]))[0]
       : [];
     if (signal?.aborted || this.#closed || this.#batches.has(record.id)) return;
-    const batch = new BatchState(record, items, log);
+    const batch = new BatchState(record, items, log, this.#options.bodies);
     this.#checkpointStores.set(record.id, checkpoints);
-    this.#batches.set(record.id, batch);
+    this.#batches.add(batch);
     this.#contacts.add(record.id);
     this.#refresher.recordBatch(batch);
     this.#suspected.recordBatch(batch, !takeOver);
@@ -234,19 +244,28 @@
     this.#contacts.record(batchId);
     const { log } = batch;
     if (log.results.length <= after && !batch.ended && waitMs > 0) await log.changes.wait(waitMs);
-    return { total: batch.items.size, results: limitReadSize(log.results.slice(after)) };
+    if (log.isReleased) return undefined;
+    return { total: batch.itemCount, results: limitReadSize(log.results.slice(after)) };
   }
 
-  /** Finds an item of a batch that has not ended. */
-  findItem(batchId: string, itemId: string): BatchItem | undefined {
-    const batch = this.#batches.get(batchId);
+  /** Holds the body of an unfinished item; undefined if it must be read from the platform. */
+  async holdBody(batchId: string, itemId: string): Promise<HeldBytes | undefined> {
     this.#contacts.record(batchId);
-    return batch === undefined || batch.ended ? undefined : batch.items.get(itemId)?.item;
+    const state = this.#batches.get(batchId)?.items.get(itemId);
+    if (state === undefined || state.closed) return undefined;
+    if (!state.hasLargeBody) return holdInline(state.item.body);
+    try {
+      const body = await this.#options.bodies.acquire(batchId, itemId);
+      return { bytes: body.request.bytes, [Symbol.dispose]: () => body[Symbol.dispose]() };
+    } catch (error) {
+      this.#options.logger.info('item-body-unread', { batch: batchId, message: messageOf(error) });
+      return undefined;
+    }
   }
 
   /** Stops the dispatcher and returns the progress of its items, to be handed over to the next dispatcher. */
   release(): ItemProgress[] {
-    const progress = unstoredProgress(this.#batches.values());
+    const progress = unstoredProgress(this.#batches.all());
     this[Symbol.dispose]();
     return progress;
   }
@@ -263,7 +282,7 @@
     const { tokensPerEvent = 1, slots = 1 } = engine() ?? {};
     return {
       ...{ pool, term, tokensPerEvent, slotsPerWorker: slots },
-      batches: batchDemands(this.#openBatches(), tokensPerEvent, clock.nowMs()),
+      batches: batchDemands(this.#batches.open(), tokensPerEvent, clock.nowMs()),
       eventGapMs: Math.round(this.#workers.measuredGapMs),
     };
   }
@@ -286,12 +305,13 @@
     this.#options.weights.close();
     for (const run of this.#runs.values()) run.stop('released');
     this.#results[Symbol.dispose]();
-    for (const { log } of this.#batches.values()) log.close();
+    for (const { log } of this.#batches.all()) log.close();
   }
 
   #stopBatch(batchId: string, reason: 'batch-ended' | 'batch-moved'): void {
     const batch = this.#batches.get(batchId);
     if (batch === undefined || batch.ended) return;
+    this.#options.partialTexts.store(batch);
     batch.end();
     this.#results.endBatch(batchId);
     let stoppedRuns = 0;
@@ -301,22 +321,16 @@
         stoppedRuns += 1;
       }
     }
-    this.#options.partialTexts.store(batch);
     const { logger, pool } = this.#options;
     const listed = batch.log.results.length;
     logger.info(reason, { batch: batchId, pool, listed, stoppedRuns });
     this.schedule();
   }
 
-  #openBatches(): BatchState[] {
-    return [...this.#batches.values()].filter((batch) => !batch.ended && !batch.complete);
-  }
-
   #waitingItems(): Map<string, ItemState> {
-    const waiting = this.#openBatches().flatMap((batch) =>
-      [...batch.items.values()].filter(({ phase }) => phase === 'waiting'),
-    );
-    const startable = this.#suspected.startable(waiting, [...this.#runs.values()]);
+    const startable = this.#suspected.startable(this.#batches.waitingItems(), [
+      ...this.#runs.values(),
+    ]);
     return new Map(
       startable.map((state) => [`${state.batch.record.id}/${state.item.id}`, state] as const),
     );
@@ -326,20 +340,21 @@
     const workers = this.#workers.usable();
     if (this.#viewGuard.mayStartRuns()) {
       const runs = [...this.#runs.values()];
-      this.#placer.place(this.#openBatches(), this.#waitingItems(), runs, workers);
+      this.#placer.place(this.#batches.open(), this.#waitingItems(), runs, workers);
     }
-    this.#refresher.refresh(workers, this.#openBatches(), [...this.#runs.values()]);
+    this.#refresher.refresh(workers, this.#batches.open(), [...this.#runs.values()]);
   }
 
   #startRun(state: ItemState, worker: RegisteredWorker): void {
     state.start();
     this.#held.recordStart(state);
     this.#permits.use(worker.id);
-    const { clock, calls, weights } = this.#options;
+    const { clock, calls, weights, bodies } = this.#options;
     const { model } = state.batch.record;
     const run = new ItemRun({
       ...{ clock, observedTime: this.#observedTime, calls, state, worker },
       account: accountOfItems(state.batch.record.account, this.#options.hasAccounts?.() ?? false),
+      acquireBody: (signal) => bodies.acquire(state.batch.record.id, state.item.id, signal),
       onVersion: (version) => weights.recordVersion(worker.id, model, version),
       onGap: (gapMs) => this.#workers.recordGap(worker.id, gapMs),
     });
@@ -382,6 +397,8 @@
       if (run.events === 0) this.#pauseWorker(worker, BROKEN_STREAM_BACKOFF_MS);
     } else if (end.kind === 'failed') {
       this.#handleItemFailure(run, end.statusCode);
+    } else if (end.kind === 'not-sent') {
+      state.requeue(undefined);
     } else if (end.kind === 'not-run') {
       if (!end.misdirected) state.requeue(undefined);
       this.#options.weights.recordRejection(worker.id);
@@ -398,7 +415,10 @@
   }
 
   #updateSuspicion(run: ItemRun, end: RunEnd): void {
-    const isNotBegun = end.kind === 'not-run' || (end.kind === 'broken' && end.notConnected);
+    const isNotBegun =
+      end.kind === 'not-run' ||
+      end.kind === 'not-sent' ||
+      (end.kind === 'broken' && end.notConnected);
     if (isNotBegun) this.#suspected.recordNotBegun(run);
     else if (end.kind === 'complete' || end.kind === 'failed') this.#suspected.recordAnswer(run);
     else if (end.kind === 'stopped' && end.reason === 'stalled') this.#suspected.recordStall(run);
@@ -446,7 +466,9 @@
   }
 
   #checkpoint(): void {
-    for (const batch of this.#openBatches()) {
+    this.#batches.dropStoredItems();
+    this.#options.memory.trim();
+    for (const batch of this.#batches.open()) {
       const open = [...batch.items.values()].filter(({ closed }) => !closed);
       void this.#checkpointStores.get(batch.record.id)?.write(open);
     }
--- a/src/node/batches/poolDispatcherOptions.ts
+++ b/src/node/batches/poolDispatcherOptions.ts
@@ -9,6 +9,8 @@
 import type { Metrics } from '../observability/metrics.ts';
 import type { CallPriority, PlatformClient } from '../platform/platformClient.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
+import type { ContentMemory } from './contents/contentMemory.ts';
+import type { ItemBodies } from './contents/itemBodies.ts';
 import type { GenerationCalls } from './generationCalls.ts';
 import type { ItemScorer } from './itemScorer.ts';
 import type { PartialTextCache } from './partialTextCache.ts';
@@ -42,6 +44,9 @@
   /** Maximum number of workers that load weights at the same time. @default `loadLimitOf` the pool */
   readonly maxLoading?: number;
   readonly partialTexts: PartialTextCache;
+  readonly memory: ContentMemory;
+  /** The large bodies of the items. Those of a batch are added before the batch. */
+  readonly bodies: ItemBodies;
   readonly batchView: StaleViewGuardOptions['batchView'];
   /** Called when another node has taken over the pool. */
   readonly onSuperseded: () => void;
--- a/src/node/batches/resultLog.ts
+++ b/src/node/batches/resultLog.ts
@@ -40,12 +40,16 @@
     .map(({ value }) => decodeLogEntry(value));
 };
 
+/** Upper estimate of the memory of a result, in bytes, and of its size in a response. */
+const resultBytes = ({ events }: ItemResult): number =>
+  events.reduce((sum, data) => sum + data.length + 4, 256);
+
 /** Returns the leading results that fit into one response, and at least one if there are any. */
 export const limitReadSize = (results: readonly ItemResult[]): ItemResult[] => {
   const fitting: ItemResult[] = [];
   let sizeBytes = 0;
   for (const result of results) {
-    sizeBytes += result.events.reduce((sum, data) => sum + data.length + 4, 256);
+    sizeBytes += resultBytes(result);
     if (fitting.length > 0 && sizeBytes > MAX_READ_BYTES) break;
     fitting.push(result);
   }
@@ -78,7 +82,13 @@
 export class ResultLog {
   readonly #options: ResultLogOptions;
 
-  readonly #results: ItemResult[] = [];
+  #results: ItemResult[] = [];
+
+  /** Memory of the results, in bytes. */
+  #resultsBytes = 0;
+
+  /** Whether the results are only at the platform. */
+  #isReleased = false;
 
   /** Results that no stored entry contains yet. */
   #pending: ItemResult[] = [];
@@ -110,6 +120,28 @@
     return this.#closed;
   }
 
+  /** Memory of the stored results, in bytes. */
+  get resultsBytes(): number {
+    return this.#resultsBytes;
+  }
+
+  /** Whether all results are stored. */
+  get isFlushed(): boolean {
+    return this.#pending.length === 0 && !this.#writing;
+  }
+
+  /** Whether the results were released, so that they must be read from the platform. */
+  get isReleased(): boolean {
+    return this.#isReleased;
+  }
+
+  /** Gives up the memory of the stored results of a batch to which no further ones come. */
+  release(): void {
+    this.#results = [];
+    this.#resultsBytes = 0;
+    this.#isReleased = true;
+  }
+
   /**
    * Takes over the log: reads the stored entries and appends an empty entry that fences off the former dispatcher.
    *
@@ -132,7 +164,7 @@
         (await this.#write(entries.length, this.#createEntry([], entries))) === 'stored'
       ) {
         this.#entryCount = entries.length + (isOwnEntry ? 0 : 1);
-        for (const { results } of entries) this.#results.push(...results);
+        for (const { results } of entries) this.#list(results);
         return;
       }
     }
@@ -192,7 +224,7 @@
       const outcome = await this.#write(this.#entryCount, this.#createEntry(results, undefined));
       if (outcome === 'stored') {
         this.#entryCount += 1;
-        this.#results.push(...results);
+        this.#list(results);
         break;
       }
       if (outcome === 'unknown') await sleep(clock, LOG_WRITE_INTERVAL_MS);
@@ -225,13 +257,18 @@
     }
     logger.warn('batch-log-entry-adopted', { ...fields, results: entry.results.length });
     this.#entryCount += 1;
-    this.#results.push(...entry.results);
+    this.#list(entry.results);
     onAdopted(entry.results);
     const adopted = new Set(entry.results.map(({ itemId }) => itemId));
     this.#pending = this.#pending.filter(({ itemId }) => !adopted.has(itemId));
     return results.filter(({ itemId }) => !adopted.has(itemId));
   }
 
+  #list(results: readonly ItemResult[]): void {
+    this.#results.push(...results);
+    this.#resultsBytes += results.reduce((sum, result) => sum + resultBytes(result), 0);
+  }
+
   #createEntry(
     results: ItemResult[],
     earlier: readonly BatchLogEntry[] | undefined,
--- a/src/node/dataPath/readBody.ts
+++ b/src/node/dataPath/readBody.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { ByteCollector, freeChunk } from './byteCollector.ts';
+import { ByteCollector, freeChunk } from '../../shared/byteCollector.ts';
 import { requestError, type RequestFailure } from './problem.ts';
 
 /** Memory for a body that is being received. */
--- a/src/node/dataPath/workerHttpClient.ts
+++ b/src/node/dataPath/workerHttpClient.ts
@@ -11,7 +11,7 @@
   MAX_SHORT_RESPONSE_BYTES,
   SHORT_CALL_TIMEOUT_MS,
 } from './constants.ts';
-import { ByteCollector, freeChunk } from './byteCollector.ts';
+import { ByteCollector, freeChunk } from '../../shared/byteCollector.ts';
 import type { ResponseMemory } from './responseMemory.ts';
 import { parseWorkerAddress } from './workerAddress.ts';
 
@@ -30,6 +30,8 @@
   readonly headers?: OutgoingHttpHeaders;
   /** A stream is piped with backpressure; an error of the stream fails the request. */
   readonly body?: Buffer | string | Readable;
+  /** Called once the body was sent or its connection is closed; maybe twice. */
+  readonly onBodySent?: (() => void) | undefined;
   /**
    * Opens a new connection instead of using a kept-alive one.
    *
@@ -102,7 +104,7 @@
    */
   send(
     worker: Pick<WorkerEndpoint, 'address'>,
-    { method, path, headers, body, newConnection = false }: WorkerRequest,
+    { method, path, headers, body, onBodySent, newConnection = false }: WorkerRequest,
     signal: AbortSignal,
   ): Promise<http.IncomingMessage> {
     return new Promise((resolve, reject) => {
@@ -116,6 +118,11 @@
         signal,
         agent: newConnection ? false : this.#agent,
       });
+      if (onBodySent !== undefined) {
+        // A worker may respond before it has read the body, which is then sent on.
+        request.once('finish', onBodySent);
+        request.once('close', onBodySent);
+      }
       const receive = (response: http.IncomingMessage) => {
         workerResponse = response;
         // A reader of the response receives the error. Without a reader, an unhandled one would end the process.
--- a/src/node/decisions/requestMemory/__tests__/decodeBudget.test.ts
+++ b/src/node/decisions/requestMemory/__tests__/decodeBudget.test.ts
@@ -6,9 +6,9 @@
 
 // Guards against a short text of many empty values, which costs many times its bytes.
 test('values count as well as bytes', () => {
-  const empty = Buffer.from(`[${'[],'.repeat(MEBIBYTE)}[]]`);
+  const empty = `[${'[],'.repeat(MEBIBYTE)}[]]`;
   expect(decodeCost(empty, 0) > 100 * MEBIBYTE).toEqual(true);
-  const text = Buffer.from(`["${'x'.repeat(3 * MEBIBYTE)}"]`);
+  const text = `["${'x'.repeat(3 * MEBIBYTE)}"]`;
   expect(decodeCost(text, 0) < 10 * MEBIBYTE).toEqual(true);
 });
 
--- a/src/node/decisions/requestMemory/decodeBudget.ts
+++ b/src/node/decisions/requestMemory/decodeBudget.ts
@@ -4,25 +4,36 @@
 /** The text of a submission exists three times for a while: as text, as parsed strings and as decoded bytes. */
 const TEXT_COPIES = 3;
 
-/** Long strings are decoded from the bytes of the body and encoded again to be stored. */
-const LONG_COPIES = 2;
+/** Bytes that a character of a long string, which is base64, becomes when it is decoded. */
+const DECODED_SHARE = 3 / 4;
+
+/** Most memory of the parts of a submission that are encoded and written at the same time, in bytes. */
+export const MAX_WRITING_BYTES = 16 * 1024 * 1024;
+
+/** Memory of a part that is being written, for each of its bytes: encoded, and with the connection. */
+const WRITING_COPIES = 2;
 
 const COMMA = 0x2c;
 const OPEN_BRACKET = 0x5b;
 const OPEN_BRACE = 0x7b;
 
 /**
- * Most memory that decoding a JSON text occupies, in bytes. A text of many empty values costs many times its bytes.
+ * Most memory that a submission occupies while it is decoded and stored, in bytes. A text of many empty values costs many times its
+ * bytes.
  *
- * @param longBytes - bytes of long strings, which are not parsed with the rest
+ * @param text - the JSON text without its long strings
+ * @param longBytes - bytes of the long strings
  */
-export const decodeCost = (text: Uint8Array, longBytes: number): number => {
+export const decodeCost = (text: string, longBytes: number): number => {
   let values = 1;
-  for (const byte of text) {
-    if (byte === COMMA || byte === OPEN_BRACKET || byte === OPEN_BRACE) values += 1;
+  for (let index = 0; index < text.length; index += 1) {
+    const code = text.charCodeAt(index);
+    if (code === COMMA || code === OPEN_BRACKET || code === OPEN_BRACE) values += 1;
   }
-  const textBytes = text.length - longBytes;
-  return TEXT_COPIES * textBytes + LONG_COPIES * longBytes + VALUE_BYTES * values;
+  const textBytes = Buffer.byteLength(text);
+  const writingBytes = Math.min(MAX_WRITING_BYTES, WRITING_COPIES * (textBytes + longBytes));
+  const decodedBytes = Math.ceil(DECODED_SHARE * longBytes) + VALUE_BYTES * values;
+  return decodedBytes + Math.max(TEXT_COPIES * textBytes, textBytes + writingBytes);
 };
 
 /**
@@ -32,10 +43,17 @@
 export class DecodeBudget {
   readonly #limitBytes: () => number;
 
+  readonly #roomBytes: () => number;
+
   #usedBytes = 0;
 
-  constructor(limitBytes: () => number) {
+  /**
+   * @param limitBytes - most memory of all texts
+   * @param roomBytes - what other uses of memory leave of it now @default all
+   */
+  constructor(limitBytes: () => number, roomBytes: () => number = limitBytes) {
     this.#limitBytes = limitBytes;
+    this.#roomBytes = roomBytes;
   }
 
   get usedBytes(): number {
@@ -43,11 +61,14 @@
   }
 
   /**
-   * Takes memory until the result is disposed of. `full`: there is none now; `never`: the text does not fit even alone.
+   * Takes memory until the result is disposed of. `full`: there is none now; `never`: the text does not fit even alone. One that fits
+   * alone gets its memory when no other text is decoded, so that it is not refused for good.
    */
   take(costBytes: number): Disposable | 'full' | 'never' {
-    if (costBytes > this.#limitBytes()) return 'never';
-    if (this.#usedBytes + costBytes > this.#limitBytes()) return 'full';
+    const limitBytes = this.#limitBytes();
+    if (costBytes > limitBytes) return 'never';
+    const roomBytes = Math.min(limitBytes, this.#roomBytes());
+    if (this.#usedBytes > 0 && this.#usedBytes + costBytes > roomBytes) return 'full';
     this.#usedBytes += costBytes;
     let held = true;
     return {
--- a/src/node/decisions/requestMemory/memoryPlan.ts
+++ b/src/node/decisions/requestMemory/memoryPlan.ts
@@ -1,7 +1,20 @@
+import { decodeCost } from './decodeBudget.ts';
+
 /** Division of a process's memory and descriptors among what callers make it hold. */
 export interface MemoryPlan {
-  /** Bytes for request bodies beyond the first part of each. */
+  /** Bytes for all uses together. */
+  readonly freeBytes: number;
+  /** Bytes that are kept for uploads: one of the largest size and small ones beside it. */
+  readonly reservedUploadBytes: number;
+  /** Bytes that are kept for decoding and storing one submission of the largest size with large items. */
+  readonly reservedDecodeBytes: number;
+  /** Bytes that are kept for responses. */
+  readonly reservedResponseBytes: number;
+  /** Bytes that are kept for contents of batches. */
+  readonly reservedBatchBytes: number;
+  /** Most bytes for request bodies beyond the first part of each, and the least, in which one of the largest size fits. */
   readonly largeUploadBytes: number;
+  readonly minLargeUploadBytes: number;
   /** Bytes for the first part of each request body. */
   readonly smallUploadBytes: number;
   /** Bytes for responses that are being read from workers or wait to be read by callers. */
@@ -28,6 +41,9 @@
 /** Most memory for responses, which was the fixed limit before; beyond it, uploads gain more. */
 const MAX_RESPONSE_BYTES = 64 * MEBIBYTE;
 
+/** Least memory for contents of batches: a few objects of the largest size. */
+const MIN_BATCH_BYTES = 8 * MEBIBYTE;
+
 /** Parts of the free memory for each use. */
 const RESPONSE_SHARE = 0.25;
 const UPLOAD_SHARE = 0.5;
@@ -51,8 +67,14 @@
   maxBodyBytes: number,
 ): MemoryPlan => {
   const freeBytes = Math.max(0, memoryMb * MEBIBYTE - AT_REST_BYTES - UNCOLLECTED_BYTES);
+  const minLargeUploadBytes = maxBodyBytes + LARGE_MARGIN_BYTES;
   return {
-    largeUploadBytes: Math.max(maxBodyBytes + LARGE_MARGIN_BYTES, freeBytes * UPLOAD_SHARE),
+    ...{ freeBytes, minLargeUploadBytes },
+    reservedUploadBytes: minLargeUploadBytes + MIN_SMALL_BYTES,
+    reservedDecodeBytes: decodeCost('', maxBodyBytes),
+    reservedResponseBytes: MIN_RESPONSE_BYTES,
+    reservedBatchBytes: MIN_BATCH_BYTES,
+    largeUploadBytes: Math.max(minLargeUploadBytes, freeBytes * UPLOAD_SHARE),
     smallUploadBytes: Math.max(MIN_SMALL_BYTES, freeBytes * SMALL_SHARE),
     responseBytes: Math.min(
       MAX_RESPONSE_BYTES,
--- a/src/node/decisions/requestMemory/uploadMemory.ts
+++ b/src/node/decisions/requestMemory/uploadMemory.ts
@@ -86,6 +86,11 @@
     return totalOf(this.#shares, (bytes) => bytes);
   }
 
+  /** Bytes held of the part for large bodies. */
+  get heldLargeBytes(): number {
+    return totalOf(this.#shares, largePart);
+  }
+
   get waitingCount(): number {
     return [...this.#shares].filter(({ waiting }) => waiting).length;
   }
--- a/src/node/gateway/gatewayNode.ts
+++ b/src/node/gateway/gatewayNode.ts
@@ -17,6 +17,7 @@
 import { repeatEvery } from '../../shared/repeat.ts';
 import { AccountServices, longestTablesWaitMs } from '../accounts/accountServices.ts';
 import { createBatchHandlers } from '../batches/batchService.ts';
+import { ContentMemory } from '../batches/contents/contentMemory.ts';
 import { BatchSubsystem } from '../batches/batchSubsystem.ts';
 import { DutySubsystem } from '../duties/dutySubsystem.ts';
 import { RequestLimits } from '../decisions/requestLimits.ts';
@@ -229,9 +230,11 @@
     tablesAgeMs: () => accounts.confirmedAgeMs,
   });
 
-  const requestMemory = store.add(
+  // eslint-disable-next-line @typescript-eslint/no-use-before-define
+  const contentMemory: ContentMemory = new ContentMemory(() => requestMemory.batchRoomBytes);
+  const requestMemory: RequestMemory = store.add(
     new RequestMemory({
-      ...{ clock, logger, metrics, gateway },
+      ...{ clock, logger, metrics, gateway, contents: contentMemory },
       requestLimits: () => tables.tables?.requestLimits,
     }),
   );
@@ -281,7 +284,7 @@
       peerClients,
       view: membership,
       health,
-      maxValueBytes: gateway.maxValueBytes,
+      ...{ maxValueBytes: gateway.maxValueBytes, contentMemory },
       orderRules: { fenced: gateway.ordersFenced, leaseMs: gateway.orderLeaseMs },
       maxLoading: gateway.maxLoadingWorkers,
       retentionMs: gateway.resultRetentionMs,
--- a/src/node/gateway/workerCalls.ts
+++ b/src/node/gateway/workerCalls.ts
@@ -17,6 +17,8 @@
   /** Headers that are forwarded as the caller sent them. */
   readonly headers: HeaderList;
   readonly body: Buffer;
+  /** Called once nothing reads the body any more; not where the call fails. */
+  readonly onBodySent?: () => void;
   /**
    * Name of the client account on whose behalf the request runs; empty: no name is sent.
    *
--- a/src/node/operator/configurationCoordinator.ts
+++ b/src/node/operator/configurationCoordinator.ts
@@ -22,7 +22,8 @@
 import type { PlatformClient, WriteResult } from '../platform/platformClient.ts';
 import { writeUntilResolved } from '../platform/writeUntilResolved.ts';
 import type { Configuration } from './configuration.ts';
-import { forEachLimited, type ConfigurationPeers } from './configurationPeers.ts';
+import { forEachLimited } from '../../shared/forEachLimited.ts';
+import type { ConfigurationPeers } from './configurationPeers.ts';
 import {
   MAX_CONCURRENT_CALLS,
   PLATFORM_TIMEOUT_MS,
--- a/src/node/operator/prepareRound.ts
+++ b/src/node/operator/prepareRound.ts
@@ -11,7 +11,8 @@
 import { NODES_PREFIX, parseRegistration } from '../membership/registration.ts';
 import type { PlatformClient, PlatformObject } from '../platform/platformClient.ts';
 import type { Configuration } from './configuration.ts';
-import { type ConfigurationPeers, forEachLimited } from './configurationPeers.ts';
+import { forEachLimited } from '../../shared/forEachLimited.ts';
+import type { ConfigurationPeers } from './configurationPeers.ts';
 import { CONFIRMATIONS_PREFIX, MAX_CONCURRENT_CALLS } from './constants.ts';
 
 export interface PrepareRoundOptions {
--- a/src/node/platform/platformClient.ts
+++ b/src/node/platform/platformClient.ts
@@ -1,4 +1,5 @@
 import { BaseError } from '../../shared/errors.ts';
+import type { LongStrings } from '../../shared/longStrings.ts';
 
 /** A platform call without a usable response. Thrown by reads; writes report a failure in their result. */
 export const PlatformError = BaseError.subclass('PlatformError');
@@ -16,6 +17,8 @@
   readonly value: unknown;
   /** What the consumer of the object reports to its writer, if the platform stores that separately from the value. */
   readonly status?: unknown;
+  /** The strings that `longField` of the read left out of the value. @default the value is complete */
+  readonly strings?: LongStrings;
 }
 
 /** Result of a write. Callers must handle all four cases. */
@@ -71,6 +74,8 @@
 export interface ReadOptions extends CallOptions {
   /** Whether the response may be seconds old, which is cheaper for the platform. @default false */
   readonly allowStale?: boolean;
+  /** Field whose long strings may be left out of the value. @default none */
+  readonly longField?: string;
 }
 
 /** Client of the platform's object API. Calls count against the call budget of the node. */
@@ -79,6 +84,7 @@
   read(key: string, options?: ReadOptions): Promise<PlatformObject | undefined>;
   /** @throws PlatformError when no response arrived in time */
   list(prefix: string, options?: ReadOptions): Promise<readonly PlatformObject[]>;
+  /** @param value - a JSON value, or the `JsonText` of one */
   write(key: string, value: unknown, options?: WriteOptions): Promise<WriteResult>;
   remove(key: string, options?: WriteOptions): Promise<WriteResult>;
   /**
--- a/src/node/poison/recentAnswers.ts
+++ b/src/node/poison/recentAnswers.ts
@@ -19,7 +19,7 @@
   readonly answeredMs: number;
 }
 
-interface Slot extends Omit<DigestedRequest, 'body'> {
+interface Slot extends Omit<DigestedRequest, 'body' | 'digest'> {
   /** Number of bytes of bodies that were written before this one. */
   readonly bodyStart: number;
   readonly bodyBytes: number;
@@ -42,7 +42,9 @@
   /** Number of bytes of bodies written so far, with those that were skipped at the end. */
   #written = 0;
 
-  record({ method, host, path, body }: DigestedRequest, answeredMs: number): void {
+  record({ method, host, path, body, digest }: DigestedRequest, answeredMs: number): void {
+    // The body of a request that comes with its digest is too large, and may not be in memory.
+    if (digest !== undefined) return;
     const bodyBytes = body.length;
     const nameChars = method.length + host.length + path.length;
     if (bodyBytes > MAX_RECENT_BODY_BYTES || nameChars > MAX_RECENT_NAME_CHARS) return;
--- a/src/node/requestMemory/constants.ts
+++ b/src/node/requestMemory/constants.ts
@@ -7,6 +7,12 @@
 /** Value of the `retry-after` hint when a request is refused for lack of memory or connections, in ms. */
 export const MEMORY_RETRY_AFTER_MS = 1000;
 
+/** Longest time for which a submission waits until others are decoded and stored, in ms; then it is refused. */
+export const MAX_DECODE_WAIT_MS = 1000;
+
+/** Interval between attempts to decode a submission that waits, in ms. */
+export const DECODE_CHECK_INTERVAL_MS = 25;
+
 /** Largest number of uploads that wait for memory; each holds up to two chunks of 64 KiB meanwhile. */
 export const MAX_WAITING_UPLOADS = 32;
 
--- a/src/node/requestMemory/requestMemory.ts
+++ b/src/node/requestMemory/requestMemory.ts
@@ -4,13 +4,14 @@
   type ListUploadsResponse,
   ListUploadsResponseSchema,
 } from '../../gen/hyssoppulley/v1/gateway_operator_pb.ts';
-import type { Clock } from '../../shared/clock.ts';
+import { type Clock, sleep, Stopwatch } from '../../shared/clock.ts';
 import { repeatEvery } from '../../shared/repeat.ts';
-import { releaseBytes } from '../dataPath/byteCollector.ts';
-import { LongStrings } from '../dataPath/longStrings.ts';
+import { releaseBytes } from '../../shared/byteCollector.ts';
+import { LongStrings } from '../../shared/longStrings.ts';
 import { requestError } from '../dataPath/problem.ts';
 import { ResponseMemory } from '../dataPath/responseMemory.ts';
 import { decodeCost, DecodeBudget } from '../decisions/requestMemory/decodeBudget.ts';
+import { MemoryShares } from '../decisions/requestMemory/memoryShares.ts';
 import { type MemoryPlan, planMemory } from '../decisions/requestMemory/memoryPlan.ts';
 import type { RequestLimits } from '../gateway/gatewayTables.ts';
 import type { Logger } from '../observability/logger.ts';
@@ -21,6 +22,8 @@
   DEFAULT_HEAD_TIMEOUT_MS,
   DEFAULT_IDLE_TIMEOUT_MS,
   DEFAULT_MAX_BODY_BYTES,
+  DECODE_CHECK_INTERVAL_MS,
+  MAX_DECODE_WAIT_MS,
   MAX_SWEEP_GAP_MS,
   MAX_WAITING_UPLOADS,
   MEMORY_RETRY_AFTER_MS,
@@ -35,6 +38,25 @@
   readonly metrics: Pick<Metrics, 'requestMemoryBytes' | 'callerConnections' | 'uploadsEnded'>;
   readonly gateway: Pick<ResolvedGateway, 'memoryMb' | 'fileDescriptors' | 'requestMemory'>;
   readonly requestLimits: () => RequestLimits | undefined;
+  /** What batches make the node hold. @default nothing */
+  readonly contents?: BatchContents;
+}
+
+/** What batches make a node hold. */
+export interface BatchContents {
+  readonly neededBytes: number;
+  readonly cachedBytes: number;
+  /** Gives up cached bytes that no longer fit. */
+  trim(): void;
+}
+
+const NO_CONTENTS: BatchContents = { neededBytes: 0, cachedBytes: 0, trim() {} };
+
+/** A submission that may be decoded and stored. Its memory counts until it is disposed of. */
+export interface DecodingTurn extends Disposable {
+  readonly strings: LongStrings;
+  /** Returns the memory of the text, when the bodies of the items have been decoded. */
+  releaseText(): void;
 }
 
 /** Room for the fields of a message that passes on a batch, in bytes; bodies of items are not larger than in the batch. */
@@ -60,6 +82,10 @@
 
   readonly #decoding: DecodeBudget;
 
+  readonly #shares: MemoryShares;
+
+  readonly #contents: BatchContents;
+
   /** Number of refused and ended uploads, responses and connections by reason. */
   readonly #ended = new Map<string, number>();
 
@@ -69,24 +95,52 @@
 
   constructor(options: RequestMemoryOptions) {
     this.#options = options;
-    const { clock, gateway } = options;
+    const { clock, gateway, contents = NO_CONTENTS } = options;
     const settings = gateway.requestMemory;
     const plan = (): MemoryPlan => planMemory(gateway, this.maxBodyBytes());
+    this.#contents = contents;
+    this.#shares = new MemoryShares(() => plan().freeBytes, {
+      uploads: {
+        usedBytes: () => this.uploads.heldBytes,
+        reservedBytes: () => plan().reservedUploadBytes,
+      },
+      decoding: {
+        usedBytes: () => this.#decoding.usedBytes,
+        reservedBytes: () => plan().reservedDecodeBytes,
+      },
+      responses: {
+        usedBytes: () => this.responses.usedBytes,
+        reservedBytes: () => plan().reservedResponseBytes,
+      },
+      batches: {
+        usedBytes: () => contents.neededBytes,
+        reservedBytes: () => plan().reservedBatchBytes,
+      },
+    });
+    const uploadRoomBytes = (): number =>
+      Math.max(
+        plan().minLargeUploadBytes,
+        this.#shares.roomFor('uploads') - this.#smallUploadBytes,
+      );
     this.uploads = new Uploads({
       clock,
       limits: {
         get largeBytes() {
-          return settings.uploadBytes ?? plan().largeUploadBytes;
+          return settings.uploadBytes ?? Math.min(plan().largeUploadBytes, uploadRoomBytes());
         },
         smallBytes: plan().smallUploadBytes,
         minBytesPerSecond: settings.minUploadBytesPerSecond,
         maxWaitMs: settings.maxUploadWaitMs,
         maxWaiting: MAX_WAITING_UPLOADS,
       },
+      onGrown: () => contents.trim(),
       onEnded: (reason, fields) => this.#recordEnd('upload-ended', reason, fields),
     });
     this.responses = new ResponseMemory(settings.responseBytes ?? plan().responseBytes);
-    this.#decoding = new DecodeBudget(() => settings.decodeBytes ?? plan().decodeBytes);
+    this.#decoding = new DecodeBudget(
+      () => settings.decodeBytes ?? plan().decodeBytes,
+      () => this.#shares.roomFor('decoding'),
+    );
     const { callerDescriptors, peerDescriptors, statusDescriptors } = plan();
     const maxConnections = settings.maxConnections ?? callerDescriptors;
     const guard = (maxDescriptors: number, maxOfAddress: number, descriptorsPerRequest: number) =>
@@ -134,17 +188,28 @@
     return this.uploads.read(request, response, this.maxBodyBytes() + PEER_BODY_MARGIN_BYTES);
   }
 
+  /** Bytes that the contents of batches may occupy now. */
+  get batchRoomBytes(): number {
+    return this.#shares.roomFor('batches');
+  }
+
   /**
-   * Takes the memory to decode a body.
+   * Waits until a submission may be decoded and stored.
    *
+   * @param body - the complete body of the submission
    * @param field - field whose long values are left out of the text
-   * @returns the text; must be disposed of when the decoded values are no longer used
    * @throws RequestError with outcome `not-run`
    */
-  takeText(body: Buffer, field: string): Disposable & { readonly strings: LongStrings } {
+  async takeText(body: Buffer, field: string): Promise<DecodingTurn> {
+    const { clock } = this.#options;
     const strings = new LongStrings(body, field);
-    const costBytes = decodeCost(body, strings.longBytes);
-    const held = this.#decoding.take(costBytes);
+    const costBytes = decodeCost(strings.text, strings.longBytes);
+    const waited = new Stopwatch(clock);
+    let held = this.#decoding.take(costBytes);
+    while (held === 'full' && waited.elapsedMs() < MAX_DECODE_WAIT_MS) {
+      await sleep(clock, DECODE_CHECK_INTERVAL_MS);
+      held = this.#decoding.take(costBytes);
+    }
     if (held === 'never' || held === 'full') {
       this.#recordEnd('decoding-refused', `decoding-${held}`, { bytes: body.length, costBytes });
       throw held === 'never'
@@ -156,7 +221,13 @@
             retryAfterMs: MEMORY_RETRY_AFTER_MS,
           });
     }
-    return { strings, [Symbol.dispose]: () => held[Symbol.dispose]() };
+    this.#contents.trim();
+    const turn = held;
+    return {
+      strings,
+      releaseText: () => this.uploads.release(body),
+      [Symbol.dispose]: () => turn[Symbol.dispose](),
+    };
   }
 
   /** Counts the body of a response until the caller has read it; closes the connection if the memory is used up. */
@@ -186,6 +257,10 @@
     this.#sweeps[Symbol.dispose]();
   }
 
+  get #smallUploadBytes(): number {
+    return this.uploads.heldBytes - this.uploads.heldLargeBytes;
+  }
+
   #sweep(): void {
     const { clock, metrics } = this.#options;
     const nowMs = clock.monotonicMs();
@@ -194,6 +269,9 @@
     metrics.requestMemoryBytes.set({ use: 'uploads' }, this.uploads.heldBytes);
     metrics.requestMemoryBytes.set({ use: 'responses' }, this.responses.usedBytes);
     metrics.requestMemoryBytes.set({ use: 'decoding' }, this.#decoding.usedBytes);
+    this.#contents.trim();
+    metrics.requestMemoryBytes.set({ use: 'batches' }, this.#contents.neededBytes);
+    metrics.requestMemoryBytes.set({ use: 'batch-caches' }, this.#contents.cachedBytes);
     metrics.callerConnections.set(this.callers.size);
     if (gapMs > MAX_SWEEP_GAP_MS) return;
     const limits = this.#options.requestLimits();
--- a/src/node/requestMemory/uploads.ts
+++ b/src/node/requestMemory/uploads.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { releaseBytes } from '../../shared/byteCollector.ts';
 import type { Clock } from '../../shared/clock.ts';
 import { announcedBytes, type BodyMemory, readBody } from '../dataPath/readBody.ts';
 import { requestError, type RequestFailure } from '../dataPath/problem.ts';
@@ -43,6 +44,8 @@
 export interface UploadsOptions {
   readonly limits: UploadMemoryLimits;
   readonly clock: Clock;
+  /** Called when uploads have taken more memory. @default nothing */
+  readonly onGrown?: () => void;
   /** Called for each upload that ends before it is complete. */
   readonly onEnded: (reason: UploadEndReason, fields: Readonly<Record<string, unknown>>) => void;
 }
@@ -53,10 +56,16 @@
 
   readonly #onEnded: UploadsOptions['onEnded'];
 
+  readonly #onGrown: () => void;
+
   readonly #uploads = new Map<UploadShare, Upload>();
 
-  constructor({ limits, clock, onEnded }: UploadsOptions) {
+  /** Shares of complete bodies. */
+  readonly #complete = new WeakMap<Buffer, UploadShare>();
+
+  constructor({ limits, clock, onGrown = () => {}, onEnded }: UploadsOptions) {
     this.#memory = new UploadMemory(limits, clock);
+    this.#onGrown = onGrown;
     this.#onEnded = onEnded;
   }
 
@@ -64,6 +73,11 @@
     return this.#memory.heldBytes;
   }
 
+  /** Bytes held beyond the first part of each upload. */
+  get heldLargeBytes(): number {
+    return this.#memory.heldLargeBytes;
+  }
+
   get limitBytes(): number {
     return this.#memory.limitBytes;
   }
@@ -73,7 +87,7 @@
   }
 
   /**
-   * Reads a complete body. Its bytes count until the response is closed.
+   * Reads a complete body. Its bytes count until it is released or the response is closed.
    *
    * @throws RequestError
    */
@@ -88,6 +102,7 @@
     try {
       const body = await readBody(request, maxBytes, this.#bodyMemory(share, upload));
       this.#memory.complete(share, share.grantedBytes);
+      this.#complete.set(body, share);
       if (response.destroyed) this.#close(share);
       else response.once('close', () => this.#close(share));
       return body;
@@ -97,6 +112,13 @@
     }
   }
 
+  /** Returns the memory of a complete body that nothing uses any more. */
+  release(body: Buffer): void {
+    releaseBytes(body);
+    const share = this.#complete.get(body);
+    if (share !== undefined) this.#close(share);
+  }
+
   /** Ends the uploads that make no progress. */
   sweep(idleLimitMs: number): void {
     for (const { upload: share, reason } of this.#memory.overdue(idleLimitMs)) {
@@ -115,7 +137,10 @@
       receive: (bytes) => this.#memory.receive(share, bytes),
       grow: (bytes) => {
         const result = this.#memory.grow(share, bytes);
-        if (result === 'granted') return undefined;
+        if (result === 'granted') {
+          this.#onGrown();
+          return undefined;
+        }
         if (result === 'waiting') {
           return new Promise((resolve) => {
             Object.assign(upload, { granted: resolve });
--- a/src/node/dataPath/longStrings.ts
+++ b/src/shared/longStrings.ts
@@ -1,4 +1,6 @@
-import { newId } from '../../shared/random.ts';
+import { decodeBase64 } from './base64.ts';
+import { releaseBytes } from './byteCollector.ts';
+import { newId } from './random.ts';
 
 /** Strings of fewer bytes are parsed with the rest of the text. */
 const MIN_LONG_BYTES = 1024;
@@ -77,8 +79,26 @@
 
   /** The string that a value of the parsed text stands for. */
   resolve(value: string): string {
-    if (!value.startsWith(this.#marker)) return value;
-    const string = this.#strings[Number(value.slice(this.#marker.length))];
+    const string = this.#find(value);
     return string === undefined ? value : this.#bytes.toString('utf8', string.start, string.end);
   }
+
+  /** The bytes for which a value of the parsed text stands as base64. They share their memory with nothing else. */
+  decodeBase64(value: string): Uint8Array {
+    const string = this.#find(value);
+    return decodeBase64(
+      string === undefined ? Buffer.from(value) : this.#bytes.subarray(string.start, string.end),
+    );
+  }
+
+  /** Returns the memory of the text. Nothing can be resolved any more. */
+  release(): void {
+    releaseBytes(this.#bytes);
+    this.#strings.length = 0;
+  }
+
+  #find(value: string): LongString | undefined {
+    if (!value.startsWith(this.#marker)) return undefined;
+    return this.#strings[Number(value.slice(this.#marker.length))];
+  }
 }
