fix(batches): items that are larger than an object are stored in fragments

What callers would see: a submission of legal size is answered 503 at each attempt, each time after more than a second, if the body of an item is larger than about 0.75 MiB.

Cause: each item was stored in one object; the write of one that does not fit was repeated until the time limit of the submission.

Change: bodies that do not fit continue in the following parts and are joined when they are needed. What cannot be stored at all, because of its other fields, is refused with 400 at once. Long paths and prompts count in the estimate of the stored size. A response that is alone in memory is not given up for its size.

--- a/src/node/batches/__tests__/batchContents.test.ts
+++ b/src/node/batches/__tests__/batchContents.test.ts
@@ -78,10 +78,10 @@
   expect(harness.dispatcher.has('a')).toEqual(true);
 });
 
-const submissionOf = (itemId: string): BatchSubmission => ({
+const submissionOf = (itemId: string, body = new Uint8Array()): BatchSubmission => ({
   ...{ id: 'b', host: 'h', path: '/b/b', model: 'm', account: '' },
   ...{ step: 0, minVersion: 0, wantedGroups: 0 },
-  items: [create(BatchItemSchema, { id: itemId, path: '/x', group: 'g' })],
+  items: [create(BatchItemSchema, { id: itemId, path: '/x', group: 'g', body })],
 });
 
 // Guards against a node that runs other items than those that are stored under the id of the batch, as the next dispatcher would.
@@ -96,3 +96,29 @@
   expect((await result).kind).toEqual('accepted');
   expect(harness.started).toEqual(['stored']);
 });
+
+// Guards against a submission that is refused for good because an item is larger than an object of the platform.
+test('an item that is larger than an object is accepted, run and read at any node', async () => {
+  await using harness = new BatchNodeHarness();
+  harness.start();
+  await harness.clock.advanceAsync(2000);
+  const body = Uint8Array.from({ length: 250_000 }, (_, index) => (7 * index) % 256);
+  const result = harness.batches.submit(submissionOf('large', body.slice()), BATCH_ROUTE);
+  await harness.clock.advanceAsync(2000);
+  expect((await result).kind).toEqual('accepted');
+  expect(harness.started).toEqual(['large']);
+  await using other = new BatchNodeHarness(undefined, { platform: harness.platform });
+  for (const { batches } of [harness, other]) {
+    const read = await batches.readItem('b', 'large', undefined);
+    expect(read.kind === 'found' && read.body.bytes.equals(body)).toEqual(true);
+  }
+});
+
+// Guards against the same for an item that cannot be stored at all: each attempt was answered 503 after its time limit.
+test('a submission whose items can never be stored is refused as invalid at once', async () => {
+  await using harness = new BatchNodeHarness();
+  const submission = submissionOf('large');
+  const [item] = submission.items;
+  if (item !== undefined) item.path = `/${'x'.repeat(150_000)}`;
+  expect((await harness.batches.submit(submission, BATCH_ROUTE)).kind).toEqual('invalid');
+});
--- a/src/node/batches/__tests__/batchNodeHarness.ts
+++ b/src/node/batches/__tests__/batchNodeHarness.ts
@@ -30,7 +30,7 @@
 import { PoisonGuard } from '../../poison/poisonGuard.ts';
 import { BatchSubsystem, type BatchSubsystemOptions } from '../batchSubsystem.ts';
 import type { GenerationEnd } from '../generationCalls.ts';
-import { HeldPlatform } from './heldPlatform.ts';
+import { HeldPlatform, MAX_VALUE_BYTES } from './heldPlatform.ts';
 
 /** Pool to which the batch route leads. */
 export const POOL = 'p';
@@ -112,7 +112,7 @@
       ...common,
       ...{ registry, limits: new RequestLimits(), metrics: createMetrics() },
       poison: new PoisonGuard({ ...common, metrics: createMetrics() }),
-      ...{ maxValueBytes: 100_000, retentionMs: RETENTION_MS, weightsLongPollMs: 1000 },
+      ...{ maxValueBytes: MAX_VALUE_BYTES, retentionMs: RETENTION_MS, weightsLongPollMs: 1000 },
       unreadRetentionMs: UNREAD_RETENTION_MS,
       view: {
         self: create(NodeIdentitySchema, {
--- a/src/node/batches/__tests__/heldPlatform.ts
+++ b/src/node/batches/__tests__/heldPlatform.ts
@@ -1,7 +1,13 @@
 import { InMemoryPlatform } from '../../../../playground/inMemoryPlatform.ts';
 import type { PlatformObject, WriteOptions, WriteResult } from '../../platform/platformClient.ts';
 
-/** A platform that answers reads and lists of some objects only when they are released, and refuses some removals. */
+/** Largest size of an object's value, in bytes. */
+export const MAX_VALUE_BYTES = 100_000;
+
+/**
+ * A platform that answers reads and lists of some objects only when they are released, and refuses some removals and values that are
+ * too large.
+ */
 export class HeldPlatform extends InMemoryPlatform {
   #heldPrefix: string | undefined;
 
@@ -24,6 +30,12 @@
     this.#refusedRemovals = count;
   }
 
+  override async write(key: string, value: unknown, options?: WriteOptions): Promise<WriteResult> {
+    const isTooLarge = Buffer.byteLength(JSON.stringify(value)) > MAX_VALUE_BYTES;
+    if (isTooLarge) return { status: 'unavailable', reason: 'the value is too large' };
+    return super.write(key, value, options);
+  }
+
   override async remove(key: string, options?: WriteOptions): Promise<WriteResult> {
     if (this.#refusedRemovals === 0) return super.remove(key, options);
     this.#refusedRemovals -= 1;
--- a/src/node/batches/batchAcceptor.ts
+++ b/src/node/batches/batchAcceptor.ts
@@ -22,7 +22,6 @@
   encodeItems,
   isBatchId,
   itemsKey,
-  splitItems,
 } from './batchObjects.ts';
 import {
   ITEMS_WRITE_LIMIT_MS,
@@ -30,6 +29,7 @@
   MAX_PART_WRITES,
   RECORD_WRITE_LIMIT_MS,
 } from './constants.ts';
+import { splitItems } from './contents/itemFragments.ts';
 import type { PartCache } from './contents/partCache.ts';
 import { dropPart, freeBodies, partBytes, toStoredPart } from './contents/storedPart.ts';
 
@@ -132,6 +132,9 @@
     const { clock, maxValueBytes, logger } = this.#options;
     const started = new Stopwatch(clock);
     const parts = splitItems(submission.items, maxValueBytes);
+    if (parts === undefined) {
+      return { kind: 'invalid', reason: 'the fields of an item are too large' };
+    }
     const { failed, isOwn } = await this.#writeParts(submission, parts, started);
     let result: AcceptResult;
     // Items without a record form no batch, so an item write with an unknown outcome is reported as a refusal, too.
--- a/src/node/batches/batchObjects.ts
+++ b/src/node/batches/batchObjects.ts
@@ -188,11 +188,40 @@
 /** Space reserved in an object for its envelope and metadata, in bytes. */
 const ENVELOPE_BYTES = 4096;
 
+/** Space for the other fields of an item and for short texts, in bytes. */
+const ITEM_FIELDS_BYTES = 1024;
+
+/** Parts of a prompt whose space is part of `ITEM_FIELDS_BYTES`. */
+const MAX_SHORT_PROMPT_PARTS = 4;
+
+/** Length up to which the space of a text is part of `ITEM_FIELDS_BYTES`, also if some characters are escaped. */
+const SHORT_TEXT_CHARS = 128;
+
+/** Space of each part of a prompt and of each header beside its text, in bytes. */
+const FIELD_BYTES = 32;
+
+const longTextBytes = (text: string): number =>
+  text.length <= SHORT_TEXT_CHARS ? 0 : Buffer.byteLength(JSON.stringify(text));
+
 /** Upper estimate of an item's stored size, in bytes. Binary fields are stored as base64. */
-export const storedSizeBytes = (item: BatchItem): number =>
-  1024 +
-  item.headers.reduce((sum, { name, value }) => sum + name.length + value.length + 32, 0) +
-  Math.ceil(((item.body.length + (item.scoring?.body.length ?? 0)) * 4) / 3);
+export const storedSizeBytes = (item: BatchItem): number => {
+  const { id, path, group, headers, promptParts, body, scoring } = item;
+  const texts = [id, path, group, scoring?.id ?? '', scoring?.host ?? '', scoring?.path ?? ''];
+  return (
+    ITEM_FIELDS_BYTES +
+    texts.reduce((sum, text) => sum + longTextBytes(text), 0) +
+    headers.reduce(
+      (sum, { name, value }) =>
+        sum + name.length + Math.max(value.length, longTextBytes(value)) + FIELD_BYTES,
+      0,
+    ) +
+    promptParts
+      .slice(MAX_SHORT_PROMPT_PARTS)
+      .reduce((sum, part) => sum + part.id.length + FIELD_BYTES, 0) +
+    base64Length(body.length) +
+    base64Length(scoring?.body.length ?? 0)
+  );
+};
 
 /** Largest content of an object, in bytes. */
 export const maxContentBytes = (maxValueBytes: number): number => maxValueBytes - ENVELOPE_BYTES;
@@ -219,10 +248,6 @@
   return parts;
 };
 
-/** Splits items into parts that each fit into one object of at most `maxValueBytes`. */
-export const splitItems = (items: readonly BatchItem[], maxValueBytes: number): BatchItem[][] =>
-  splitBySize(items, storedSizeBytes, maxContentBytes(maxValueBytes));
-
 /** Stored size of a result, in bytes. */
 export const resultSizeBytes = (result: ItemResult): number =>
   Buffer.byteLength(JSON.stringify(toJson(ItemResultSchema, result))) + 1;
--- a/src/node/batches/batchReader.ts
+++ b/src/node/batches/batchReader.ts
@@ -1,4 +1,5 @@
 import {
+  type BatchItem,
   type BatchRecord,
   type DispatcherRecord,
   type ItemResult,
@@ -10,12 +11,14 @@
 import { type BatchCaller, mayAccessBatch } from '../decisions/accounts/batchOwnership.ts';
 import type { BatchClient, PeerAddress } from '../membership/peerClients.ts';
 import type { Logger } from '../observability/logger.ts';
-import type { PlatformClient } from '../platform/platformClient.ts';
+import { type PlatformClient, PlatformError } from '../platform/platformClient.ts';
 import type { BatchCoordinator } from './batchCoordinator.ts';
 import { batchKey, decodeBatch, isBatchId } from './batchObjects.ts';
 import { DISPATCHER_READ_RETRY_MS, MAX_PART_READS, PEER_READ_MARGIN_MS } from './constants.ts';
+import { joinFragments } from './contents/itemFragments.ts';
 import { ItemIndex } from './contents/itemIndex.ts';
 import type { PartCache } from './contents/partCache.ts';
+import type { ItemBody } from './contents/storedPart.ts';
 import { type HeldBytes, holdInline } from './contents/sharedBytes.ts';
 import { limitReadSize, readLog } from './resultLog.ts';
 
@@ -39,6 +42,9 @@
   | { readonly kind: 'no-such-item'; readonly reason?: 'other-account' }
   | { readonly kind: 'unavailable' };
 
+/** Reads of a dispatcher that takes over go first. */
+const ITEM_READ_PRIORITY = { kind: 'bulk', order: Infinity } as const;
+
 const BATCH_OF_OTHER_ACCOUNT = { kind: 'no-such-batch', reason: 'other-account' } as const;
 
 const ITEM_OF_OTHER_ACCOUNT = { kind: 'no-such-item', reason: 'other-account' } as const;
@@ -230,12 +236,14 @@
     await forEachLimited(indexes, MAX_PART_READS, async (part) => {
       if (found !== undefined) return;
       try {
-        // Reads of a dispatcher that takes over go first.
-        const stored = await parts.read(record, part, { kind: 'bulk', order: Infinity });
+        const stored = await parts.read(record, part, ITEM_READ_PRIORITY);
         this.#index.record(record.id, part, stored.items);
         const item = stored.items.find(({ id }) => id === itemId);
         if (item === undefined) return;
-        found = stored.bodies.get(itemId)?.holdRequest() ?? holdInline(item.body);
+        const body = stored.bodies.get(itemId);
+        if (body === undefined) found = holdInline(item.body);
+        else if (item.continuationParts === 0) found = body.holdRequest();
+        else found = await this.#joinBody(record, part, item);
       } catch (error) {
         failure = error as Error;
       }
@@ -244,6 +252,23 @@
     return found;
   }
 
+  /** Joins a body whose fragments are in several parts. @throws PlatformError */
+  async #joinBody(record: BatchRecord, part: number, item: BatchItem): Promise<HeldBytes> {
+    const fragments: ItemBody[] = [];
+    for (let offset = 0; offset <= item.continuationParts; offset += 1) {
+      const stored = await this.#options.parts.read(record, part + offset, ITEM_READ_PRIORITY);
+      const fragment = stored.bodies.get(item.id);
+      if (fragment === undefined) throw new PlatformError(`item ${item.id} has lost a fragment`);
+      // A part that was read earlier may have to make room for this one.
+      fragments.push(joinFragments([fragment]));
+    }
+    const whole = joinFragments(fragments);
+    for (const fragment of fragments) fragment.drop();
+    const held = whole.holdRequest();
+    whole.drop();
+    return held;
+  }
+
   #logFailure(event: string, batchId: string, error: unknown): void {
     this.#options.logger.warn(event, { batch: batchId, message: messageOf(error) });
   }
--- a/src/node/batches/contents/itemBodies.ts
+++ b/src/node/batches/contents/itemBodies.ts
@@ -1,4 +1,4 @@
-import type { BatchRecord } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
+import type { BatchItem, BatchRecord } from '../../../gen/hyssoppulley/v1/batch_pb.ts';
 import { type Clock, sleep } from '../../../shared/clock.ts';
 import { BaseError } from '../../../shared/errors.ts';
 import { PlatformError } from '../../platform/platformClient.ts';
@@ -6,6 +6,7 @@
 import { ITEM_REQUEST_METHOD } from '../constants.ts';
 import { batchRankOf } from '../waitingItem.ts';
 import type { ContentHolder, ContentMemory } from './contentMemory.ts';
+import { joinFragments } from './itemFragments.ts';
 import type { PartCache } from './partCache.ts';
 import type { HeldBytes } from './sharedBytes.ts';
 import type { ItemBody, StoredPart } from './storedPart.ts';
@@ -15,7 +16,9 @@
 
 interface BodyEntry {
   readonly record: BatchRecord;
+  /** Part in which the bodies begin, and number of parts in which they continue. */
   readonly part: number;
+  readonly continuationParts: number;
   readonly sizeBytes: number;
   readonly digest: string;
   /** Undefined while the body is only at the platform. */
@@ -32,6 +35,15 @@
   readonly scoring: HeldBytes;
 }
 
+/** Digest of an item's request. That of one whose body continues in other parts also depends on its id. */
+const digestOf = ({ host }: BatchRecord, item: BatchItem, body: ItemBody): string => {
+  const { id, path, continuationParts, totalBodyBytes } = item;
+  using request = body.holdRequest();
+  const requestBody =
+    continuationParts === 0 ? request.bytes : Buffer.from(`${id} ${totalBodyBytes}`);
+  return requestDigest({ method: ITEM_REQUEST_METHOD, host, path, body: requestBody });
+};
+
 /** Thrown for an item that needs no body any more, because it is finished or its batch has ended. */
 export const BodyGoneError = BaseError.subclass('BodyGoneError');
 
@@ -80,22 +92,24 @@
   add(record: BatchRecord, part: number, stored: StoredPart): void {
     const entries = this.#batches.get(record.id) ?? new Map<string, BodyEntry>();
     this.#batches.set(record.id, entries);
-    for (const { id, path } of stored.items) {
-      const body = stored.bodies.get(id);
-      if (body === undefined) continue;
-      const request = body.holdRequest();
-      const digest = requestDigest({
-        ...{ method: ITEM_REQUEST_METHOD, host: record.host, path, body: request.bytes },
-      });
-      request[Symbol.dispose]();
-      const { sizeBytes } = body;
+    for (const [id, body] of stored.bodies) {
+      const item = stored.items.find((each) => each.id === id);
+      if (item === undefined) {
+        // The continuation of another part's item.
+        body.drop();
+        continue;
+      }
+      const { continuationParts, totalBodyBytes } = item;
+      const isWhole = continuationParts === 0;
+      const sizeBytes = isWhole ? body.sizeBytes : totalBodyBytes;
       const entry: BodyEntry = {
-        ...{ record, part, sizeBytes, digest },
+        ...{ record, part, continuationParts, sizeBytes },
+        digest: digestOf(record, item, body),
         ...{ body: undefined, users: 0, isReserved: false },
       };
       this.drop(record.id, id);
       entries.set(id, entry);
-      if (this.#options.memory.canCache(sizeBytes)) this.#change(entry, { body });
+      if (isWhole && this.#options.memory.canCache(sizeBytes)) this.#change(entry, { body });
       else body.drop();
     }
   }
@@ -223,15 +237,46 @@
   }
 
   async #readPart(record: BatchRecord, part: number): Promise<void> {
-    const { parts, memory } = this.#options;
+    const { parts } = this.#options;
     const order = batchRankOf(record);
     const { bodies } = await parts.take(record, part, { kind: 'bulk', order });
-    for (const [id, body] of bodies) {
+    for (const [id, first] of bodies) {
       const entry = this.#find(record.id, id);
-      const isMissing = entry !== undefined && entry.body === undefined;
-      if (isMissing && (entry.users > 0 || memory.canCache(body.sizeBytes))) {
-        this.#change(entry, { body });
-      } else body.drop();
+      if (entry === undefined || !this.#wants(entry, part)) first.drop();
+      else {
+        const body = await this.#readWhole(entry, id, first);
+        if (this.#find(record.id, id) === entry) this.#change(entry, { body });
+        else body.drop();
+      }
+    }
+  }
+
+  /** Whether the bodies that begin in a part are to be kept: someone needs them, or they fit and need no further reads. */
+  #wants({ part: firstPart, body, users, continuationParts, sizeBytes }: BodyEntry, part: number) {
+    if (firstPart !== part || body !== undefined) return false;
+    return users > 0 || (continuationParts === 0 && this.#options.memory.canCache(sizeBytes));
+  }
+
+  /** Joins the first fragment of an item's bodies with those of the following parts. */
+  async #readWhole(
+    { record, part, continuationParts }: BodyEntry,
+    itemId: string,
+    first: ItemBody,
+  ): Promise<ItemBody> {
+    if (continuationParts === 0) return first;
+    const fragments = [first];
+    try {
+      const order = batchRankOf(record);
+      for (let offset = 1; offset <= continuationParts; offset += 1) {
+        const next = await this.#options.parts.take(record, part + offset, { kind: 'bulk', order });
+        const fragment = next.bodies.get(itemId);
+        for (const body of next.bodies.values()) if (body !== fragment) body.drop();
+        if (fragment === undefined) throw new PlatformError(`item ${itemId} has lost a fragment`);
+        fragments.push(fragment);
+      }
+      return joinFragments(fragments);
+    } finally {
+      for (const fragment of fragments) fragment.drop();
     }
   }
 
--- a/src/node/batches/contents/storedPart.ts
+++ b/src/node/batches/contents/storedPart.ts
@@ -47,7 +47,7 @@
 /** The items of a part, without their large bodies. */
 export interface StoredPart {
   readonly items: readonly BatchItem[];
-  /** Large bodies by item. */
+  /** Large bodies, or the fragments of them in this part, by item. */
   readonly bodies: ReadonlyMap<string, ItemBody>;
 }
 
@@ -63,17 +63,23 @@
   items.reduce((sum, item) => sum + itemBytes(item), 0) +
   [...bodies.values()].reduce((sum, { sizeBytes }) => sum + sizeBytes, 0);
 
+/** Whether the bodies of an item are kept apart from it. */
+const hasLargeBody = ({ body, scoring, continuationParts, continuation }: BatchItem): boolean =>
+  continuation ||
+  continuationParts > 0 ||
+  Math.max(body.length, scoring?.body.length ?? 0) > MAX_INLINE_BODY_BYTES;
+
 /** Takes the large bodies out of items. Bodies that stay with their items are left to the garbage collector. */
 export const toStoredPart = (items: readonly BatchItem[]): StoredPart => {
   const bodies = new Map<string, ItemBody>();
   for (const item of items) {
     const { body, scoring } = item;
-    if (Math.max(body.length, scoring?.body.length ?? 0) <= MAX_INLINE_BODY_BYTES) continue;
+    if (!hasLargeBody(item)) continue;
     bodies.set(item.id, new ItemBody(body, scoring?.body));
     item.body = NO_BYTES;
     if (scoring !== undefined) scoring.body = NO_BYTES;
   }
-  return { items, bodies };
+  return { items: items.filter(({ continuation }) => !continuation), bodies };
 };
 
 /** Returns the memory of the large bodies of a part that nobody needs any more. */
--- a/src/node/dataPath/responseMemory.ts
+++ b/src/node/dataPath/responseMemory.ts
@@ -58,12 +58,18 @@
         if (!this.#responses.has(response)) return;
         response.sizeBytes += sizeBytes;
         this.#usedBytes += sizeBytes;
-        while (this.#usedBytes > this.#limitBytes) this.#evictOne();
+        while (this.#usedBytes > this.#limitBytes && !this.#isOnlyUnread) this.#evictOne();
       },
       [Symbol.dispose]: () => this.#remove(response),
     };
   }
 
+  /** Whether nothing is held but one response that waits for its caller; it could never be read if it were given up. */
+  get #isOnlyUnread(): boolean {
+    const [response] = this.#responses;
+    return this.#responses.size === 1 && response?.isUnread === true;
+  }
+
   #evictOne(): void {
     // A set keeps the order of insertion.
     const longestUnread = [...this.#responses].find(({ isUnread }) => isUnread);
