fix(weights): fewer workers than models load the versions of all models

Cause: a worker loads new versions of its assigned model only. With fewer workers than models some model has none, and idle workers were lent only to models that have workers of their own. Ruled out: load limit, earlier orders.

Change: where fewer workers work than models are trained, each loads the versions of all models.

--- a/src/node/batches/weightRefresher.ts
+++ b/src/node/batches/weightRefresher.ts
@@ -1,7 +1,7 @@
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import { BatchWorkEstimates } from '../decisions/batchWorkEstimates.ts';
 import { loadLimitOf } from '../decisions/weightRefresh.ts';
-import { assignWorkersToModels } from '../decisions/workerAssignment.ts';
+import { assignWorkersToModels, mustShareWorkers } from '../decisions/workerAssignment.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
 import type { WeightLoads } from '../weights/weightLoads.ts';
@@ -89,9 +89,11 @@
     );
     const running = countByModel(runs);
     const runningOf = (worker: string) => (model: string) => running.get(`${worker}/${model}`) ?? 0;
+    const assignable = this.#options.workers.forAssignment(runningOf);
+    const isShared = mustShareWorkers(activeModels, assignable);
     this.#modelByWorker = assignWorkersToModels(
       activeModels,
-      this.#options.workers.forAssignment(runningOf),
+      assignable,
       this.#modelByWorker,
       (model) => this.#workload.meanTokens(model),
     );
@@ -105,8 +107,12 @@
     for (const model of activeModels) {
       const openOfModel = open.filter(({ record }) => record.model === model);
       const neededVersion = Math.max(0, ...openOfModel.map(({ record }) => record.minVersion));
-      const own = workers.filter(({ id }) => this.#modelByWorker.get(id) === model);
-      const lent = this.#lentWorkers(model, neededVersion, { workers, runs, waiting });
+      const own = isShared
+        ? workers
+        : workers.filter(({ id }) => this.#modelByWorker.get(id) === model);
+      const lent = isShared
+        ? []
+        : this.#lentWorkers(model, neededVersion, { workers, runs, waiting });
       const candidates = new Set([...own, ...lent]);
       const waitingCount = waiting.get(model) ?? 0;
       const loadingOthers = workers.filter(
--- a/src/node/decisions/workerAssignment.ts
+++ b/src/node/decisions/workerAssignment.ts
@@ -10,6 +10,18 @@
 /** Difference between two models' deficits above which a worker is reassigned: slightly more than one worker. */
 const MAX_IMBALANCE = 1.05;
 
+const areWorking = (workers: readonly AssignableWorker[]): AssignableWorker[] =>
+  workers.filter(({ capacity }) => capacity > 0);
+
+/**
+ * Whether the models must share workers, because there are fewer that work than models. Each worker then loads the versions of all
+ * models, so that no model is left without.
+ */
+export const mustShareWorkers = (
+  models: readonly string[],
+  workers: readonly AssignableWorker[],
+): boolean => areWorking(workers).length < models.length;
+
 /** Capacity that a model lacks of its fair share; negative if it has more than that. */
 interface ModelDeficit {
   readonly model: string;
@@ -25,11 +37,11 @@
   workers: readonly AssignableWorker[],
   weightOf: (model: string) => number,
 ): ReadonlyMap<string, number> => {
-  const working = workers.filter(({ capacity }) => capacity > 0);
+  const working = areWorking(workers);
   const totalCapacity = working.reduce((sum, { capacity }) => sum + capacity, 0);
   const meanCapacity = totalCapacity / Math.max(1, working.length);
   const fair = new Map<string, number>();
-  const hasEnough = working.length >= models.length;
+  const hasEnough = !mustShareWorkers(models, workers);
   // The lightest model first: what it gets beyond its share is taken from the heavier ones.
   const byWeight = [...models].sort((left, right) => weightOf(left) - weightOf(right));
   let restCapacity = totalCapacity;
