fix(batches): the work of a placement does not grow with the waiting items

Cause: each placement, several hundred a second, walked over all items of all open batches and described all steps, though only as many items can start as there are free slots.

Change: a batch keeps its waiting items apart. Those that have not begun differ in their length only, so the longest ones, as many as there are free slots, stand for all; those that have begun, and all where something is suspected, are looked at as before. Whether steps contend is found out once a second.

--- a/src/node/batches/__tests__/dispatcherHarness.ts
+++ b/src/node/batches/__tests__/dispatcherHarness.ts
@@ -97,6 +97,9 @@
   /** Items that were run with another body than their own. */
   readonly wrongBodies: string[] = [];
 
+  /** Number of times that the dispatcher asked whether an item may start. */
+  verdictCount = 0;
+
   /** Number of ended worker processes. */
   endedWorkers = 0;
 
@@ -153,6 +156,11 @@
         return hasEnded;
       },
     });
+    const verdictOf = poison.verdictOf.bind(poison);
+    poison.verdictOf = (...request) => {
+      this.verdictCount += 1;
+      return verdictOf(...request);
+    };
     this.#createBodies = () => new ItemBodies({ clock, memory, parts });
     this.#bodies = this.#createBodies();
     this.#createDispatcher = (term) =>
--- a/src/node/batches/batchState.ts
+++ b/src/node/batches/batchState.ts
@@ -10,6 +10,7 @@
 import { itemBytes } from './contents/storedPart.ts';
 import { ItemState } from './itemState.ts';
 import type { ResultLog } from './resultLog.ts';
+import { WaitingItems } from './waitingItems.ts';
 
 /** Results of a batch as read at its dispatcher. */
 export interface DispatcherRead {
@@ -42,6 +43,8 @@
 
   #items: ReadonlyMap<string, ItemState>;
 
+  #waiting: WaitingItems;
+
   /** Memory of the items without their large bodies, in bytes. */
   #itemsBytes: number;
 
@@ -74,6 +77,7 @@
         new ItemState(this, item, record, bodies.digestOf(record.id, item.id)),
       ]),
     );
+    this.#waiting = new WaitingItems(this.#items.values());
     for (const { group } of items) {
       this.#unfinishedByGroup.set(group, this.unfinishedInGroup(group) + 1);
     }
@@ -86,6 +90,10 @@
     return this.#items;
   }
 
+  get waiting(): Pick<WaitingItems, 'size' | 'all' | 'candidates'> {
+    return this.#waiting;
+  }
+
   /** Memory of the items without their large bodies, in bytes. */
   get itemsBytes(): number {
     return this.#itemsBytes;
@@ -108,6 +116,7 @@
   /** Drops the items, which nothing needs any more. */
   dropItems(): void {
     this.#items = new Map();
+    this.#waiting = new WaitingItems([]);
     this.#itemsBytes = 0;
     this.#bodies.dropBatch(this.record.id);
   }
@@ -128,6 +137,12 @@
     return this.#unfinishedByGroup.get(group) ?? 0;
   }
 
+  /** Records whether an item waits for a worker, and that it has begun. */
+  recordWaiting(state: ItemState, isWaiting: boolean): void {
+    if (isWaiting) this.#waiting.addBegun(state);
+    else this.#waiting.delete(state);
+  }
+
   /** Marks items as listed because their results are stored in the result log. */
   markStored(results: readonly ItemResult[]): void {
     for (const { itemId } of results) {
--- a/src/node/batches/constants.ts
+++ b/src/node/batches/constants.ts
@@ -119,6 +119,9 @@
 /** Priority of batch items at model engines: the default. Callers' streams have this priority or a more urgent one. */
 export const ITEM_ENGINE_PRIORITY = 5;
 
+/** Interval between checks whether steps contend for the slots of a pool, in ms. */
+export const CONTENTION_CHECK_MS = 1000;
+
 /** Longest time for which a dispatcher starts runs without handling anything else, in ms. */
 export const MAX_PLACEMENT_TURN_MS = 100;
 
--- a/src/node/batches/dispatchedBatches.ts
+++ b/src/node/batches/dispatchedBatches.ts
@@ -43,10 +43,13 @@
     return this.open().map(({ record }) => record);
   }
 
-  waitingItems(): ItemState[] {
-    return this.open().flatMap(({ items }) =>
-      [...items.values()].filter(({ phase }) => phase === 'waiting'),
-    );
+  /**
+   * Waiting items of open batches.
+   *
+   * @param countOfBatch - number of items of a batch, among those that have not begun, that may start now @default all
+   */
+  waitingItems(countOfBatch = Infinity): ItemState[] {
+    return this.open().flatMap(({ waiting }) => waiting.candidates(countOfBatch));
   }
 
   /** Number of batches whose items are in memory. */
--- a/src/node/batches/itemPlacer.ts
+++ b/src/node/batches/itemPlacer.ts
@@ -1,18 +1,12 @@
 import { type Clock, Stopwatch } from '../../shared/clock.ts';
 import { longestFirst, placeItems, type WaitingItem } from '../decisions/items/itemPlacement.ts';
-import {
-  bySubmission,
-  contend,
-  neededWork,
-  type StepOrder,
-  sumOf,
-} from '../decisions/items/stepOrder.ts';
+import { contend, neededWork, type StepOrder, sumOf } from '../decisions/items/stepOrder.ts';
 import type { EnginePool } from '../gateway/gatewayTables.ts';
 import type { RegisteredWorker } from '../gateway/workerRegistry.ts';
 import type { Logger } from '../observability/logger.ts';
 import type { Metrics } from '../observability/metrics.ts';
 import type { BatchState } from './batchState.ts';
-import { MAX_PLACEMENT_TURN_MS } from './constants.ts';
+import { CONTENTION_CHECK_MS, MAX_PLACEMENT_TURN_MS } from './constants.ts';
 import type { EnginePermits, PermitDemand } from './enginePermits.ts';
 import type { EngineWorkers, LimitedWorker } from './engineWorkers.ts';
 import type { ItemRun } from './itemRun.ts';
@@ -29,9 +23,10 @@
   readonly metrics: Pick<Metrics, 'stepsContend'>;
   /**
    * `byContention` completes more steps in the model of docs/policies.md, but puts a late step last, for which a trainer
-   * and all its later steps wait (czujka-ops, day scale-1: a step lost after the loss of all nodes).
+   * and all its later steps wait (czujka-ops, day scale-1: a step lost after the loss of all nodes). It needs all waiting items,
+   * not only those of each batch that may start next.
    *
-   * @default `bySubmission`
+   * @default by submission
    */
   readonly order?: StepOrder;
   readonly clock: Clock;
@@ -70,6 +65,9 @@
 
   #isContended = false;
 
+  /** Time since it was last found out whether steps contend. */
+  #contentionChecked: Stopwatch | undefined;
+
   constructor(options: ItemPlacerOptions) {
     this.#options = options;
   }
@@ -95,7 +93,7 @@
     textRestarts.restartHeldTexts(waiting.values(), placementWorkers, running);
     const tokensPerEvent = engine()?.tokensPerEvent ?? 1;
     const freeSlots = placementWorkers.reduce((sum, worker) => sum + worker.freeSlots, 0);
-    const ranks = waiting.size > freeSlots ? this.#groupRanks(open, usable) : undefined;
+    const ranks = this.#groupRanks(open, waiting.size > freeSlots, usable);
     const candidates = [...waiting].flatMap(([key, state]) => {
       const item = toWaitingItem(key, state, tokensPerEvent, suspected.suspicionOf(state));
       if (ranks === undefined) return [item];
@@ -123,12 +121,19 @@
     if (unplaced.length > 0) this.#askForPermits(unplaced, waiting, started);
   }
 
-  /** Ranks of the groups that may start items, where not all waiting items can start. */
+  /**
+   * Ranks of the groups that may start items, where not all waiting items can start; undefined where batches are ordered by their
+   * submission. Also finds out whether steps contend.
+   */
   #groupRanks(
     open: readonly BatchState[],
+    hasMoreItems: boolean,
     usable: readonly RegisteredWorker[],
-  ): ReadonlyMap<string, number> {
-    const { clock, engine, workers, order = bySubmission, metrics, logger, pool } = this.#options;
+  ): ReadonlyMap<string, number> | undefined {
+    const { clock, engine, workers, order, metrics, logger, pool } = this.#options;
+    const checkedMs = this.#contentionChecked?.elapsedMs() ?? Infinity;
+    if (!hasMoreItems || (order === undefined && checkedMs < CONTENTION_CHECK_MS)) return undefined;
+    this.#contentionChecked = new Stopwatch(clock);
     const { tokensPerEvent = 1, slots } = engine() ?? {};
     const steps = toStepStates(open, {
       ...{ tokensPerEvent, eventGapMs: workers.eventGapMs, nowMs: clock.nowMs() },
@@ -147,7 +152,7 @@
         workMs,
       });
     }
-    return order(steps, totalSlots);
+    return order?.(steps, totalSlots);
   }
 
   /** Asks for permits to start waiting items on workers that have free slots but a request limit. */
--- a/src/node/batches/itemState.ts
+++ b/src/node/batches/itemState.ts
@@ -83,29 +83,29 @@
   }
 
   start(): void {
-    this.#phase = 'running';
+    this.#setPhase('running');
   }
 
   /** Makes the item wait for a worker again, preferably another than `formerWorker`. */
   requeue(formerWorker: string | undefined): void {
     if (this.closed) return;
-    this.#phase = 'waiting';
+    this.#setPhase('waiting');
     this.#avoidedWorker = formerWorker;
   }
 
   /** Marks the text as complete; the item now needs its score. */
   startScoring(): void {
     if (this.closed) return;
-    this.#phase = 'scoring';
+    this.#setPhase('scoring');
     this.#isTextComplete = true;
   }
 
   finish(): void {
-    this.#phase = 'finished';
+    this.#setPhase('finished');
   }
 
   markStored(): void {
-    this.#phase = 'listed';
+    this.#setPhase('listed');
   }
 
   /** Counts an attempt that a worker reported as failed. */
@@ -152,6 +152,12 @@
     this.#failedAttempts = Math.max(this.#failedAttempts, earlier.failedAttempts);
     if (!this.text.restore(earlier.events, earlier.eventVersions, earlier.textId)) return false;
     this.#isTextComplete = earlier.whole;
+    this.batch.recordWaiting(this, true);
     return true;
   }
+
+  #setPhase(phase: ItemPhase): void {
+    this.#phase = phase;
+    this.batch.recordWaiting(this, phase === 'waiting');
+  }
 }
--- a/src/node/batches/poolDispatcher.ts
+++ b/src/node/batches/poolDispatcher.ts
@@ -327,10 +327,14 @@
     this.schedule();
   }
 
-  #waitingItems(): Map<string, ItemState> {
-    const startable = this.#suspected.startable(this.#batches.waitingItems(), [
-      ...this.#runs.values(),
-    ]);
+  /** Waiting items that may start now, by key; of many items that have not begun, as many as can start. */
+  #waitingItems(runs: readonly ItemRun[]): Map<string, ItemState> {
+    const freeSlots = this.#workers
+      .withFreeSlots(countByWorker(runs))
+      .reduce((sum, free) => sum + free.freeSlots, 0);
+    // The order in which suspected items are tried depends on all of them.
+    const countOfBatch = this.#suspected.isCalm ? freeSlots : Infinity;
+    const startable = this.#suspected.startable(this.#batches.waitingItems(countOfBatch), runs);
     return new Map(
       startable.map((state) => [`${state.batch.record.id}/${state.item.id}`, state] as const),
     );
@@ -340,7 +344,7 @@
     const workers = this.#workers.usable();
     if (this.#viewGuard.mayStartRuns()) {
       const runs = [...this.#runs.values()];
-      this.#placer.place(this.#batches.open(), this.#waitingItems(), runs, workers);
+      this.#placer.place(this.#batches.open(), this.#waitingItems(runs), runs, workers);
     }
     this.#refresher.refresh(workers, this.#batches.open(), [...this.#runs.values()]);
   }
@@ -469,7 +473,9 @@
     this.#batches.dropStoredItems();
     this.#options.memory.trim();
     for (const batch of this.#batches.open()) {
-      const open = [...batch.items.values()].filter(({ closed }) => !closed);
+      const open = [...batch.items.values()].filter(
+        ({ closed, text }) => !closed && text.events.length > 0,
+      );
       void this.#checkpointStores.get(batch.record.id)?.write(open);
     }
   }
--- a/src/node/batches/suspectedItems.ts
+++ b/src/node/batches/suspectedItems.ts
@@ -28,7 +28,13 @@
   readonly pool: string;
   readonly poison: Pick<
     PoisonGuard,
-    'verdictOf' | 'endsOf' | 'sinceLastEndMs' | 'recordAnswer' | 'recordBroken' | 'isCommonLoss'
+    | 'hasSuspects'
+    | 'verdictOf'
+    | 'endsOf'
+    | 'sinceLastEndMs'
+    | 'recordAnswer'
+    | 'recordBroken'
+    | 'isCommonLoss'
   >;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -92,6 +98,11 @@
     this.#dueMs.set(batch, clock.monotonicMs() + dueInMs);
   }
 
+  /** Whether neither items nor batches are suspected. */
+  get isCalm(): boolean {
+    return !this.#options.poison.hasSuspects && this.#batches.isEmpty;
+  }
+
   /** The waiting items that may start now: no condemned ones, and few at a time of a suspected batch. */
   startable(waiting: readonly ItemState[], runs: readonly ItemRun[]): ItemState[] {
     this.#recordSurvivors(runs);
--- a/src/node/batches/weightRefresher.ts
+++ b/src/node/batches/weightRefresher.ts
@@ -41,9 +41,8 @@
 /** Counts the waiting items of each model. */
 const countWaiting = (open: readonly BatchState[]): Map<string, number> => {
   const waiting = new Map<string, number>();
-  for (const { record, items } of open) {
-    const count = [...items.values()].filter(({ phase }) => phase === 'waiting').length;
-    waiting.set(record.model, (waiting.get(record.model) ?? 0) + count);
+  for (const { record, waiting: ofBatch } of open) {
+    waiting.set(record.model, (waiting.get(record.model) ?? 0) + ofBatch.size);
   }
   return waiting;
 };
--- a/src/node/decisions/poisonRequests/batchSuspicion.ts
+++ b/src/node/decisions/poisonRequests/batchSuspicion.ts
@@ -48,6 +48,11 @@
 export class BatchSuspicion {
   readonly #ends = new Map<string, BatchEnds>();
 
+  /** Whether no ends of workers are held against any batch. */
+  get isEmpty(): boolean {
+    return this.#ends.size === 0;
+  }
+
   verdictOf(batchId: string, nowMs: number): BatchVerdict {
     const ends = this.#ends.get(batchId);
     if (ends === undefined || ends.workers.size < MIN_ENDS_FOR_SUSPICION) return 'unsuspected';
--- a/src/node/poison/poisonGuard.ts
+++ b/src/node/poison/poisonGuard.ts
@@ -128,6 +128,11 @@
     this.#onChange = onChange;
   }
 
+  /** Whether a request is suspected, or the worker of one is being probed. */
+  get hasSuspects(): boolean {
+    return this.requests.size > 0 || this.#probed.size > 0;
+  }
+
   /**
    * What to do with a request.
    *
@@ -135,7 +140,7 @@
    */
   verdictOf(request: DigestedRequest, pauseMs: RetrialPause = this.#requestPauseMs): PoisonVerdict {
     // Without suspected requests, none is digested.
-    if (this.requests.size === 0 && this.#probed.size === 0) return 'unsuspected';
+    if (!this.hasSuspects) return 'unsuspected';
     const digest = this.#digestOf(request);
     if (this.#judged.has(digest)) return 'condemned';
     const nowMs = this.#options.clock.monotonicMs();
