--- a/src/node/platform/__tests__/platformClients.test.ts
+++ b/src/node/platform/__tests__/platformClients.test.ts
@@ -77,6 +77,29 @@
   expect(writes).toEqual(4);
 });
 
+// Guards against lists of many pages that exceed the rate of calls of the node, because only their first page counts.
+test('each page of a list counts as a call and waits for its turn', async () => {
+  const clock = new VirtualClock();
+  const readAtMs: number[] = [];
+  const platform = fakePlatform({
+    list: async (_prefix, { beforePage } = {}) => {
+      for (let page = 0; page < 40; page += 1) {
+        if (page > 0) await beforePage?.();
+        readAtMs.push(clock.monotonicMs());
+      }
+      return [];
+    },
+  });
+  const client = new BudgetedPlatformClient({ platform, clock, random, callsPerSecond: 10 });
+  const startMs = clock.monotonicMs();
+  const list = client.list('a/', { priority: { kind: 'bulk', order: 0 } });
+  await clock.advanceAsync(5000);
+  await list;
+  const ofFirstSecond = readAtMs.filter((atMs) => atMs - startMs <= 1000);
+  expect(ofFirstSecond.length <= 2 * 10).toEqual(true);
+  expect(readAtMs.length).toEqual(40);
+});
+
 const runWrite = async (platform: PlatformClient): Promise<WriteResult> => {
   const clock = new VirtualClock();
   const result = writeUntilResolved({
--- a/src/node/platform/budgetedPlatformClient.ts
+++ b/src/node/platform/budgetedPlatformClient.ts
@@ -86,9 +86,10 @@
   }
 
   list(prefix: string, options?: ReadOptions): Promise<readonly PlatformObject[]> {
+    const beforePage = () => this.#acquirePage(options?.priority);
     return this.#readWithRetry(
       'list',
-      () => this.#options.platform.list(prefix, options),
+      () => this.#options.platform.list(prefix, { ...options, beforePage }),
       options?.priority,
     );
   }
@@ -98,7 +99,10 @@
   }
 
   snapshot(prefix: string): Promise<PlatformSnapshot> {
-    return this.#readWithRetry('list', () => this.#options.platform.snapshot(prefix));
+    const beforePage = () => this.#acquirePage(undefined);
+    return this.#readWithRetry('list', () =>
+      this.#options.platform.snapshot(prefix, { beforePage }),
+    );
   }
 
   async changesSince(
@@ -198,6 +202,24 @@
     }
   }
 
+  /** Waits until another page of a list that is being read may be read. @throws PlatformError */
+  async #acquirePage(priority: CallPriority | undefined): Promise<void> {
+    const { clock, onCall } = this.#options;
+    if (priority?.kind !== 'bulk') {
+      const acquired = await this.#acquire('list', priority);
+      if (acquired === undefined) throw new PlatformError(notSentReason(priority));
+      return;
+    }
+    // The list has its place among the bulk calls in progress already.
+    for (;;) {
+      const waitMs = this.#budget.tryReserveBulk();
+      if (waitMs === 0) break;
+      await sleep(clock, waitMs, priority.signal);
+      if (priority.signal?.aborted) throw new PlatformError(notSentReason(priority));
+    }
+    onCall?.('list');
+  }
+
   /** Waits until a call may start; undefined if it would have to wait too long or was cancelled. */
   async #acquire(
     operation: PlatformOperation,
--- a/src/node/platform/platformClient.ts
+++ b/src/node/platform/platformClient.ts
@@ -71,7 +71,13 @@
   readonly object: PlatformObject;
 }
 
-export interface ReadOptions extends CallOptions {
+/** How a list of several pages is read. */
+export interface PageOptions {
+  /** Called before each page after the first; the list fails if it throws. @default nothing */
+  readonly beforePage?: () => Promise<void>;
+}
+
+export interface ReadOptions extends CallOptions, PageOptions {
   /** Whether the response may be seconds old, which is cheaper for the platform. @default false */
   readonly allowStale?: boolean;
   /** Field whose long strings may be left out of the value. @default none */
@@ -127,7 +133,7 @@
   readonly signal: AbortSignal;
 }
 
-export interface SnapshotOptions {
+export interface SnapshotOptions extends PageOptions {
   /** Minimum version of the response; relevant only when a relay responds instead of the platform. */
   readonly minVersion?: number;
 }
